--- /dev/null
+++ b/Source/base/timer_service.h
@@ -0,0 +1,60 @@
+#ifndef BASE_TIMER_SERVICE_H_
+#define BASE_TIMER_SERVICE_H_
+
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <thread>
+
+namespace comfrey {
+
+/// \brief Calls subscribed functions periodically, on one thread.
+///
+/// A callback must not block; slow work belongs on a thread of its own.
+class TimerService {
+ public:
+  using Clock = std::chrono::steady_clock;
+  using Callback = std::function<void(Clock::time_point now)>;
+  using SubscriptionId = std::uint64_t;
+
+  TimerService();
+  ~TimerService();
+
+  TimerService(const TimerService&) = delete;
+  TimerService& operator=(const TimerService&) = delete;
+
+  /// \brief Calls `callback` each `period`, first after one period.
+  SubscriptionId Subscribe(std::chrono::milliseconds period, Callback callback);
+
+  /// \brief Ends a subscription and waits for a call in progress to return.
+  ///
+  /// Must not be called from a callback.
+  void Unsubscribe(SubscriptionId id);
+
+  /// \brief Stops the thread; no callback runs after it returns.
+  void Stop();
+
+ private:
+  struct Subscription {
+    std::chrono::milliseconds period;
+    Clock::time_point next;
+    Callback callback;
+  };
+
+  void Run();
+
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::map<SubscriptionId, Subscription> subscriptions;
+  SubscriptionId next_id = 1;
+  SubscriptionId running = 0;
+  bool stopping = false;
+  std::thread thread;
+};
+
+}  // namespace comfrey
+
+#endif  // BASE_TIMER_SERVICE_H_
