--- /dev/null
+++ b/Source/config/team_config.cc
@@ -0,0 +1,492 @@
+#include "config/team_config.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
+#include "absl/strings/ascii.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "absl/strings/str_split.h"
+#include "absl/time/time.h"
+#include "config/ini_fields.h"
+#include "config/request_path.h"
+
+namespace comfrey {
+namespace {
+
+using std::chrono::hours;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr int kPpm = 1'000'000;
+constexpr int kMaxSlots = 10'000;
+constexpr int kMaxQueueLimit = 100'000;
+constexpr int kMaxUrgency = 100;
+constexpr int kMaxWorth = 1'000'000;
+constexpr int kMinObjectivePpm = 10'000;
+constexpr int kMaxObjectivePpm = 999'999;
+constexpr std::size_t kMaxPathLength = 128;
+constexpr std::size_t kMaxHeaderLength = 128;
+constexpr std::size_t kMaxMethodLength = 32;
+constexpr std::array<absl::string_view, 5> kReservedTeamNames = {
+    "healthz", "livez", "metrics", "readyz", "status"};
+
+using Problem = std::optional<FieldProblem>;
+
+// Parsing state of one value.
+struct TeamReader {
+  const IniDocument& document;
+  TeamConfig& config;
+  std::vector<IniError>& errors;
+  // Service of each endpoint address.
+  absl::flat_hash_map<std::string, std::string> endpoint_services;
+};
+
+Problem ReadTime(absl::string_view text,
+                 std::optional<std::chrono::system_clock::time_point>& value) {
+  constexpr absl::string_view kFormat = "%Y-%m-%dT%H:%M:%SZ";
+  const absl::TimeZone utc = absl::UTCTimeZone();
+  absl::Time time;
+  // Formatting again refuses what absl::ParseTime takes beyond the format,
+  // such as "infinite-past", and days that do not exist.
+  if (!absl::ParseTime(kFormat, text, &time, nullptr) ||
+      absl::FormatTime(kFormat, time, utc) != text) {
+    return FieldProblem{"the value is not a time in UTC",
+                        "write it as 2026-12-04T10:00:00Z"};
+  }
+  const auto year = utc.At(time).cs.year();
+  if (year < 2000 || year > 2199) {
+    return FieldProblem{"the value is out of range",
+                        "write a time in the years 2000 to 2199"};
+  }
+  value = absl::ToChronoTime(time);
+  return std::nullopt;
+}
+
+Problem ReadMethod(absl::string_view text, std::string& value) {
+  if (text.empty() || text.size() > kMaxMethodLength ||
+      !std::all_of(text.begin(), text.end(), absl::ascii_isupper)) {
+    return FieldProblem{"the value is not an HTTP method",
+                        "write one method in upper case, for example POST"};
+  }
+  value = std::string(text);
+  return std::nullopt;
+}
+
+Problem ReadPath(absl::string_view text, std::string& value) {
+  const std::optional<RequestPath> path = ReadRequestPath(text);
+  if (!path || path->encoded != text) {
+    return FieldProblem{
+        "the value is not a plain absolute path",
+        "start it with \"/\"; leave out empty and dot segments, \"?\", \"#\", "
+        "spaces, backslashes and encoded slashes"};
+  }
+  if (path->decoded.size() > kMaxPathLength) {
+    return FieldProblem{
+        "the path is too long",
+        absl::StrCat("write at most ", kMaxPathLength, " characters")};
+  }
+  value = path->decoded;
+  if (value.size() > 1 && value.back() == '/') {
+    value.pop_back();
+  }
+  return std::nullopt;
+}
+
+bool IsHeaderNameByte(unsigned char c) {
+  return absl::ascii_isalnum(c) ||
+         absl::string_view("!#$%&'*+-.^_`|~").find(static_cast<char>(c)) !=
+             absl::string_view::npos;
+}
+
+Problem ReadHeader(absl::string_view text, RouteConfig& route) {
+  const std::pair<absl::string_view, absl::string_view> parts =
+      absl::StrSplit(text, absl::MaxSplits(':', 1));
+  const absl::string_view name = absl::StripAsciiWhitespace(parts.first);
+  const absl::string_view value = absl::StripAsciiWhitespace(parts.second);
+  if (name.empty() || value.empty() || text.size() > kMaxHeaderLength ||
+      !std::all_of(name.begin(), name.end(), IsHeaderNameByte) ||
+      !std::all_of(value.begin(), value.end(), absl::ascii_isprint)) {
+    return FieldProblem{
+        "the value is not a header with its value",
+        absl::StrCat("write \"Name: value\" with at most ", kMaxHeaderLength,
+                     " characters, for example X-Caller: internal")};
+  }
+  route.header_name = std::string(name);
+  route.header_value = std::string(value);
+  return std::nullopt;
+}
+
+// Reads the value of `endpoints`; reports every item that is wrong.
+void ReadEndpoints(TeamReader& reader,
+                   const IniSection& section,
+                   const IniEntry& entry,
+                   ServiceConfig& service) {
+  for (const absl::string_view item : absl::StrSplit(entry.value, ',')) {
+    SocketAddress socket;
+    Problem problem =
+        ReadSocketAddress(absl::StripAsciiWhitespace(item), socket);
+    const std::string address = FormatSocketAddress(socket);
+    if (!problem) {
+      const auto [other, added] =
+          reader.endpoint_services.emplace(address, service.name);
+      if (!added) {
+        problem = FieldProblem{
+            absl::StrCat(address, " is already an endpoint of service ",
+                         other->second),
+            "list each endpoint once, in one service of the team"};
+      }
+    }
+    if (problem) {
+      AddSectionError(reader.document, section, &entry, *std::move(problem),
+                      reader.errors);
+      continue;
+    }
+    service.endpoints.push_back(
+        {address, std::move(socket.ip), socket.port, KeysState::kActive});
+  }
+  service.endpoints.shrink_to_fit();
+}
+
+void ReadTeam(TeamReader& reader, const IniSection& section) {
+  TeamConfig& team = reader.config;
+  ReadFields(
+      reader.document, section,
+      {{"generation", IntegerField(team.generation, 1,
+                                   std::numeric_limits<std::int64_t>::max())},
+       {"removed", BoolField(team.removed)}},
+      reader.errors);
+}
+
+void ReadService(TeamReader& reader, const IniSection& section) {
+  ServiceConfig service;
+  service.name = section.name;
+  microseconds latency{0};
+  ReadFields(
+      reader.document, section,
+      {{"endpoints", [](absl::string_view) { return std::nullopt; },
+        Presence::kRequired},
+       {"slots", IntegerField(service.slots, 1, kMaxSlots)},
+       {"floor", PercentField(service.floor, 0, kPpm)},
+       {"key_retention",
+        DurationField(service.key_retention, seconds(1), hours(24))},
+       {"keys_since",
+        [&](absl::string_view v) { return ReadTime(v, service.keys_since); }},
+       {"queue_limit", IntegerField(service.queue_limit, 0, kMaxQueueLimit)},
+       {"detection", ChoiceField<Detection>(service.detection,
+                                            {{"careful", Detection::kCareful},
+                                             {"balanced", Detection::kBalanced},
+                                             {"fast", Detection::kFast}})},
+       {"expected_latency",
+        DurationField(latency, microseconds(100), minutes(10))},
+       {"warmup", DurationField(service.warmup, seconds(0), hours(1))}},
+      reader.errors);
+  if (latency > microseconds(0)) {
+    service.expected_latency = latency;
+  }
+  if (const IniEntry* endpoints = FindEntry(section, "endpoints")) {
+    ReadEndpoints(reader, section, *endpoints, service);
+  }
+  reader.config.services.push_back(std::move(service));
+}
+
+void ReadRank(TeamReader& reader, const IniSection& section) {
+  RankConfig rank;
+  rank.name = section.name;
+  ReadFields(reader.document, section,
+             {{"urgency", IntegerField(rank.urgency, 1, kMaxUrgency),
+               Presence::kRequired},
+              {"target", DurationField(rank.target, milliseconds(1), hours(1)),
+               Presence::kRequired},
+              {"objective", PercentField(rank.objective, kMinObjectivePpm,
+                                         kMaxObjectivePpm)},
+              {"share", PercentField(rank.share, 0, kPpm)},
+              {"worth", IntegerField(rank.worth, 0, kMaxWorth)}},
+             reader.errors);
+  reader.config.ranks.push_back(std::move(rank));
+}
+
+void ReadRoute(TeamReader& reader, const IniSection& section) {
+  RouteConfig route;
+  route.name = section.name;
+  ReadFields(
+      reader.document, section,
+      {{"service", NameField(route.service), Presence::kRequired},
+       {"rank", NameField(route.rank), Presence::kRequired},
+       {"method",
+        [&](absl::string_view v) { return ReadMethod(v, route.method); }},
+       {"path", [&](absl::string_view v) { return ReadPath(v, route.path); }},
+       {"match_header",
+        [&](absl::string_view v) { return ReadHeader(v, route); }},
+       {"repeat", ChoiceField<bool>(route.repeat_safe,
+                                    {{"never", false}, {"safe", true}})},
+       {"deadline", DurationField(route.deadline, milliseconds(1), hours(1))}},
+      reader.errors);
+  reader.config.routes.push_back(std::move(route));
+}
+
+// The heading of an IPv6 endpoint is written without brackets, because "]"
+// ends a heading: "[endpoint ::1 8081]".
+std::string HeadingAddress(absl::string_view name) {
+  const std::pair<absl::string_view, absl::string_view> parts =
+      absl::StrSplit(name, absl::MaxSplits(' ', 1));
+  return parts.second.empty()
+             ? std::string(name)
+             : absl::StrCat("[", parts.first,
+                            "]:", absl::StripAsciiWhitespace(parts.second));
+}
+
+// Reads the endpoint sections, after all services are known.
+void ReadEndpointSections(TeamReader& reader) {
+  absl::flat_hash_map<absl::string_view, EndpointConfig*> endpoints;
+  for (ServiceConfig& service : reader.config.services) {
+    for (EndpointConfig& endpoint : service.endpoints) {
+      endpoints.emplace(endpoint.address, &endpoint);
+    }
+  }
+  absl::flat_hash_set<std::string> seen;
+  for (const IniSection& section : reader.document.sections) {
+    if (section.kind != "endpoint") {
+      continue;
+    }
+    KeysState keys = KeysState::kActive;
+    ReadFields(reader.document, section,
+               {{"keys", ChoiceField<KeysState>(
+                             keys, {{"joining", KeysState::kJoining},
+                                    {"active", KeysState::kActive},
+                                    {"leaving", KeysState::kLeaving}})}},
+               reader.errors);
+    SocketAddress socket;
+    Problem problem = ReadSocketAddress(HeadingAddress(section.name), socket);
+    const std::string address = FormatSocketAddress(socket);
+    const auto endpoint = endpoints.find(address);
+    if (problem) {
+      problem->remedy =
+          "write [endpoint 127.0.1.1:8081], or [endpoint ::1 "
+          "8081] for IPv6";
+    } else if (!seen.insert(address).second) {
+      problem =
+          FieldProblem{absl::StrCat("endpoint ", address, " has two sections"),
+                       "merge the two sections into one"};
+    } else if (endpoint == endpoints.end()) {
+      problem = FieldProblem{
+          absl::StrCat("no service lists the endpoint ", address),
+          "add it to the endpoints of a service, or remove the section"};
+    }
+    if (problem) {
+      AddSectionError(reader.document, section, nullptr, *std::move(problem),
+                      reader.errors);
+      continue;
+    }
+    endpoint->second->keys = keys;
+  }
+}
+
+void CheckReference(TeamReader& reader,
+                    const IniSection& section,
+                    absl::string_view kind,
+                    const absl::flat_hash_set<absl::string_view>& names) {
+  const IniEntry* entry = FindEntry(section, kind);
+  if (entry == nullptr || !IsValidName(entry->value) ||
+      names.contains(entry->value)) {
+    return;
+  }
+  const std::string nearest =
+      NearestWord(entry->value, {names.begin(), names.end()});
+  AddSectionError(
+      reader.document, section, entry,
+      {absl::StrCat("no section [", kind, " ", entry->value, "] exists"),
+       absl::StrCat("add the section",
+                    nearest.empty()
+                        ? ""
+                        : absl::StrCat(", or use \"", nearest,
+                                       "\", the nearest existing name"))},
+      reader.errors);
+}
+
+// Two routes that match exactly the same requests leave the choice open.
+void CheckSameRequests(TeamReader& reader) {
+  absl::flat_hash_map<std::string, const RouteConfig*> seen;
+  auto section = reader.document.sections.begin();
+  for (const RouteConfig& route : reader.config.routes) {
+    section =
+        std::find_if(section, reader.document.sections.end(),
+                     [](const IniSection& s) { return s.kind == "route"; });
+    const IniSection& current = *section++;
+    const std::string condition = absl::StrCat(
+        route.path, " ", route.method, " ",
+        absl::AsciiStrToLower(route.header_name), ":", route.header_value);
+    const auto [other, added] = seen.emplace(condition, &route);
+    if (!added) {
+      AddSectionError(
+          reader.document, current, nullptr,
+          {absl::StrCat("route ", other->second->name,
+                        " has the same path, method and match_header"),
+           "change one of the three, or remove one of the routes"},
+          reader.errors);
+    }
+  }
+}
+
+void CheckShares(TeamReader& reader) {
+  std::int64_t total = 0;
+  for (const RankConfig& rank : reader.config.ranks) {
+    total += std::llround(rank.share * kPpm);
+  }
+  if (total <= kPpm) {
+    return;
+  }
+  const auto last = std::find_if(
+      reader.document.sections.rbegin(), reader.document.sections.rend(),
+      [](const IniSection& s) {
+        return s.kind == "rank" && FindEntry(s, "share") != nullptr;
+      });
+  AddSectionError(reader.document, *last, FindEntry(*last, "share"),
+                  {absl::StrCat("the shares of all ranks add up to ",
+                                static_cast<double>(total) / (kPpm / 100), "%"),
+                   "lower shares until they add up to at most 100%"},
+                  reader.errors);
+}
+
+void CheckReferences(TeamReader& reader) {
+  absl::flat_hash_set<absl::string_view> services;
+  for (const ServiceConfig& service : reader.config.services) {
+    services.insert(service.name);
+  }
+  absl::flat_hash_set<absl::string_view> ranks;
+  for (const RankConfig& rank : reader.config.ranks) {
+    ranks.insert(rank.name);
+  }
+  for (const IniSection& section : reader.document.sections) {
+    if (section.kind == "route") {
+      CheckReference(reader, section, "service", services);
+      CheckReference(reader, section, "rank", ranks);
+    }
+  }
+}
+
+void ReadSection(TeamReader& reader, const IniSection& section) {
+  using Read = void (*)(TeamReader&, const IniSection&);
+  struct Kind {
+    absl::string_view name;
+    Read read;
+  };
+  constexpr std::array<Kind, 5> kKinds = {
+      {{"team", &ReadTeam},
+       {"service", &ReadService},
+       {"rank", &ReadRank},
+       {"route", &ReadRoute},
+       // Read later, by ReadEndpointSections.
+       {"endpoint", [](TeamReader&, const IniSection&) {}}}};
+  const auto kind =
+      std::find_if(kKinds.begin(), kKinds.end(),
+                   [&](const Kind& k) { return k.name == section.kind; });
+  if (kind == kKinds.end()) {
+    std::vector<absl::string_view> names;
+    for (const Kind& known : kKinds) {
+      names.push_back(known.name);
+    }
+    AddSectionError(
+        reader.document, section, nullptr,
+        {"the section is unknown",
+         absl::StrCat("use \"", NearestWord(section.kind, names),
+                      "\", the nearest known kind, or remove the section")},
+        reader.errors);
+    return;
+  }
+  const bool named = section.kind != "team" && section.kind != "endpoint";
+  if (named && !IsValidName(section.name)) {
+    AddSectionError(reader.document, section, nullptr,
+                    {absl::StrCat("the name in the heading is missing or "
+                                  "invalid"),
+                     NameRemedy()},
+                    reader.errors);
+  }
+  if (section.kind == "team" && !section.name.empty()) {
+    AddSectionError(reader.document, section, nullptr,
+                    {"the section takes no name", "write [team]"},
+                    reader.errors);
+  }
+  kind->read(reader, section);
+}
+
+void CheckTeamName(TeamReader& reader) {
+  const std::string& team = reader.config.team;
+  if (!IsValidName(team)) {
+    reader.errors.push_back(
+        {reader.document.source, 0, "", "", "",
+         absl::StrCat("\"", team, "\" is not a valid team name"),
+         NameRemedy()});
+  } else if (IsReservedTeamName(team)) {
+    reader.errors.push_back(
+        {reader.document.source, 0, "", "", "",
+         absl::StrCat("the team name \"", team, "\" is reserved"),
+         absl::StrCat("use a name other than ",
+                      absl::StrJoin(kReservedTeamNames, ", "))});
+  }
+}
+
+template <typename T>
+const T* FindByName(const std::vector<T>& objects, absl::string_view name) {
+  const auto found = std::find_if(objects.begin(), objects.end(),
+                                  [&](const T& o) { return o.name == name; });
+  return found == objects.end() ? nullptr : &*found;
+}
+
+}  // namespace
+
+TeamConfig ParseTeamConfig(absl::string_view team,
+                           absl::string_view source,
+                           absl::string_view text,
+                           std::vector<IniError>& errors) {
+  const IniDocument document = ParseIni(source, text, errors);
+  TeamConfig config;
+  config.team = std::string(team);
+  TeamReader reader{document, config, errors, {}};
+  CheckTeamName(reader);
+  for (const IniSection& section : document.sections) {
+    ReadSection(reader, section);
+  }
+  ReadEndpointSections(reader);
+  CheckReferences(reader);
+  CheckSameRequests(reader);
+  CheckShares(reader);
+  if (config.removed) {
+    config.services.clear();
+    config.ranks.clear();
+    config.routes.clear();
+  } else if (config.services.empty()) {
+    // An empty or cut value must not silently take a team out of service.
+    errors.push_back({document.source, 0, "", "", "",
+                      "the value has no service",
+                      "add a [service NAME] section, or delete the team with "
+                      "\"removed = true\" in [team]"});
+  }
+  config.services.shrink_to_fit();
+  config.ranks.shrink_to_fit();
+  config.routes.shrink_to_fit();
+  return config;
+}
+
+bool IsReservedTeamName(absl::string_view name) {
+  return std::find(kReservedTeamNames.begin(), kReservedTeamNames.end(),
+                   name) != kReservedTeamNames.end();
+}
+
+const ServiceConfig* FindService(const TeamConfig& config,
+                                 absl::string_view name) {
+  return FindByName(config.services, name);
+}
+
+const RankConfig* FindRank(const TeamConfig& config, absl::string_view name) {
+  return FindByName(config.ranks, name);
+}
+
+}  // namespace comfrey
