Read INI headings in full and report every malformed line

Cause: the library cuts headings at 49 bytes, so entries of a longer heading landed in another section; only the first malformed line was reported; text after a zero byte or after a heading was dropped; an indented continuation that starts with "[" was taken as a heading; repeated headings with other spaces were merged. Section look-ups were linear, so a value of 1 MB with many sections took quadratic time.

Change: the document is read with ini_parse_stream in one pass, which tracks lines and headings itself; look-ups are hashed.

Conclusion: no line of a value is dropped without an error.

--- a/Source/config/ini_document.cc
+++ b/Source/config/ini_document.cc
@@ -3,127 +3,179 @@
 #include <ini.h>
 
 #include <algorithm>
+#include <cstring>
 
+#include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
 #include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
-#include "absl/strings/str_split.h"
 
 namespace comfrey {
 namespace {
 
+// The library cuts lines at 200 bytes, with the line end and the terminator.
+constexpr std::size_t kMaxLineLength = 198;
+
+// The library calls ReadLine for each line and HandleEntry for each line with
+// a value, so line numbers and headings are tracked here: the library reports
+// neither empty sections nor the numbers of good lines, cuts headings at 49
+// bytes and reports the first malformed line only.
 struct ParseState {
   IniDocument* document;
   std::vector<IniError>* errors;
+  absl::string_view rest;
+  absl::string_view raw;
+  int line = 0;
+  // The current line is blank, a comment, a heading, or was handled.
+  bool understood = true;
+  // Index of the current section; npos before the first heading.
+  std::size_t section = absl::string_view::npos;
+  // An entry of the section precedes, so an indented line continues it.
+  bool has_entry = false;
+  absl::flat_hash_map<std::string, std::size_t> sections;
+  absl::flat_hash_set<std::string> keys;
 };
 
-// Returns the section with the heading, adding it at its first use.
-IniSection& SectionFor(IniDocument& document, absl::string_view heading) {
-  const std::size_t space = heading.find(' ');
-  const absl::string_view kind = heading.substr(0, space);
-  const absl::string_view name =
+void AddLineError(ParseState& state,
+                  absl::string_view cause,
+                  absl::string_view remedy) {
+  state.errors->push_back({state.document->source, state.line, "", "", "",
+                           std::string(cause), std::string(remedy)});
+}
+
+// Makes the section with the heading the current one; `line` is 0 for the
+// unnamed section of entries before the first heading.
+void EnterSection(ParseState& state, absl::string_view heading, int line) {
+  const absl::string_view trimmed = absl::StripAsciiWhitespace(heading);
+  const std::size_t space = trimmed.find_first_of(" \t");
+  const std::string kind(trimmed.substr(0, space));
+  const std::string name(
       space == absl::string_view::npos
           ? ""
-          : absl::StripAsciiWhitespace(heading.substr(space));
-  const auto found = std::find_if(
-      document.sections.begin(), document.sections.end(),
-      [&](const IniSection& s) { return s.kind == kind && s.name == name; });
-  if (found != document.sections.end()) {
-    return *found;
-  }
-  document.sections.push_back({std::string(kind), std::string(name), 0, {}});
-  return document.sections.back();
+          : absl::StripAsciiWhitespace(trimmed.substr(space)));
+  std::vector<IniSection>& sections = state.document->sections;
+  const auto [found, added] =
+      state.sections.emplace(absl::StrCat(kind, " ", name), sections.size());
+  state.section = found->second;
+  state.has_entry = false;
+  if (added) {
+    sections.push_back({kind, name, line, {}});
+    return;
+  }
+  state.errors->push_back({state.document->source, line, std::string(trimmed),
+                           "", "", "the section is given twice",
+                           "merge the two sections into one"});
 }
 
-int HandleEntry(void* user,
-                const char* heading,
-                const char* key,
-                const char* value) {
-  ParseState& state = *static_cast<ParseState*>(user);
-  IniSection& section = SectionFor(*state.document, heading);
-  // The library reports an indented continuation line as the same key again.
-  if (!section.entries.empty() && section.entries.back().key == key) {
-    absl::StrAppend(&section.entries.back().value, " ", value);
-    return 1;
+void CheckLine(ParseState& state) {
+  if (state.raw.size() > kMaxLineLength) {
+    AddLineError(
+        state,
+        absl::StrCat("the line is longer than ", kMaxLineLength, " characters"),
+        "continue the value on an indented line");
+  }
+  const bool control = std::any_of(
+      state.raw.begin(), state.raw.end(),
+      [](unsigned char c) { return absl::ascii_iscntrl(c) && c != '\t'; });
+  if (control) {
+    AddLineError(state, "the line has a control character",
+                 "write the value as plain text");
   }
-  section.entries.push_back({key, value, 0});
-  return 1;
 }
 
-// The library cuts lines at 200 bytes, with the line end and the terminator.
-constexpr std::size_t kMaxLineLength = 198;
-
-void CheckLineLength(const IniDocument& document,
-                     int line,
-                     absl::string_view text,
-                     std::vector<IniError>& errors) {
-  if (text.size() <= kMaxLineLength) {
+// Recognizes the lines for which the library does not call HandleEntry.
+void ClassifyLine(ParseState& state) {
+  const absl::string_view text = absl::StripAsciiWhitespace(state.raw);
+  state.understood = text.empty() || text.front() == ';' || text.front() == '#';
+  const bool continuation =
+      state.has_entry &&
+      absl::ascii_isspace(state.raw.empty() ? 'x' : state.raw.front());
+  if (state.understood || continuation || text.front() != '[') {
     return;
   }
-  errors.push_back(
-      {document.source, line, "", "", "",
-       absl::StrCat("the line is longer than ", kMaxLineLength, " characters"),
-       "continue the value on an indented line"});
+  const std::size_t close = text.find(']');
+  if (close == absl::string_view::npos ||
+      text.substr(0, close).find(" ;") != absl::string_view::npos) {
+    return;
+  }
+  state.understood = true;
+  EnterSection(state, text.substr(1, close - 1), state.line);
+  const absl::string_view after =
+      absl::StripLeadingAsciiWhitespace(text.substr(close + 1));
+  if (!after.empty() && after.front() != ';') {
+    AddLineError(state, "text follows the heading",
+                 "write it on a line of its own");
+  }
 }
 
-void SetEntryLine(const IniDocument& document,
-                  IniSection& section,
-                  absl::string_view raw,
-                  int line,
-                  std::vector<IniError>& errors) {
-  const bool continuation = absl::ascii_isspace(raw.front());
-  const std::size_t equals = raw.find_first_of("=:");
-  if (continuation || equals == absl::string_view::npos) {
-    return;
+void FinishLine(ParseState& state) {
+  if (!state.understood) {
+    AddLineError(state, "the line is neither a section nor \"key = value\"",
+                 "correct or remove the line");
   }
-  const absl::string_view key =
-      absl::StripAsciiWhitespace(raw.substr(0, equals));
-  const auto entry =
-      std::find_if(section.entries.begin(), section.entries.end(),
-                   [&](const IniEntry& e) { return e.key == key; });
-  if (entry == section.entries.end()) {
-    return;
+  state.understood = true;
+}
+
+// Has the signature of fgets, as the library asks for.
+char* ReadLine(char* buffer, int size, void* stream) {
+  ParseState& state = *static_cast<ParseState*>(stream);
+  FinishLine(state);
+  if (state.rest.empty()) {
+    return nullptr;
   }
-  if (entry->line == 0) {
-    entry->line = line;
-    return;
+  const std::size_t end = state.rest.find('\n');
+  state.raw = state.rest.substr(0, end);
+  state.rest.remove_prefix(end == absl::string_view::npos ? state.rest.size()
+                                                          : end + 1);
+  if (!state.raw.empty() && state.raw.back() == '\r') {
+    state.raw.remove_suffix(1);
   }
-  errors.push_back(
-      {document.source, line, absl::StrCat(section.kind, " ", section.name),
-       entry->key,
-       std::string(absl::StripAsciiWhitespace(raw.substr(equals + 1))),
-       "the key is given twice in this section", "keep one of the two lines"});
+  ++state.line;
+  CheckLine(state);
+  ClassifyLine(state);
+  const std::size_t length =
+      std::min(state.raw.size(), static_cast<std::size_t>(size) - 1);
+  std::memcpy(buffer, state.raw.data(), length);
+  buffer[length] = '\0';
+  return buffer;
 }
 
-// Finds line numbers, which the library does not report for good lines, and
-// the headings of empty sections, which it does not report at all.
-void AddLines(IniDocument& document,
-              absl::string_view text,
-              std::vector<IniError>& errors) {
-  int line = 0;
-  std::string heading;
-  std::vector<std::string> headings;
-  for (const absl::string_view raw : absl::StrSplit(text, '\n')) {
-    ++line;
-    CheckLineLength(document, line, raw, errors);
-    const absl::string_view current = absl::StripAsciiWhitespace(raw);
-    if (current.empty() || current.front() == ';' || current.front() == '#') {
-      continue;
+// Removes a comment after the value; the library leaves it in continuation
+// lines.
+absl::string_view WithoutComment(absl::string_view value) {
+  for (std::size_t i = 1; i < value.size(); ++i) {
+    if (value[i] == ';' && absl::ascii_isspace(value[i - 1])) {
+      return absl::StripTrailingAsciiWhitespace(value.substr(0, i));
     }
-    const std::size_t close = current.find(']');
-    if (current.front() == '[' && close != absl::string_view::npos) {
-      heading = std::string(current.substr(1, close - 1));
-      SectionFor(document, heading).line = line;
-      if (std::find(headings.begin(), headings.end(), heading) !=
-          headings.end()) {
-        errors.push_back({document.source, line, heading, "", "",
-                          "the section is given twice",
-                          "merge the two sections into one"});
-      }
-      headings.push_back(heading);
-      continue;
-    }
-    SetEntryLine(document, SectionFor(document, heading), raw, line, errors);
   }
+  return value;
+}
+
+int HandleEntry(void* user,
+                const char* /*heading*/,
+                const char* key,
+                const char* value) {
+  ParseState& state = *static_cast<ParseState*>(user);
+  state.understood = true;
+  if (state.section == absl::string_view::npos) {
+    EnterSection(state, "", 0);
+  }
+  IniSection& section = state.document->sections[state.section];
+  if (state.has_entry && absl::ascii_isspace(state.raw.front())) {
+    absl::StrAppend(&section.entries.back().value, " ", WithoutComment(value));
+    return 1;
+  }
+  if (!state.keys.insert(absl::StrCat(state.section, " ", key)).second) {
+    state.errors->push_back(
+        {state.document->source, state.line,
+         absl::StrCat(section.kind, section.name.empty() ? "" : " ",
+                      section.name),
+         key, value, "the key is given twice in this section",
+         "keep one of the two lines"});
+  }
+  section.entries.push_back({key, value, state.line});
+  state.has_entry = true;
+  return 1;
 }
 
 }  // namespace
@@ -157,15 +209,13 @@
                      std::vector<IniError>& errors) {
   IniDocument document;
   document.source = std::string(source);
-  ParseState state{&document, &errors};
-  const std::string copy(text);
-  const int bad_line = ini_parse_string(copy.c_str(), &HandleEntry, &state);
-  if (bad_line != 0) {
-    errors.push_back({document.source, bad_line, "", "", "",
-                      "the line is neither a section nor \"key = value\"",
-                      "correct or remove the line"});
-  }
-  AddLines(document, text, errors);
+  ParseState state;
+  state.document = &document;
+  state.errors = &errors;
+  state.rest = text;
+  // Malformed lines are reported by FinishLine, so the result, which is the
+  // number of the first one, is not needed.
+  ini_parse_stream(&ReadLine, &state, &HandleEntry, &state);
   return document;
 }
 
--- a/Tests/config/ini_document_test.cc
+++ b/Tests/config/ini_document_test.cc
@@ -44,6 +44,16 @@
        "t.ini:4: [team] the section is given twice"},
       {"long line", "[team]\na = " + std::string(300, 'x') + "\n",
        "t.ini:2: the line is longer than 198 characters"},
+      {"second malformed line", "[team]\nnonsense\na = 1\nmore\n",
+       "t.ini:4: the line is neither"},
+      {"unclosed heading", "[team]\n[service a\n",
+       "t.ini:2: the line is neither"},
+      {"text after a heading", "[team] a = 1\n",
+       "t.ini:1: text follows the heading"},
+      {"repeated section with other spaces", "[x a]\n[x  a ]\n",
+       "t.ini:2: [x  a] the section is given twice"},
+      {"text after a zero byte", std::string("[team]\na = 1\0b\n", 15),
+       "t.ini:2: the line has a control character"},
   };
   for (const Case& c : cases) {
     INFO(c.name);
@@ -55,5 +65,26 @@
   }
 }
 
+// Guards against the limits of the library: it cuts headings at 49 bytes, and
+// a continuation line can look like a heading or like another key.
+TEST_CASE("long headings and continuation lines are read in full") {
+  std::vector<IniError> errors;
+  const std::string name(64, 'n');
+  const IniDocument document =
+      ParseIni("t.ini",
+               "[service " + name +
+                   "]\r\nendpoints = [::1]:1,\n  [::2]:1, ; second\n"
+                   "; comment\n\n  a = b\nslots = 3\n",
+               errors);
+  INFO(FormatIniErrors(errors));
+  CHECK(errors.empty());
+  REQUIRE(document.sections.size() == 1);
+  CHECK(document.sections[0].name == name);
+  REQUIRE(document.sections[0].entries.size() == 2);
+  CHECK(document.sections[0].entries[0].value == "[::1]:1, [::2]:1, a = b");
+  CHECK(document.sections[0].entries[0].line == 2);
+  CHECK(document.sections[0].entries[1].line == 7);
+}
+
 }  // namespace
 }  // namespace comfrey
