--- /dev/null
+++ b/Source/config/daemon_settings.cc
@@ -0,0 +1,159 @@
+#include "config/daemon_settings.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+
+namespace comfrey {
+namespace {
+
+using std::chrono::hours;
+using std::chrono::seconds;
+using Problem = std::optional<FieldProblem>;
+
+constexpr int kMaxPort = 65535;
+constexpr int kMaxBootstrapPeers = 100;
+constexpr int kMaxConnections = 10'000;
+constexpr std::uint64_t kKiB = 1 << 10;
+constexpr std::uint64_t kMiB = 1 << 20;
+// A request is forwarded in one gRPC message, of 4 MiB at most by default;
+// the rest is left for headers.
+constexpr std::uint64_t kMaxBody = 3 * kMiB;
+constexpr std::uint64_t kMaxHeader = 256 * kKiB;
+
+Problem ReadIp(absl::string_view text, std::string& value) {
+  const std::optional<std::string> ip = CanonicalIp(text);
+  if (!ip) {
+    return FieldProblem{
+        absl::StrCat("\"", text, "\" is not an IP number"),
+        "write a numeric address such as 127.0.1.1 or ::1, without a port; "
+        "host names are not resolved"};
+  }
+  if (*ip == "0.0.0.0" || *ip == "::") {
+    return FieldProblem{absl::StrCat("\"", text, "\" names no single host"),
+                        "write the address of one VM"};
+  }
+  value = *ip;
+  return std::nullopt;
+}
+
+Problem ReadSeeds(absl::string_view text, std::vector<std::string>& seeds) {
+  for (const absl::string_view item : absl::StrSplit(text, ',')) {
+    std::string ip;
+    if (Problem problem = ReadIp(absl::StripAsciiWhitespace(item), ip)) {
+      return problem;
+    }
+    if (std::find(seeds.begin(), seeds.end(), ip) != seeds.end()) {
+      return FieldProblem{absl::StrCat("the seed ", ip, " is given twice"),
+                          "list each seed once"};
+    }
+    seeds.push_back(std::move(ip));
+  }
+  return std::nullopt;
+}
+
+struct SectionRules {
+  absl::string_view name;
+  std::vector<FieldRule> rules;
+};
+
+std::vector<SectionRules> RulesFor(DaemonSettings& settings) {
+  return {
+      {"daemon",
+       {{"address",
+         [&](absl::string_view v) { return ReadIp(v, settings.address); },
+         Presence::kRequired},
+        {"peer_port", IntegerField(settings.peer_port, 1, kMaxPort)},
+        {"http_port", IntegerField(settings.http_port, 1, kMaxPort)},
+        {"region", NameField(settings.region), Presence::kRequired},
+        {"failure_domain", NameField(settings.failure_domain),
+         Presence::kRequired},
+        {"name", NameField(settings.name), Presence::kRequired}}},
+      {"peers",
+       {{"seeds",
+         [&](absl::string_view v) { return ReadSeeds(v, settings.seeds); }},
+        {"bootstrap_peers",
+         IntegerField(settings.bootstrap_peers, 0, kMaxBootstrapPeers)}}},
+      {"config_service",
+       {{"address",
+         [&](absl::string_view v) {
+           return ReadSocketAddress(v, settings.config_service);
+         },
+         Presence::kRequired}}},
+      {"limits",
+       {{"connections", IntegerField(settings.connections, 1, kMaxConnections)},
+        {"body", SizeField(settings.body, kKiB, kMaxBody)},
+        {"header", SizeField(settings.header, kKiB, kMaxHeader)}}},
+      {"shutdown",
+       {{"grace", DurationField(settings.grace, seconds(0), hours(1))}}},
+  };
+}
+
+const IniSection* FindSection(const IniDocument& document,
+                              absl::string_view kind) {
+  const auto found = std::find_if(
+      document.sections.begin(), document.sections.end(),
+      [&](const IniSection& s) { return s.kind == kind && s.name.empty(); });
+  return found == document.sections.end() ? nullptr : &*found;
+}
+
+void ReportUnknownSections(const IniDocument& document,
+                           const std::vector<SectionRules>& known,
+                           std::vector<IniError>& errors) {
+  std::vector<absl::string_view> names;
+  for (const SectionRules& section : known) {
+    names.push_back(section.name);
+  }
+  for (const IniSection& section : document.sections) {
+    const bool is_known =
+        std::find(names.begin(), names.end(), section.kind) != names.end();
+    if (!is_known || !section.name.empty()) {
+      AddSectionError(
+          document, section, nullptr,
+          {"the section is unknown",
+           absl::StrCat("use [", NearestWord(section.kind, names),
+                        "], the nearest known section, or remove it")},
+          errors);
+    }
+  }
+}
+
+}  // namespace
+
+DaemonSettings ParseDaemonSettings(absl::string_view source,
+                                   absl::string_view text,
+                                   std::vector<IniError>& errors) {
+  // A list of its own, since a list that is full takes no further errors.
+  std::vector<IniError> found;
+  const IniDocument document = ParseIni(source, text, found);
+  DaemonSettings settings;
+  const std::vector<SectionRules> known = RulesFor(settings);
+  for (const SectionRules& rules : known) {
+    const IniSection* section = FindSection(document, rules.name);
+    // Reports the required keys of a missing section as well.
+    const IniSection missing{std::string(rules.name), "", 0, {}};
+    ReadFields(document, section != nullptr ? *section : missing, rules.rules,
+               found);
+  }
+  ReportUnknownSections(document, known, found);
+  if (settings.peer_port == settings.http_port) {
+    const IniSection* daemon = FindSection(document, "daemon");
+    const IniSection missing{"daemon", "", 0, {}};
+    const IniSection& section = daemon != nullptr ? *daemon : missing;
+    AddSectionError(document, section, FindEntry(section, "http_port"),
+                    {"peer_port and http_port are equal",
+                     "choose a different port for one of them"},
+                    found);
+  }
+  settings.seeds.erase(std::remove(settings.seeds.begin(), settings.seeds.end(),
+                                   settings.address),
+                       settings.seeds.end());
+  errors.insert(errors.end(), found.begin(), found.end());
+  return settings;
+}
+
+}  // namespace comfrey
--- a/Source/config/ini_document.cc
+++ b/Source/config/ini_document.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstring>
+#include <utility>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
@@ -16,6 +17,9 @@
 // The library cuts lines at 200 bytes, with the line end and the terminator.
 constexpr std::size_t kMaxLineLength = 198;
 
+// Bytes of one text of an error; a value with continuation lines may be long.
+constexpr std::size_t kMaxErrorText = 300;
+
 // The library calls ReadLine for each line and HandleEntry for each line with
 // a value, so line numbers and headings are tracked here: the library reports
 // neither empty sections nor the numbers of good lines, cuts headings at 49
@@ -39,8 +43,8 @@
 void AddLineError(ParseState& state,
                   absl::string_view cause,
                   absl::string_view remedy) {
-  state.errors->push_back({state.document->source, state.line, "", "", "",
-                           std::string(cause), std::string(remedy)});
+  AddIniError(*state.errors, {state.document->source, state.line, "", "", "",
+                              std::string(cause), std::string(remedy)});
 }
 
 // Makes the section with the heading the current one; `line` is 0 for the
@@ -62,9 +66,10 @@
     sections.push_back({kind, name, line, {}});
     return;
   }
-  state.errors->push_back({state.document->source, line, std::string(trimmed),
-                           "", "", "the section is given twice",
-                           "merge the two sections into one"});
+  AddIniError(
+      *state.errors,
+      {state.document->source, line, std::string(trimmed), "", "",
+       "the section is given twice", "merge the two sections into one"});
 }
 
 void CheckLine(ParseState& state) {
@@ -166,12 +171,12 @@
     return 1;
   }
   if (!state.keys.insert(absl::StrCat(state.section, " ", key)).second) {
-    state.errors->push_back(
-        {state.document->source, state.line,
-         absl::StrCat(section.kind, section.name.empty() ? "" : " ",
-                      section.name),
-         key, value, "the key is given twice in this section",
-         "keep one of the two lines"});
+    AddIniError(*state.errors,
+                {state.document->source, state.line,
+                 absl::StrCat(section.kind, section.name.empty() ? "" : " ",
+                              section.name),
+                 key, value, "the key is given twice in this section",
+                 "keep one of the two lines"});
   }
   section.entries.push_back({key, value, state.line});
   state.has_entry = true;
@@ -180,6 +185,30 @@
 
 }  // namespace
 
+void AddIniError(std::vector<IniError>& errors, IniError error) {
+  if (IsErrorListFull(errors)) {
+    return;
+  }
+  for (std::string* text : {&error.section, &error.key, &error.value,
+                            &error.cause, &error.remedy}) {
+    if (text->size() > kMaxErrorText) {
+      text->resize(kMaxErrorText);
+      text->append("...");
+    }
+  }
+  if (errors.size() + 1 == kMaxIniErrors) {
+    errors.push_back({error.source, 0, "", "", "",
+                      "further errors are not listed",
+                      "correct the listed errors first"});
+    return;
+  }
+  errors.push_back(std::move(error));
+}
+
+bool IsErrorListFull(const std::vector<IniError>& errors) {
+  return errors.size() >= kMaxIniErrors;
+}
+
 std::string FormatIniError(const IniError& error) {
   std::string text = error.source;
   if (error.line > 0) {
--- a/Source/config/ini_document.h
+++ b/Source/config/ini_document.h
@@ -35,6 +35,17 @@
   std::string remedy;
 };
 
+/// \brief Errors listed per document; a damaged value of 1 MB would otherwise
+/// fill the memory of the daemon with errors.
+inline constexpr std::size_t kMaxIniErrors = 200;
+
+/// \brief Appends the error, with long texts shortened. The list ends with a
+/// note that further errors are not listed, and then stays as it is.
+void AddIniError(std::vector<IniError>& errors, IniError error);
+
+/// \brief Whether further errors would not be listed.
+bool IsErrorListFull(const std::vector<IniError>& errors);
+
 /// \brief Renders an error on one line.
 std::string FormatIniError(const IniError& error);
 
--- a/Source/config/ini_fields.cc
+++ b/Source/config/ini_fields.cc
@@ -177,19 +177,23 @@
                      const IniEntry* entry,
                      FieldProblem problem,
                      std::vector<IniError>& errors) {
-  errors.push_back({document.source,
-                    entry != nullptr ? entry->line : section.line,
-                    Heading(section), entry != nullptr ? entry->key : "",
-                    entry != nullptr ? entry->value : "",
-                    std::move(problem.cause), std::move(problem.remedy)});
+  AddIniError(errors,
+              {document.source, entry != nullptr ? entry->line : section.line,
+               Heading(section), entry != nullptr ? entry->key : "",
+               entry != nullptr ? entry->value : "", std::move(problem.cause),
+               std::move(problem.remedy)});
 }
 
 std::string NearestWord(absl::string_view word,
                         const std::vector<absl::string_view>& candidates) {
+  // A value may hold ten thousands of names.
+  constexpr std::size_t kMaxCandidates = 1000;
   const absl::string_view compared = word.substr(0, kMaxComparedLength);
   std::string nearest;
   std::size_t smallest = absl::string_view::npos;
-  for (const absl::string_view candidate : candidates) {
+  for (std::size_t i = 0; i < std::min(candidates.size(), kMaxCandidates);
+       ++i) {
+    const absl::string_view candidate = candidates[i];
     const std::size_t distance = EditDistance(compared, candidate);
     if (distance < smallest) {
       smallest = distance;
@@ -204,6 +208,9 @@
                 const std::vector<FieldRule>& rules,
                 std::vector<IniError>& errors) {
   for (const IniEntry& entry : section.entries) {
+    if (IsErrorListFull(errors)) {
+      return;
+    }
     const auto rule =
         std::find_if(rules.begin(), rules.end(),
                      [&](const FieldRule& r) { return r.key == entry.key; });
--- a/Source/config/ini_fields.h
+++ b/Source/config/ini_fields.h
@@ -76,7 +76,8 @@
 /// \brief Returns the entry with the key, or null.
 const IniEntry* FindEntry(const IniSection& section, absl::string_view key);
 
-/// \brief Returns the candidate with the smallest edit distance to `word`.
+/// \brief Returns the candidate with the smallest edit distance to `word`; of
+/// more than 1000 candidates, the first 1000 are compared.
 std::string NearestWord(absl::string_view word,
                         const std::vector<absl::string_view>& candidates);
 
--- a/Source/config/route_table.cc
+++ b/Source/config/route_table.cc
@@ -90,22 +90,24 @@
     const std::vector<std::shared_ptr<const TeamConfig>>& configs) {
   RouteTable table;
   for (const auto& config : configs) {
-    if (!config->removed) {
-      table.teams[config->team] = BuildTeamRoutes(config);
-    }
+    SetTeam(table, config);
   }
   return table;
 }
 
+void SetTeam(RouteTable& table, std::shared_ptr<const TeamConfig> config) {
+  const std::string team = config->team;
+  if (config->removed) {
+    table.teams.erase(team);
+    return;
+  }
+  table.teams[team] = BuildTeamRoutes(std::move(config));
+}
+
 RouteTable WithTeam(const RouteTable& table,
                     std::shared_ptr<const TeamConfig> config) {
   RouteTable copy = table;
-  if (config->removed) {
-    copy.teams.erase(config->team);
-    return copy;
-  }
-  const std::string team = config->team;
-  copy.teams[team] = BuildTeamRoutes(std::move(config));
+  SetTeam(copy, std::move(config));
   return copy;
 }
 
--- a/Source/config/route_table.h
+++ b/Source/config/route_table.h
@@ -38,6 +38,9 @@
 RouteTable BuildRouteTable(
     const std::vector<std::shared_ptr<const TeamConfig>>& configs);
 
+/// \brief Replaces or adds one team, or leaves it out if it is marked removed.
+void SetTeam(RouteTable& table, std::shared_ptr<const TeamConfig> config);
+
 /// \brief Returns a copy of the table in which one team is replaced, added or,
 /// if it is marked removed, left out. The other teams are shared.
 RouteTable WithTeam(const RouteTable& table,
--- a/Source/config/team_config.cc
+++ b/Source/config/team_config.cc
@@ -155,6 +155,10 @@
   service.endpoints.shrink_to_fit();
 }
 
+FieldReader GenerationField(std::uint64_t& value) {
+  return IntegerField(value, 1, std::numeric_limits<std::int64_t>::max());
+}
+
 void ReadTeam(TeamReader& reader, const IniSection& section) {
   TeamConfig& team = reader.config;
   ReadFields(
@@ -295,7 +299,7 @@
                     const absl::flat_hash_set<absl::string_view>& names) {
   const IniEntry* entry = FindEntry(section, kind);
   if (entry == nullptr || !IsValidName(entry->value) ||
-      names.contains(entry->value)) {
+      names.contains(entry->value) || IsErrorListFull(reader.errors)) {
     return;
   }
   const std::string nearest =
@@ -420,16 +424,16 @@
 void CheckTeamName(TeamReader& reader) {
   const std::string& team = reader.config.team;
   if (!IsValidName(team)) {
-    reader.errors.push_back(
-        {reader.document.source, 0, "", "", "",
-         absl::StrCat("\"", team, "\" is not a valid team name"),
-         NameRemedy()});
+    AddIniError(reader.errors,
+                {reader.document.source, 0, "", "", "",
+                 absl::StrCat("\"", team, "\" is not a valid team name"),
+                 NameRemedy()});
   } else if (IsReservedTeamName(team)) {
-    reader.errors.push_back(
-        {reader.document.source, 0, "", "", "",
-         absl::StrCat("the team name \"", team, "\" is reserved"),
-         absl::StrCat("use a name other than ",
-                      absl::StrJoin(kReservedTeamNames, ", "))});
+    AddIniError(reader.errors,
+                {reader.document.source, 0, "", "", "",
+                 absl::StrCat("the team name \"", team, "\" is reserved"),
+                 absl::StrCat("use a name other than ",
+                              absl::StrJoin(kReservedTeamNames, ", "))});
   }
 }
 
@@ -446,10 +450,12 @@
                            absl::string_view source,
                            absl::string_view text,
                            std::vector<IniError>& errors) {
-  const IniDocument document = ParseIni(source, text, errors);
+  // A list of its own, since a list that is full takes no further errors.
+  std::vector<IniError> found;
+  const IniDocument document = ParseIni(source, text, found);
   TeamConfig config;
   config.team = std::string(team);
-  TeamReader reader{document, config, errors, {}};
+  TeamReader reader{document, config, found, {}};
   CheckTeamName(reader);
   for (const IniSection& section : document.sections) {
     ReadSection(reader, section);
@@ -464,17 +470,32 @@
     config.routes.clear();
   } else if (config.services.empty()) {
     // An empty or cut value must not silently take a team out of service.
-    errors.push_back({document.source, 0, "", "", "",
-                      "the value has no service",
-                      "add a [service NAME] section, or delete the team with "
-                      "\"removed = true\" in [team]"});
+    AddIniError(found,
+                {document.source, 0, "", "", "", "the value has no service",
+                 "add a [service NAME] section, or delete the team with "
+                 "\"removed = true\" in [team]"});
   }
   config.services.shrink_to_fit();
   config.ranks.shrink_to_fit();
   config.routes.shrink_to_fit();
+  errors.insert(errors.end(), found.begin(), found.end());
   return config;
 }
 
+std::optional<std::uint64_t> ReadGeneration(absl::string_view text) {
+  std::vector<IniError> ignored;
+  const IniDocument document = ParseIni("", text, ignored);
+  std::uint64_t generation = 1;
+  for (const IniSection& section : document.sections) {
+    const IniEntry* entry = FindEntry(section, "generation");
+    if (section.kind == "team" && entry != nullptr &&
+        GenerationField(generation)(entry->value)) {
+      return std::nullopt;
+    }
+  }
+  return generation;
+}
+
 bool IsReservedTeamName(absl::string_view name) {
   return std::find(kReservedTeamNames.begin(), kReservedTeamNames.end(),
                    name) != kReservedTeamNames.end();
--- a/Source/config/team_config.h
+++ b/Source/config/team_config.h
@@ -108,6 +108,10 @@
                            absl::string_view text,
                            std::vector<IniError>& errors);
 
+/// \brief Returns the generation that a value states, 1 if it states none, or
+/// nothing if it is invalid.
+std::optional<std::uint64_t> ReadGeneration(absl::string_view text);
+
 /// \brief Whether the daemon serves its own pages under "/<name>", so that no
 /// team may have the name.
 bool IsReservedTeamName(absl::string_view name);
