Serve a request end to end through two daemons

A caller's HTTP request reaches any daemon, is matched to a route and is forwarded over gRPC to the daemon on the backend server's VM, which sends it on. Configuration comes from the read-only configuration service, for which a stand-in serves tests. Two more stand-ins: a backend server with gray failures and a TCP relay that drops one direction.

Decisions that the code explains: non-idempotent requests use a new connection to the backend server; a response without a definite end is not delivered; requests with ambiguous framing are refused and the connection is closed; the gRPC port is not shared between processes.

--- a/Source/config/team_config.cc
+++ b/Source/config/team_config.cc
@@ -354,7 +354,7 @@
       });
   AddSectionError(reader.document, *last, FindEntry(*last, "share"),
                   {absl::StrCat("the shares of all ranks add up to ",
-                                static_cast<double>(total) / (kPpm / 100), "%"),
+                                static_cast<double>(total) * 100 / kPpm, "%"),
                    "lower shares until they add up to at most 100%"},
                   reader.errors);
 }
@@ -394,6 +394,7 @@
                    [&](const Kind& k) { return k.name == section.kind; });
   if (kind == kKinds.end()) {
     std::vector<absl::string_view> names;
+    names.reserve(kKinds.size());
     for (const Kind& known : kKinds) {
       names.push_back(known.name);
     }
--- /dev/null
+++ b/Source/daemon/backend_client.h
@@ -0,0 +1,72 @@
+#ifndef DAEMON_BACKEND_CLIENT_H_
+#define DAEMON_BACKEND_CLIENT_H_
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "core/http_message.h"
+#include "daemon/call_watchdog.h"
+
+namespace httplib {
+class Client;
+}
+
+namespace comfrey {
+
+/// \brief What became of a call to a backend server.
+enum class BackendOutcome {
+  kAnswered,   ///< A whole response arrived.
+  kNotSent,    ///< No byte of the request left this process.
+  kFailed,     ///< Sent at least in part; no whole response arrived.
+  kTimedOut,   ///< As kFailed, at the deadline.
+  kCancelled,  ///< As kFailed, since the caller gave up.
+};
+
+/// \brief Result of one call; `error` is set unless the call was answered.
+struct BackendResult {
+  BackendOutcome outcome = BackendOutcome::kNotSent;
+  HttpResponse response;
+  absl::Status error;
+  std::chrono::microseconds latency{0};
+};
+
+/// \brief One call to a backend server.
+struct BackendCall {
+  const HttpRequest* request = nullptr;
+  /// Reuse of an idle connection is allowed only for idempotent requests.
+  bool idempotent = false;
+  std::chrono::steady_clock::time_point deadline;
+  std::function<bool()> cancelled;
+};
+
+/// \brief Sends requests to one endpoint over a pool of HTTP connections.
+class BackendClient {
+ public:
+  BackendClient(std::string ip, int port, CallWatchdog& watchdog);
+  ~BackendClient();
+
+  BackendClient(const BackendClient&) = delete;
+  BackendClient& operator=(const BackendClient&) = delete;
+
+  /// \brief Sends one request and waits for the whole response.
+  BackendResult Call(const BackendCall& call);
+
+ private:
+  std::unique_ptr<httplib::Client> TakeConnection(bool idempotent);
+  void ReturnConnection(std::unique_ptr<httplib::Client> connection);
+
+  std::string ip;
+  int port;
+  CallWatchdog& watchdog;
+  std::mutex mutex;
+  std::vector<std::unique_ptr<httplib::Client>> idle;
+};
+
+}  // namespace comfrey
+
+#endif  // DAEMON_BACKEND_CLIENT_H_
--- /dev/null
+++ b/Source/daemon/call_watchdog.h
@@ -0,0 +1,55 @@
+#ifndef DAEMON_CALL_WATCHDOG_H_
+#define DAEMON_CALL_WATCHDOG_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+
+#include "base/timer_service.h"
+
+namespace comfrey {
+
+/// \brief Ends calls that pass their deadline or are cancelled.
+///
+/// The timeouts of the HTTP library hold for one read each, so a backend
+/// server that sends a byte now and then could exceed the deadline.
+class CallWatchdog {
+ public:
+  using TimePoint = std::chrono::steady_clock::time_point;
+  using CallId = std::uint64_t;
+
+  explicit CallWatchdog(TimerService& timers);
+  ~CallWatchdog();
+
+  CallWatchdog(const CallWatchdog&) = delete;
+  CallWatchdog& operator=(const CallWatchdog&) = delete;
+
+  /// \brief Calls `stop` once if `deadline` passes or `cancelled` returns true.
+  CallId Watch(TimePoint deadline,
+               std::function<bool()> cancelled,
+               std::function<void()> stop);
+
+  /// \brief Ends the watch; neither function runs after it returns.
+  void Remove(CallId id);
+
+ private:
+  struct Call {
+    TimePoint deadline;
+    std::function<bool()> cancelled;
+    std::function<void()> stop;
+  };
+
+  void Check(TimePoint now);
+
+  TimerService& timers;
+  std::mutex mutex;
+  std::map<CallId, Call> calls;
+  CallId next_id = 1;
+  TimerService::SubscriptionId subscription;
+};
+
+}  // namespace comfrey
+
+#endif  // DAEMON_CALL_WATCHDOG_H_
--- /dev/null
+++ b/Source/daemon/channel_pool.cc
@@ -0,0 +1,72 @@
+#include "daemon/channel_pool.h"
+
+#include <grpcpp/grpcpp.h>
+
+#include <algorithm>
+
+namespace comfrey {
+namespace {
+
+// Keepalive pings find a connection that went silent while a call waits.
+constexpr int kKeepaliveTimeMs = 2000;
+constexpr int kKeepaliveTimeoutMs = 1000;
+constexpr int kMaxReconnectBackoffMs = 1000;
+constexpr int kMinReconnectBackoffMs = 100;
+constexpr int kMaxMessageBytes = 16 * 1024 * 1024;
+
+std::shared_ptr<grpc::Channel> OpenChannel(const std::string& address) {
+  grpc::ChannelArguments arguments;
+  arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, kKeepaliveTimeMs);
+  arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, kKeepaliveTimeoutMs);
+  arguments.SetInt(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
+  arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, kMinReconnectBackoffMs);
+  arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS,
+                   kMinReconnectBackoffMs);
+  arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kMaxReconnectBackoffMs);
+  // Without a pool of its own, a new channel would share the connection of the
+  // old one, which may have gone silent.
+  arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+  arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+  arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
+  arguments.SetMaxReceiveMessageSize(kMaxMessageBytes);
+  return grpc::CreateCustomChannel(
+      "ipv4:" + address, grpc::InsecureChannelCredentials(), arguments);
+}
+
+}  // namespace
+
+std::shared_ptr<PeerChannel> ChannelPool::Get(const std::string& address) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  Entry& entry = this->entries[address];
+  entry.last_use = std::chrono::steady_clock::now();
+  if (!entry.channel) {
+    entry.channel = std::make_shared<PeerChannel>();
+    entry.channel->address = address;
+    entry.channel->channel = OpenChannel(address);
+    entry.channel->stub = rpc::Peer::NewStub(entry.channel->channel);
+  }
+  std::shared_ptr<PeerChannel> channel = entry.channel;
+  if (this->entries.size() > this->limit) {
+    this->EvictOldest();
+  }
+  return channel;
+}
+
+void ChannelPool::Drop(const std::shared_ptr<PeerChannel>& channel) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const auto found = this->entries.find(channel->address);
+  if (found != this->entries.end() && found->second.channel == channel) {
+    this->entries.erase(found);
+  }
+}
+
+void ChannelPool::EvictOldest() {
+  const auto oldest =
+      std::min_element(this->entries.begin(), this->entries.end(),
+                       [](const auto& a, const auto& b) {
+                         return a.second.last_use < b.second.last_use;
+                       });
+  this->entries.erase(oldest);
+}
+
+}  // namespace comfrey
--- /dev/null
+++ b/Source/daemon/forward_call.cc
@@ -0,0 +1,154 @@
+#include "daemon/forward_call.h"
+
+#include <grpcpp/grpcpp.h>
+
+#include <algorithm>
+#include <condition_variable>
+#include <mutex>
+#include <string>
+
+#include "absl/strings/str_cat.h"
+
+namespace comfrey {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+// The owner answers at its deadline; its reply gets this time to arrive.
+constexpr std::chrono::milliseconds kReplyGrace{50};
+
+// Receives the replies of one Forward call on gRPC's threads.
+class ForwardReactor : public grpc::ClientReadReactor<rpc::ForwardReply> {
+ public:
+  ForwardReactor(rpc::Peer::Stub& stub, const rpc::ForwardRequest& request) {
+    stub.async()->Forward(&this->context, &request, this);
+    this->StartRead(&this->reply);
+    this->StartCall();
+  }
+
+  void OnReadDone(bool ok) override {
+    if (!ok) {
+      return;
+    }
+    {
+      const std::lock_guard<std::mutex> lock(this->mutex);
+      if (this->reply.has_result()) {
+        this->result = this->reply.result();
+        this->has_result = true;
+      }
+      this->accepted = true;
+      this->changed.notify_all();
+    }
+    this->StartRead(&this->reply);
+  }
+
+  void OnDone(const grpc::Status& final_status) override {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->status = final_status;
+    this->done = true;
+    this->changed.notify_all();
+  }
+
+  void WaitAccepted(Clock::time_point deadline) {
+    std::unique_lock<std::mutex> lock(this->mutex);
+    this->changed.wait_until(lock, deadline,
+                             [this] { return this->accepted || this->done; });
+  }
+
+  // Waits for the end of the call and cancels it at the deadline.
+  void WaitDone(Clock::time_point deadline) {
+    std::unique_lock<std::mutex> lock(this->mutex);
+    if (!this->changed.wait_until(lock, deadline,
+                                  [this] { return this->done; })) {
+      this->context.TryCancel();
+      this->changed.wait(lock, [this] { return this->done; });
+    }
+  }
+
+  bool Accepted() {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    return this->accepted;
+  }
+
+  bool HasResult() {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    return this->has_result;
+  }
+
+  rpc::Result TakeResult() { return std::move(this->result); }
+  const grpc::Status& Status() const { return this->status; }
+
+ private:
+  grpc::ClientContext context;
+  rpc::ForwardReply reply;
+  std::mutex mutex;
+  std::condition_variable changed;
+  bool accepted = false;
+  bool has_result = false;
+  bool done = false;
+  rpc::Result result;
+  grpc::Status status;
+};
+
+absl::Status CallError(absl::string_view step,
+                       const std::string& address,
+                       const std::string& cause) {
+  return absl::UnavailableError(absl::StrCat(step, " ", address, ": ", cause));
+}
+
+// gRPC takes deadlines as system time.
+std::chrono::system_clock::time_point ToSystemTime(Clock::time_point time) {
+  return std::chrono::system_clock::now() +
+         std::chrono::duration_cast<std::chrono::system_clock::duration>(
+             time - Clock::now());
+}
+
+}  // namespace
+
+ForwardCallResult ForwardOnce(PeerChannel& owner,
+                              const rpc::ForwardRequest& request,
+                              const ForwardLimits& limits) {
+  const Clock::time_point start = Clock::now();
+  const Clock::time_point accept_deadline =
+      std::min(limits.deadline, start + limits.accept_timeout);
+  ForwardCallResult call;
+  // A request is handed to gRPC only over an open connection, so that a dead
+  // owner is known not to have seen it.
+  if (!owner.channel->WaitForConnected(ToSystemTime(accept_deadline))) {
+    call.transport = ForwardTransport::kNotSent;
+    call.error =
+        CallError("connect to", owner.address, "no connection in time");
+    return call;
+  }
+  ForwardReactor reactor(*owner.stub, request);
+  reactor.WaitAccepted(accept_deadline);
+  call.accept_time = std::chrono::duration_cast<std::chrono::microseconds>(
+      Clock::now() - start);
+  const bool accepted_in_time = reactor.Accepted();
+  reactor.WaitDone(accepted_in_time ? limits.deadline + kReplyGrace
+                                    : Clock::now());
+  call.accepted = reactor.Accepted();
+  if (reactor.HasResult()) {
+    call.transport = ForwardTransport::kReplied;
+    call.result = reactor.TakeResult();
+    return call;
+  }
+  if (!accepted_in_time) {
+    call.transport = ForwardTransport::kNotAccepted;
+    call.error =
+        CallError("forward to", owner.address,
+                  reactor.Status().error_code() == grpc::StatusCode::CANCELLED
+                      ? "accept timeout"
+                      : reactor.Status().error_message());
+    return call;
+  }
+  const bool timed_out = Clock::now() >= limits.deadline;
+  call.transport =
+      timed_out ? ForwardTransport::kTimedOut : ForwardTransport::kFailed;
+  call.error = CallError("forward to", owner.address,
+                         timed_out ? "no result by the deadline"
+                                   : reactor.Status().error_message());
+  return call;
+}
+
+}  // namespace comfrey
--- /dev/null
+++ b/Source/daemon/forward_call.h
@@ -0,0 +1,44 @@
+#ifndef DAEMON_FORWARD_CALL_H_
+#define DAEMON_FORWARD_CALL_H_
+
+#include <chrono>
+#include <memory>
+
+#include "absl/status/status.h"
+#include "daemon/channel_pool.h"
+#include "peer.grpc.pb.h"
+
+namespace comfrey {
+
+/// \brief What became of a Forward call at the transport level.
+enum class ForwardTransport {
+  kNotSent,      ///< No connection; no byte of the request left the process.
+  kReplied,      ///< `result` holds the reply of the owner.
+  kNotAccepted,  ///< No sign of the owner within the accept timeout.
+  kFailed,       ///< The call failed after it may have reached the owner.
+  kTimedOut,     ///< The owner accepted but did not reply by the deadline.
+};
+
+/// \brief Result of a Forward call; `error` is set unless it was replied.
+struct ForwardCallResult {
+  ForwardTransport transport = ForwardTransport::kFailed;
+  rpc::Result result;
+  absl::Status error;
+  bool accepted = false;
+  std::chrono::microseconds accept_time{0};
+};
+
+/// \brief Time limits of a Forward call.
+struct ForwardLimits {
+  std::chrono::steady_clock::time_point deadline;
+  std::chrono::microseconds accept_timeout{0};
+};
+
+/// \brief Sends one attempt to the owner and waits for the result.
+ForwardCallResult ForwardOnce(PeerChannel& owner,
+                              const rpc::ForwardRequest& request,
+                              const ForwardLimits& limits);
+
+}  // namespace comfrey
+
+#endif  // DAEMON_FORWARD_CALL_H_
--- /dev/null
+++ b/Tests/stand_ins/fault_relay.cc
@@ -0,0 +1,178 @@
+// TCP relay that can drop the bytes of one direction.
+//
+// Accepts on --address:--port and connects to --target_address:--target_port.
+// The mode is set by writing a line to standard input: "pass", "drop-forward"
+// (bytes towards the target are dropped), "drop-back", "drop-both" or
+// "silent-old" (connections that exist now go silent, new ones work). Each
+// line is acknowledged on standard output. The process ends at end of input.
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <iostream>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "gflags/gflags.h"
+
+DEFINE_string(address, "127.0.0.1", "IP address to listen on");
+DEFINE_int32(port, 0, "port to listen on");
+DEFINE_string(target_address, "127.0.0.1", "IP address to connect to");
+DEFINE_int32(target_port, 0, "port to connect to");
+
+namespace {
+
+struct Mode {
+  std::atomic<bool> drop_forward{false};
+  std::atomic<bool> drop_back{false};
+};
+
+struct Connection {
+  int caller = -1;
+  int target = -1;
+  std::atomic<bool> silent{false};
+};
+
+struct Relay {
+  Mode mode;
+  std::mutex mutex;
+  std::vector<std::weak_ptr<Connection>> connections;
+};
+
+sockaddr_in Address(const std::string& ip, int port) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<std::uint16_t>(port));
+  inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
+  return address;
+}
+
+bool WriteAll(int fd, const char* data, std::size_t size) {
+  while (size > 0) {
+    const ssize_t written = send(fd, data, size, MSG_NOSIGNAL);
+    if (written <= 0) {
+      return false;
+    }
+    data += written;
+    size -= static_cast<std::size_t>(written);
+  }
+  return true;
+}
+
+// Copies one direction; dropped bytes are read and thrown away, so the sender
+// sees an open connection that stays silent.
+void Copy(const std::shared_ptr<Connection>& connection,
+          int from,
+          int to,
+          const std::atomic<bool>& drop) {
+  std::array<char, 16384> buffer{};
+  for (;;) {
+    const ssize_t size = recv(from, buffer.data(), buffer.size(), 0);
+    if (size <= 0) {
+      break;
+    }
+    if (drop || connection->silent) {
+      continue;
+    }
+    if (!WriteAll(to, buffer.data(), static_cast<std::size_t>(size))) {
+      break;
+    }
+  }
+  if (!drop && !connection->silent) {
+    shutdown(to, SHUT_WR);
+  }
+}
+
+void Serve(Relay& relay, const std::shared_ptr<Connection>& connection) {
+  std::thread forward([&] {
+    Copy(connection, connection->caller, connection->target,
+         relay.mode.drop_forward);
+  });
+  Copy(connection, connection->target, connection->caller,
+       relay.mode.drop_back);
+  forward.join();
+  close(connection->caller);
+  close(connection->target);
+}
+
+void Accept(Relay& relay, int listener) {
+  for (;;) {
+    const int caller = accept(listener, nullptr, nullptr);
+    if (caller < 0) {
+      return;
+    }
+    const int target = socket(AF_INET, SOCK_STREAM, 0);
+    const sockaddr_in address =
+        Address(FLAGS_target_address, FLAGS_target_port);
+    if (connect(target, reinterpret_cast<const sockaddr*>(&address),
+                sizeof(address)) != 0) {
+      close(caller);
+      close(target);
+      continue;
+    }
+    const int on = 1;
+    setsockopt(caller, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    setsockopt(target, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    auto connection = std::make_shared<Connection>();
+    connection->caller = caller;
+    connection->target = target;
+    {
+      const std::lock_guard<std::mutex> lock(relay.mutex);
+      relay.connections.push_back(connection);
+    }
+    std::thread([&relay, connection] { Serve(relay, connection); }).detach();
+  }
+}
+
+bool SetMode(Relay& relay, const std::string& line) {
+  if (line == "silent-old") {
+    const std::lock_guard<std::mutex> lock(relay.mutex);
+    for (const std::weak_ptr<Connection>& weak : relay.connections) {
+      if (const std::shared_ptr<Connection> connection = weak.lock()) {
+        connection->silent = true;
+      }
+    }
+    return true;
+  }
+  const bool known = line == "pass" || line == "drop-forward" ||
+                     line == "drop-back" || line == "drop-both";
+  if (known) {
+    relay.mode.drop_forward = line == "drop-forward" || line == "drop-both";
+    relay.mode.drop_back = line == "drop-back" || line == "drop-both";
+  }
+  return known;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  const int listener = socket(AF_INET, SOCK_STREAM, 0);
+  const int on = 1;
+  setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  const sockaddr_in address = Address(FLAGS_address, FLAGS_port);
+  constexpr int kBacklog = 128;
+  if (bind(listener, reinterpret_cast<const sockaddr*>(&address),
+           sizeof(address)) != 0 ||
+      listen(listener, kBacklog) != 0) {
+    std::cerr << "cannot listen on " << FLAGS_address << ":" << FLAGS_port
+              << "\n";
+    return 1;
+  }
+  Relay relay;
+  std::thread([&relay, listener] { Accept(relay, listener); }).detach();
+  std::string line;
+  while (std::getline(std::cin, line)) {
+    std::cout << (SetMode(relay, line) ? "ok" : "unknown mode") << std::endl;
+  }
+  // Ends without destructors, since detached threads still use the relay.
+  _exit(0);
+}
--- /dev/null
+++ b/Tests/system/fleet.cc
@@ -0,0 +1,237 @@
+#include "system/fleet.h"
+
+#include <httplib.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_replace.h"
+
+namespace comfrey {
+namespace {
+
+// Last octet of the address of the configuration service.
+constexpr int kConfigVm = 250;
+constexpr int kConfigPort = 7300;
+constexpr int kPeerPort = 7400;
+constexpr int kHttpPort = 8080;
+constexpr int kBackendPort = 8081;
+constexpr std::chrono::seconds kCallTimeout{20};
+constexpr std::chrono::seconds kReadyTimeout{20};
+
+// Loopback network of this process, so that tests may run side by side.
+std::string NetworkOfProcess() {
+  constexpr int kOctet = 250;
+  const int pid = getpid();
+  return absl::StrCat("127.", 1 + pid / kOctet % kOctet, ".", 1 + pid % kOctet,
+                      ".");
+}
+
+std::string MakeDirectory() {
+  std::string name = std::filesystem::temp_directory_path() / "comfreyXXXXXX";
+  return mkdtemp(name.data());
+}
+
+std::string Call(const std::string& ip,
+                 int port,
+                 const std::string& method,
+                 const std::string& target,
+                 const std::string& body) {
+  httplib::Client client(ip, port);
+  client.set_read_timeout(kCallTimeout);
+  const httplib::Result result = method == "PUT"
+                                     ? client.Put(target, body, "text/plain")
+                                     : client.Get(target);
+  return result ? result->body : "";
+}
+
+bool Answers(const std::string& ip, int port, const std::string& target) {
+  httplib::Client client(ip, port);
+  const httplib::Result result = client.Get(target);
+  constexpr int kOk = 200;
+  return result && result->status == kOk;
+}
+
+}  // namespace
+
+Fleet::Fleet(int vm_count)
+    : vm_count(vm_count),
+      prefix(NetworkOfProcess()),
+      directory(MakeDirectory()) {
+  this->StartConfigService();
+  for (int vm = 1; vm <= vm_count; ++vm) {
+    this->StartBackend(vm);
+    this->StartDaemon(vm);
+  }
+}
+
+Fleet::~Fleet() {
+  std::filesystem::remove_all(this->directory);
+}
+
+std::string Fleet::Address(int vm) const {
+  return absl::StrCat(this->prefix, vm);
+}
+
+void Fleet::StartConfigService() {
+  this->config_service.reset();
+  this->config_service = std::make_unique<Process>(
+      "Tests/stand_ins/fake_config_service",
+      std::vector<std::string>{
+          absl::StrCat("--address=", this->Address(kConfigVm)),
+          absl::StrCat("--port=", kConfigPort)});
+  WaitFor(
+      [&] { return Answers(this->Address(kConfigVm), kConfigPort, "/v1/vms"); },
+      kReadyTimeout);
+}
+
+void Fleet::StartDaemon(int vm) {
+  this->daemons.erase(vm);
+  const std::string path = absl::StrCat(this->directory, "/vm-", vm, ".ini");
+  std::ofstream(path) << this->Settings(vm);
+  this->daemons[vm] = std::make_unique<Process>(
+      "Source/daemon/comfreyd",
+      std::vector<std::string>{absl::StrCat("--settings=", path)});
+}
+
+std::string Fleet::Settings(int vm) const {
+  std::string seeds;
+  for (int other = 1; other <= this->vm_count; ++other) {
+    if (other != vm) {
+      absl::StrAppend(&seeds, seeds.empty() ? "" : ", ", this->Address(other));
+    }
+  }
+  // Two VMs a failure domain, two failure domains a region.
+  constexpr int kVmsPerDomain = 2;
+  constexpr int kVmsPerRegion = 4;
+  return absl::StrCat(
+      "[daemon]\nname = vm-", vm, "\naddress = ", this->Address(vm),
+      "\npeer_port = ", kPeerPort, "\nhttp_port = ", kHttpPort,
+      "\nregion = region-", (vm - 1) / kVmsPerRegion,
+      "\nfailure_domain = domain-", (vm - 1) / kVmsPerDomain,
+      seeds.empty() ? "" : "\n[peers]\nseeds = ", seeds,
+      "\n[config_service]\naddress = ", this->Address(kConfigVm), ":",
+      kConfigPort, "\n");
+}
+
+void Fleet::StartBackend(int vm) {
+  this->backends.erase(vm);
+  this->backends[vm] = std::make_unique<Process>(
+      "Tests/stand_ins/fake_backend_server",
+      std::vector<std::string>{absl::StrCat("--name=backend-", vm),
+                               absl::StrCat("--address=", this->Address(vm)),
+                               absl::StrCat("--port=", kBackendPort)});
+  WaitFor([&] { return Answers(this->Address(vm), kBackendPort, "/health"); },
+          kReadyTimeout);
+}
+
+void Fleet::Publish(const std::string& team, const std::string& text) const {
+  std::string resolved = text;
+  for (int vm = this->vm_count; vm >= 1; --vm) {
+    resolved = absl::StrReplaceAll(
+        resolved, {{absl::StrCat("@", vm),
+                    absl::StrCat(this->Address(vm), ":", kBackendPort)}});
+  }
+  this->ControlConfig(
+      "PUT", absl::StrCat("/control/value?path=/comfreywood/teams/", team),
+      resolved);
+}
+
+std::string Fleet::ControlConfig(const std::string& method,
+                                 const std::string& target,
+                                 const std::string& body) const {
+  return Call(this->Address(kConfigVm), kConfigPort, method, target, body);
+}
+
+void Fleet::SetFault(int vm, const std::string& parameters) const {
+  Call(this->Address(vm), kBackendPort, "PUT",
+       absl::StrCat("/control/fault?", parameters), "");
+}
+
+int Fleet::Runs(int vm, const std::string& id) const {
+  std::istringstream lines(
+      Call(this->Address(vm), kBackendPort, "GET", "/control/runs", ""));
+  std::string name;
+  int runs = 0;
+  while (lines >> name >> runs) {
+    if (name == id) {
+      return runs;
+    }
+  }
+  return 0;
+}
+
+int Fleet::TotalRuns(const std::string& id) const {
+  int total = 0;
+  for (int vm = 1; vm <= this->vm_count; ++vm) {
+    total += this->Runs(vm, id);
+  }
+  return total;
+}
+
+TestResponse Fleet::Send(int vm, const TestRequest& request) const {
+  httplib::Client client(this->Address(vm), kHttpPort);
+  client.set_read_timeout(kCallTimeout);
+  httplib::Request message;
+  message.method = request.method;
+  message.path = request.path;
+  message.headers.emplace("X-Request-Id", request.id);
+  if (!request.key.empty()) {
+    message.headers.emplace("Idempotency-Key", request.key);
+  }
+  message.body = request.body;
+  const httplib::Result result = client.send(message);
+  if (!result) {
+    return {};
+  }
+  return {result->status, result->get_header_value("Comfrey-Outcome"),
+          result->body};
+}
+
+bool Fleet::WaitReady() const {
+  return WaitFor(
+      [this] {
+        for (const auto& [vm, daemon] : this->daemons) {
+          if (!Answers(this->Address(vm), kHttpPort, "/comfrey/readyz")) {
+            return false;
+          }
+        }
+        return true;
+      },
+      kReadyTimeout);
+}
+
+bool WaitFor(const std::function<bool()>& condition,
+             std::chrono::milliseconds timeout) {
+  const auto end = std::chrono::steady_clock::now() + timeout;
+  constexpr std::chrono::milliseconds kPollPeriod{20};
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() >= end) {
+      return false;
+    }
+    std::this_thread::sleep_for(kPollPeriod);
+  }
+  return true;
+}
+
+std::string BookingConfig(int vm_count, const std::string& service_keys) {
+  std::string endpoints;
+  for (int vm = 1; vm <= vm_count; ++vm) {
+    absl::StrAppend(&endpoints, vm == 1 ? "@" : ", @", vm);
+  }
+  return absl::StrCat("[team]\n[service booking]\nendpoints = ", endpoints,
+                      "\n", service_keys,
+                      "[rank dispatch]\nurgency = 1\ntarget = 250ms\n"
+                      "share = 20%\n"
+                      "[route slots]\nservice = booking\nrank = dispatch\n"
+                      "path = /slots\nrepeat = safe\n"
+                      "[route visits]\nservice = booking\nrank = dispatch\n"
+                      "path = /visits\nrepeat = never\n");
+}
+
+}  // namespace comfrey
--- /dev/null
+++ b/Tests/system/fleet.h
@@ -0,0 +1,97 @@
+#ifndef TESTS_SYSTEM_FLEET_H_
+#define TESTS_SYSTEM_FLEET_H_
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "system/process.h"
+
+namespace comfrey {
+
+/// \brief Response to a test caller; status 0 if the connection failed.
+struct TestResponse {
+  int status = 0;
+  std::string outcome;  ///< Header Comfrey-Outcome.
+  std::string body;
+};
+
+/// \brief A request of a test caller.
+struct TestRequest {
+  std::string method = "GET";
+  std::string path;
+  std::string id;   ///< Header X-Request-Id.
+  std::string key;  ///< Header Idempotency-Key, if not empty.
+  std::string body;
+};
+
+/// \brief A small fleet of real processes on loopback addresses of its own:
+/// the configuration service, and per VM a backend server and a daemon.
+class Fleet {
+ public:
+  explicit Fleet(int vm_count);
+  ~Fleet();
+
+  Fleet(const Fleet&) = delete;
+  Fleet& operator=(const Fleet&) = delete;
+
+  /// \brief Starts (or starts again) a process.
+  void StartConfigService();
+  void StartDaemon(int vm);
+  void StartBackend(int vm);
+
+  Process& ConfigService() { return *this->config_service; }
+  Process& DaemonOf(int vm) { return *this->daemons.at(vm); }
+  Process& BackendOf(int vm) { return *this->backends.at(vm); }
+
+  /// \brief IP number of a VM; VMs count from 1.
+  std::string Address(int vm) const;
+
+  /// \brief Publishes a team's subtree; "@N" stands for the endpoint of VM N.
+  void Publish(const std::string& team, const std::string& text) const;
+
+  /// \brief Sends a control request to the configuration service.
+  std::string ControlConfig(const std::string& method,
+                            const std::string& target,
+                            const std::string& body = "") const;
+
+  /// \brief Sets a fault of a backend server, for example "mode=hang".
+  void SetFault(int vm, const std::string& parameters) const;
+
+  /// \brief Runs of a request id at a backend server.
+  int Runs(int vm, const std::string& id) const;
+
+  /// \brief Runs of a request id at all backend servers that answer.
+  int TotalRuns(const std::string& id) const;
+
+  /// \brief Sends a caller's request to the daemon of a VM.
+  TestResponse Send(int vm, const TestRequest& request) const;
+
+  /// \brief Waits until all daemons are ready.
+  bool WaitReady() const;
+
+ private:
+  std::string Settings(int vm) const;
+
+  int vm_count;
+  std::string prefix;
+  std::string directory;
+  std::unique_ptr<Process> config_service;
+  std::map<int, std::unique_ptr<Process>> daemons;
+  std::map<int, std::unique_ptr<Process>> backends;
+};
+
+/// \brief Waits until `condition` holds, at most `timeout`.
+bool WaitFor(const std::function<bool()>& condition,
+             std::chrono::milliseconds timeout);
+
+/// \brief Subtree of one service on VMs 1 to `vm_count`: GET and other
+/// requests under /slots are idempotent, POST /visits is not.
+std::string BookingConfig(int vm_count, const std::string& service_keys = "");
+
+}  // namespace comfrey
+
+#endif  // TESTS_SYSTEM_FLEET_H_
--- /dev/null
+++ b/Tests/system/process.h
@@ -0,0 +1,43 @@
+#ifndef TESTS_SYSTEM_PROCESS_H_
+#define TESTS_SYSTEM_PROCESS_H_
+
+#include <sys/types.h>
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace comfrey {
+
+/// \brief A child process of a test; killed at the latest by the destructor.
+class Process {
+ public:
+  /// \brief Starts `program`, a path relative to the build folder.
+  Process(const std::string& program,
+          const std::vector<std::string>& arguments);
+  ~Process();
+
+  Process(Process&& other) noexcept;
+  Process& operator=(Process&&) = delete;
+  Process(const Process&) = delete;
+  Process& operator=(const Process&) = delete;
+
+  pid_t Pid() const { return this->pid; }
+
+  void Signal(int signal) const;
+
+  /// \brief Waits for the end; returns the exit status, 128 plus the signal
+  /// that ended it, or -1 if it still runs after `timeout`.
+  int Wait(std::chrono::milliseconds timeout);
+
+  /// \brief Writes a line to its standard input.
+  void WriteLine(const std::string& line) const;
+
+ private:
+  pid_t pid = -1;
+  int input = -1;
+};
+
+}  // namespace comfrey
+
+#endif  // TESTS_SYSTEM_PROCESS_H_
