--- a/Utilities/setup.sh
+++ b/Utilities/setup.sh
@@ -5,7 +5,7 @@
   libcpp-httplib-dev libgflags-dev libspdlog-dev libabsl-dev catch2
   libgrpc++-dev libgrpc-dev libprotobuf-dev protobuf-compiler
   protobuf-compiler-grpc libinih-dev libxxhash-dev libssl-dev zlib1g-dev
-  libbrotli-dev)
+  libbrotli-dev nlohmann-json3-dev)
 missing=()
 for package in "${packages[@]}"; do
   dpkg-query -W -f='${Status}' "$package" 2>/dev/null |
