--- /dev/null
+++ b/Source/core/attempt_ledger.cc
@@ -0,0 +1,578 @@
+#include "core/attempt_ledger.h"
+
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+
+#include "xxhash.h"
+
+namespace comfrey {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+// Estimate of map nodes, expiry entry and allocation overhead of one record.
+constexpr std::size_t kRecordOverhead = 320;
+
+std::size_t TextSize(const KeyId& key) {
+  return key.team.size() + key.service.size() + key.key.size();
+}
+
+std::size_t TextSize(const AttemptId& attempt) {
+  return attempt.ingress.size();
+}
+
+// The identity is held by the record map and by the expiry index.
+template <typename Id>
+std::size_t BaseSize(const Id& id) {
+  return kRecordOverhead + 2 * TextSize(id);
+}
+
+std::size_t ResponseSize(const ResponsePtr& response) {
+  if (response == nullptr) {
+    return 0;
+  }
+  std::size_t size = sizeof(StoredResponse) + response->body.size();
+  for (const HeaderField& header : response->headers) {
+    size += sizeof(HeaderField) + header.name.size() + header.value.size();
+  }
+  return size;
+}
+
+template <typename Id>
+bool Insert(AttemptLedger& ledger,
+            std::map<Id, LedgerRecord>& records,
+            const Id& id,
+            LedgerRecord record,
+            std::size_t reserve) {
+  record.bytes = BaseSize(id) + ResponseSize(record.response) + reserve;
+  if (ledger.bytes + record.bytes > ledger.limits.byte_budget) {
+    return false;
+  }
+  ledger.bytes += record.bytes;
+  records[id] = std::move(record);
+  return true;
+}
+
+template <typename Id>
+void Erase(AttemptLedger& ledger,
+           std::map<Id, LedgerRecord>& records,
+           const Id& id) {
+  const auto found = records.find(id);
+  if (found == records.end()) {
+    return;
+  }
+  ledger.bytes -= found->second.bytes;
+  if constexpr (std::is_same_v<Id, AttemptId>) {
+    if (found->second.state == AttemptState::kFenced) {
+      ledger.refused_bytes -= found->second.bytes;
+    }
+  }
+  records.erase(found);
+}
+
+template <typename Id>
+void Expire(AttemptLedger& ledger,
+            std::map<Id, LedgerRecord>& records,
+            std::multimap<steady_clock::time_point, Id>& expiry) {
+  while (!expiry.empty() && expiry.begin()->first < ledger.clock) {
+    const Id id = expiry.begin()->second;
+    expiry.erase(expiry.begin());
+    const auto found = records.find(id);
+    // A record that was replaced or extended has a later expiry entry.
+    if (found != records.end() && found->second.expires_at < ledger.clock) {
+      Erase(ledger, records, id);
+    }
+  }
+}
+
+// Another thread may have read its clock earlier and acquired the ledger
+// later; with its older time it would take an expired stamp as recent.
+void AdvanceClock(AttemptLedger& ledger, steady_clock::time_point now) {
+  ledger.clock = std::max(ledger.clock, now);
+  Expire(ledger, ledger.keys, ledger.key_expiry);
+  Expire(ledger, ledger.attempts, ledger.attempt_expiry);
+}
+
+microseconds StampAge(const AttemptLedger& ledger, const OwnerStamp& stamp) {
+  return duration_cast<microseconds>(ledger.clock - ledger.started_at) -
+         stamp.uptime;
+}
+
+void ExpireKeyAfter(AttemptLedger& ledger,
+                    const KeyId& key,
+                    LedgerRecord& record,
+                    milliseconds retention) {
+  record.expires_at = ledger.clock + retention;
+  ledger.key_expiry.emplace(record.expires_at, key);
+}
+
+void ExpireAttemptAfter(AttemptLedger& ledger,
+                        const AttemptId& attempt,
+                        LedgerRecord& record,
+                        milliseconds retention) {
+  record.expires_at = ledger.clock + retention;
+  ledger.attempt_expiry.emplace(record.expires_at, attempt);
+}
+
+LedgerDecision DecisionOf(const LedgerRecord& record) {
+  switch (record.state) {
+    case AttemptState::kFenced:
+      return {LedgerAction::kRefuseNotRun, record.refusal, nullptr};
+    case AttemptState::kQueued:
+    case AttemptState::kRunning:
+      return {LedgerAction::kWait, RunRefusal::kNone, nullptr};
+    case AttemptState::kDone:
+      if (record.response != nullptr) {
+        return {LedgerAction::kRespond, RunRefusal::kNone, record.response};
+      }
+      return {LedgerAction::kRefuseUnknown, RunRefusal::kResponseNotKept,
+              nullptr};
+    case AttemptState::kUnknown:
+      break;
+  }
+  return {LedgerAction::kRefuseUnknown, RunRefusal::kOutcomeUnknown, nullptr};
+}
+
+// The record of an attempt that was accepted: under its key, where the key is
+// held by this attempt, or under the attempt id.
+LedgerRecord* FindAccepted(AttemptLedger& ledger,
+                           const LedgerRequest& request) {
+  if (request.key.has_value()) {
+    const auto found = ledger.keys.find(*request.key);
+    return found != ledger.keys.end() &&
+                   found->second.state != AttemptState::kFenced &&
+                   found->second.attempt == request.attempt
+               ? &found->second
+               : nullptr;
+  }
+  const auto found = ledger.attempts.find(request.attempt);
+  return found != ledger.attempts.end() &&
+                 found->second.state != AttemptState::kFenced
+             ? &found->second
+             : nullptr;
+}
+
+void ExpireAccepted(AttemptLedger& ledger,
+                    const LedgerRequest& request,
+                    LedgerRecord& record) {
+  const milliseconds retention = RecordRetention(ledger.times);
+  if (request.key.has_value()) {
+    ExpireKeyAfter(ledger, *request.key, record, retention);
+  } else {
+    ExpireAttemptAfter(ledger, request.attempt, record, retention);
+  }
+}
+
+}  // namespace
+
+// A stale owner may run a key under a superseded version until this time after
+// the newer version was published.
+milliseconds FreshnessLimit(const KeyTimes& times) {
+  return times.key_retention / 4;
+}
+
+milliseconds ForwardAgeLimit(const KeyTimes& times) {
+  return times.key_retention / 8;
+}
+
+// A caller may repeat a key until key_retention after it first sent it. The
+// ingress may use a stamp that it received up to one ForwardAgeLimit after it
+// read the repeat, and the forward may take another one to arrive. A record
+// that is kept for key_retention alone is gone when that forward arrives.
+milliseconds RecordRetention(const KeyTimes& times) {
+  return times.key_retention + 2 * ForwardAgeLimit(times);
+}
+
+// A stale owner decides to run a key at the latest one FreshnessLimit after
+// the phase began. The phase lasts until no repeat of that key can arrive, so
+// the next phase is safe even if that owner then pauses before it runs it.
+milliseconds PhaseDuration(const KeyTimes& times) {
+  return FreshnessLimit(times) + RecordRetention(times);
+}
+
+std::uint64_t HashRequest(std::string_view method,
+                          std::string_view path,
+                          std::string_view body) {
+  std::uint64_t hash = 0;
+  for (const std::string_view field : {method, path, body}) {
+    hash = XXH64(field.data(), field.size(), hash);
+  }
+  return hash;
+}
+
+std::string_view RunRefusalName(RunRefusal refusal) {
+  switch (refusal) {
+    case RunRefusal::kNone:
+      return "none";
+    case RunRefusal::kIncarnation:
+      return "sent for another owner incarnation";
+    case RunRefusal::kStaleForward:
+      return "owner stamp too old";
+    case RunRefusal::kFenced:
+      return "fenced";
+    case RunRefusal::kCancelled:
+      return "removed from the queue";
+    case RunRefusal::kOtherRequest:
+      return "key was used for a different request";
+    case RunRefusal::kNotHome:
+      return "not the home of the key";
+    case RunRefusal::kRecovering:
+      return "ledger not recovered";
+    case RunRefusal::kUnreleased:
+      return "key not released by a former home";
+    case RunRefusal::kConfigUnconfirmed:
+      return "configuration not confirmed";
+    case RunRefusal::kLedgerFull:
+      return "ledger full";
+    case RunRefusal::kOutcomeUnknown:
+      return "outcome unknown";
+    case RunRefusal::kResponseNotKept:
+      return "response not kept";
+  }
+  return "invalid";
+}
+
+AttemptLedger MakeAttemptLedger(const KeyTimes& times,
+                                const LedgerLimits& limits,
+                                std::uint64_t incarnation,
+                                steady_clock::time_point now) {
+  AttemptLedger ledger;
+  ledger.times = times;
+  ledger.limits = limits;
+  ledger.incarnation = incarnation;
+  ledger.started_at = now;
+  ledger.clock = now;
+  return ledger;
+}
+
+OwnerStamp CurrentStamp(const AttemptLedger& ledger,
+                        steady_clock::time_point now) {
+  return {ledger.incarnation,
+          duration_cast<microseconds>(std::max(now, ledger.clock) -
+                                      ledger.started_at)};
+}
+
+std::optional<LedgerDecision> LookUpAttempt(AttemptLedger& ledger,
+                                            const LedgerRequest& request,
+                                            const PlacementVersion& version,
+                                            steady_clock::time_point now) {
+  AdvanceClock(ledger, now);
+  if (request.stamp.incarnation != ledger.incarnation) {
+    // A duplicate may have reached the incarnation that is named; no
+    // incarnation runs an attempt that names none.
+    return LedgerDecision{request.stamp.incarnation == 0
+                              ? LedgerAction::kRefuseNotRun
+                              : LedgerAction::kRefuseUnknown,
+                          RunRefusal::kIncarnation, nullptr};
+  }
+  const auto attempt = ledger.attempts.find(request.attempt);
+  if (attempt != ledger.attempts.end()) {
+    return DecisionOf(attempt->second);
+  }
+  if (request.key.has_value()) {
+    const auto key = ledger.keys.find(*request.key);
+    if (key != ledger.keys.end()) {
+      const LedgerRecord& record = key->second;
+      if (record.state == AttemptState::kFenced) {
+        if (!(record.fenced_for < version)) {
+          return DecisionOf(record);
+        }
+      } else if (record.hash_known &&
+                 record.request_hash != request.request_hash) {
+        return LedgerDecision{LedgerAction::kRefuseNotRun,
+                              RunRefusal::kOtherRequest, nullptr};
+      } else {
+        return DecisionOf(record);
+      }
+    }
+  }
+  const microseconds age = StampAge(ledger, request.stamp);
+  if (age > ForwardAgeLimit(ledger.times) || age < microseconds(0) ||
+      request.stamp.uptime <= ledger.stamp_floor) {
+    // While its record would still be kept, an attempt without one did not run.
+    return LedgerDecision{age < RecordRetention(ledger.times)
+                              ? LedgerAction::kRefuseNotRun
+                              : LedgerAction::kRefuseUnknown,
+                          RunRefusal::kStaleForward, nullptr};
+  }
+  return std::nullopt;
+}
+
+LedgerDecision BeginAttempt(AttemptLedger& ledger,
+                            const LedgerRequest& request,
+                            const PlacementVersion& version,
+                            steady_clock::time_point now) {
+  const std::optional<LedgerDecision> known =
+      LookUpAttempt(ledger, request, version, now);
+  if (known.has_value()) {
+    return *known;
+  }
+  LedgerRecord record;
+  record.state = AttemptState::kQueued;
+  record.attempt = request.attempt;
+  record.request_hash = request.request_hash;
+  record.expires_at = steady_clock::time_point::max();
+  bool entered = false;
+  if (request.key.has_value()) {
+    // A fence that is replaced here is restored where there is no space.
+    const auto fence = ledger.keys.find(*request.key);
+    std::optional<LedgerRecord> replaced;
+    if (fence != ledger.keys.end()) {
+      replaced = fence->second;
+      Erase(ledger, ledger.keys, *request.key);
+    }
+    entered = Insert(ledger, ledger.keys, *request.key, std::move(record),
+                     ledger.limits.response_reserve);
+    if (!entered && replaced.has_value()) {
+      ledger.bytes += replaced->bytes;
+      ledger.keys[*request.key] = *replaced;
+    }
+  } else {
+    entered =
+        Insert(ledger, ledger.attempts, request.attempt, std::move(record), 0);
+  }
+  if (!entered) {
+    RefuseAttempt(ledger, request, RunRefusal::kLedgerFull, now);
+    return {LedgerAction::kRefuseNotRun, RunRefusal::kLedgerFull, nullptr};
+  }
+  return {LedgerAction::kRun, RunRefusal::kNone, nullptr};
+}
+
+bool StartAttempt(AttemptLedger& ledger,
+                  const LedgerRequest& request,
+                  steady_clock::time_point now) {
+  AdvanceClock(ledger, now);
+  LedgerRecord* record = FindAccepted(ledger, request);
+  if (record == nullptr || record->state != AttemptState::kQueued) {
+    return false;
+  }
+  record->state = AttemptState::kRunning;
+  return true;
+}
+
+void FinishAttempt(AttemptLedger& ledger,
+                   const LedgerRequest& request,
+                   ResponsePtr response,
+                   steady_clock::time_point now) {
+  AdvanceClock(ledger, now);
+  LedgerRecord* record = FindAccepted(ledger, request);
+  if (record == nullptr || record->state != AttemptState::kRunning) {
+    return;
+  }
+  const std::size_t base = request.key.has_value() ? BaseSize(*request.key)
+                                                   : BaseSize(request.attempt);
+  // Responses without a key serve only a caller whose reply was lost, so they
+  // leave half of the budget to keys.
+  const std::size_t budget = request.key.has_value()
+                                 ? ledger.limits.byte_budget
+                                 : ledger.limits.byte_budget / 2;
+  ledger.bytes -= record->bytes;
+  record->bytes = base + ResponseSize(response);
+  if (ledger.bytes + record->bytes > budget) {
+    record->bytes = base;
+    response = nullptr;
+  }
+  ledger.bytes += record->bytes;
+  record->state = AttemptState::kDone;
+  record->response = std::move(response);
+  ExpireAccepted(ledger, request, *record);
+}
+
+void LoseAttempt(AttemptLedger& ledger,
+                 const LedgerRequest& request,
+                 steady_clock::time_point now) {
+  AdvanceClock(ledger, now);
+  LedgerRecord* record = FindAccepted(ledger, request);
+  if (record == nullptr || record->state != AttemptState::kRunning) {
+    return;
+  }
+  const std::size_t base = request.key.has_value() ? BaseSize(*request.key)
+                                                   : BaseSize(request.attempt);
+  ledger.bytes -= record->bytes - base;
+  record->bytes = base;
+  record->state = AttemptState::kUnknown;
+  ExpireAccepted(ledger, request, *record);
+}
+
+bool RefuseAttempt(AttemptLedger& ledger,
+                   const LedgerRequest& request,
+                   RunRefusal reason,
+                   steady_clock::time_point now) {
+  AdvanceClock(ledger, now);
+  if (request.stamp.incarnation != ledger.incarnation) {
+    return request.stamp.incarnation == 0;
+  }
+  LedgerRecord* accepted = FindAccepted(ledger, request);
+  if (accepted != nullptr) {
+    if (accepted->state != AttemptState::kQueued) {
+      return false;
+    }
+    if (request.key.has_value()) {
+      Erase(ledger, ledger.keys, *request.key);
+    } else {
+      Erase(ledger, ledger.attempts, request.attempt);
+    }
+  }
+  if (ledger.attempts.count(request.attempt) > 0) {
+    return true;
+  }
+  LedgerRecord record;
+  record.state = AttemptState::kFenced;
+  record.attempt = request.attempt;
+  record.refusal = reason;
+  const std::size_t size = BaseSize(request.attempt);
+  // A flood of refused requests must not use up the space of new keys.
+  if (ledger.refused_bytes + size <= ledger.limits.byte_budget / 4 &&
+      Insert(ledger, ledger.attempts, request.attempt, std::move(record), 0)) {
+    ledger.refused_bytes += size;
+    // After this time a forward of the attempt is refused by its stamp.
+    ExpireAttemptAfter(ledger, request.attempt,
+                       ledger.attempts[request.attempt],
+                       ForwardAgeLimit(ledger.times));
+  } else {
+    // Without space for the record, all unseen attempts up to its stamp are
+    // refused, so that a duplicate of this one cannot run.
+    ledger.stamp_floor = std::max(ledger.stamp_floor, request.stamp.uptime);
+  }
+  return true;
+}
+
+AttemptFenceReply FenceAttempt(AttemptLedger& ledger,
+                               const LedgerRequest& request,
+                               steady_clock::time_point now) {
+  AdvanceClock(ledger, now);
+  if (request.stamp.incarnation != ledger.incarnation) {
+    return {request.stamp.incarnation == 0 ? AttemptState::kFenced
+                                           : AttemptState::kUnknown,
+            nullptr};
+  }
+  const LedgerRecord* known = nullptr;
+  const auto attempt = ledger.attempts.find(request.attempt);
+  if (attempt != ledger.attempts.end()) {
+    known = &attempt->second;
+  } else if (request.key.has_value()) {
+    const auto key = ledger.keys.find(*request.key);
+    // A key that was used for another request refuses this attempt anyway.
+    if (key != ledger.keys.end() &&
+        (!key->second.hash_known ||
+         key->second.request_hash == request.request_hash)) {
+      known = &key->second;
+    }
+  }
+  if (known != nullptr) {
+    switch (known->state) {
+      case AttemptState::kFenced:
+        break;
+      case AttemptState::kQueued:
+        if (known->attempt == request.attempt) {
+          break;
+        }
+        return {AttemptState::kRunning, nullptr};
+      case AttemptState::kRunning:
+        return {AttemptState::kRunning, nullptr};
+      case AttemptState::kDone:
+        return {AttemptState::kDone, known->response};
+      case AttemptState::kUnknown:
+        return {AttemptState::kUnknown, nullptr};
+    }
+  } else if (StampAge(ledger, request.stamp) >= RecordRetention(ledger.times)) {
+    return {AttemptState::kUnknown, nullptr};
+  }
+  if (!RefuseAttempt(ledger, request, RunRefusal::kFenced, now)) {
+    return {AttemptState::kUnknown, nullptr};
+  }
+  return {AttemptState::kFenced, nullptr};
+}
+
+KeyFenceReply FenceKey(AttemptLedger& ledger,
+                       const KeyId& key,
+                       const PlacementVersion& version,
+                       steady_clock::time_point now) {
+  AdvanceClock(ledger, now);
+  const auto found = ledger.keys.find(key);
+  if (found != ledger.keys.end()) {
+    LedgerRecord& record = found->second;
+    switch (record.state) {
+      case AttemptState::kFenced:
+        record.fenced_for = std::max(record.fenced_for, version);
+        ExpireKeyAfter(ledger, key, record, RecordRetention(ledger.times));
+        return {KeyFenceState::kFenced, nullptr, 0};
+      case AttemptState::kRunning:
+      case AttemptState::kUnknown:
+        return {KeyFenceState::kUnknown, nullptr, record.request_hash};
+      case AttemptState::kDone:
+        return {record.response != nullptr ? KeyFenceState::kRan
+                                           : KeyFenceState::kUnknown,
+                record.response, record.request_hash};
+      case AttemptState::kQueued: {
+        LedgerRequest queued;
+        queued.attempt = record.attempt;
+        queued.key = key;
+        queued.stamp = CurrentStamp(ledger, now);
+        RefuseAttempt(ledger, queued, RunRefusal::kFenced, now);
+        break;
+      }
+    }
+  }
+  LedgerRecord fence;
+  fence.state = AttemptState::kFenced;
+  fence.refusal = RunRefusal::kFenced;
+  fence.fenced_for = version;
+  if (!Insert(ledger, ledger.keys, key, std::move(fence), 0)) {
+    return {KeyFenceState::kUndecidable, nullptr, 0};
+  }
+  ExpireKeyAfter(ledger, key, ledger.keys[key], RecordRetention(ledger.times));
+  return {KeyFenceState::kFenced, nullptr, 0};
+}
+
+bool EnterKey(AttemptLedger& ledger,
+              const KeyId& key,
+              const LedgerRecord& record,
+              steady_clock::time_point now) {
+  AdvanceClock(ledger, now);
+  LedgerRecord entry = record;
+  const auto found = ledger.keys.find(key);
+  if (found != ledger.keys.end()) {
+    LedgerRecord& present = found->second;
+    if (present.state == AttemptState::kFenced) {
+      if (entry.state == AttemptState::kFenced) {
+        present.fenced_for = std::max(present.fenced_for, entry.fenced_for);
+        ExpireKeyAfter(ledger, key, present, RecordRetention(ledger.times));
+        return true;
+      }
+    } else if (present.state == AttemptState::kUnknown &&
+               entry.state != AttemptState::kFenced) {
+      if (entry.state == AttemptState::kUnknown) {
+        // Only one of two different requests ran under the key, and the
+        // journals do not tell which.
+        present.hash_known = present.hash_known && entry.hash_known &&
+                             present.request_hash == entry.request_hash;
+        ExpireKeyAfter(ledger, key, present, RecordRetention(ledger.times));
+        return true;
+      }
+    } else {
+      return true;
+    }
+    const LedgerRecord replaced = present;
+    Erase(ledger, ledger.keys, key);
+    if (!Insert(ledger, ledger.keys, key, std::move(entry), 0)) {
+      ledger.bytes += replaced.bytes;
+      ledger.keys[key] = replaced;
+      return false;
+    }
+  } else if (!Insert(ledger, ledger.keys, key, std::move(entry), 0)) {
+    return false;
+  }
+  ExpireKeyAfter(ledger, key, ledger.keys[key], RecordRetention(ledger.times));
+  return true;
+}
+
+void ExpireRecords(AttemptLedger& ledger, steady_clock::time_point now) {
+  AdvanceClock(ledger, now);
+}
+
+}  // namespace comfrey
--- /dev/null
+++ b/Source/core/keyed_execution.cc
@@ -0,0 +1,231 @@
+#include "core/keyed_execution.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace comfrey {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+using std::chrono::system_clock;
+
+KeyedAction RefuseNotRun(KeyedOwner& owner,
+                         const KeyedExecution& execution,
+                         RunRefusal reason,
+                         steady_clock::time_point now) {
+  // The refusal is recorded so that a duplicate of this forward cannot run
+  // after the caller was told that it was not run.
+  RefuseAttempt(owner.ledger, execution.request, reason, now);
+  KeyedAction action;
+  action.step = KeyedStep::kRefuse;
+  action.reason = reason;
+  action.not_run = true;
+  return action;
+}
+
+KeyedAction RefuseUnknown(RunRefusal reason) {
+  KeyedAction action;
+  action.step = KeyedStep::kRefuse;
+  action.reason = reason;
+  return action;
+}
+
+KeyedAction Respond(ResponsePtr response) {
+  KeyedAction action;
+  action.step = KeyedStep::kRespond;
+  action.response = std::move(response);
+  return action;
+}
+
+KeyedAction ActionOf(KeyedOwner& owner,
+                     const KeyedExecution& execution,
+                     const LedgerDecision& decision,
+                     steady_clock::time_point now) {
+  KeyedAction action;
+  switch (decision.action) {
+    case LedgerAction::kRun:
+      action.step = KeyedStep::kRun;
+      return action;
+    case LedgerAction::kWait:
+      action.step = KeyedStep::kWait;
+      return action;
+    case LedgerAction::kRespond:
+      return Respond(decision.response);
+    case LedgerAction::kRefuseNotRun:
+      return RefuseNotRun(owner, execution, decision.reason, now);
+    case LedgerAction::kRefuseUnknown:
+      break;
+  }
+  return RefuseUnknown(decision.reason);
+}
+
+// The release by the former homes: absent where all of them fenced the key
+// under the current version.
+std::optional<KeyedAction> CollectReleases(
+    KeyedOwner& owner,
+    KeyedExecution& execution,
+    const std::vector<std::string>& must_release,
+    steady_clock::time_point now) {
+  KeyedAction ask;
+  ask.step = KeyedStep::kFence;
+  ask.version = owner.version;
+  bool pending = false;
+  bool undecidable = false;
+  for (const std::string& former : must_release) {
+    KeyRelease& release = execution.releases[former];
+    // A fence for an older version does not bind the former home under the
+    // current one.
+    if (release.version < owner.version) {
+      release.version = owner.version;
+      release.reply.reset();
+      ask.fence_at.push_back(former);
+      continue;
+    }
+    if (!release.reply.has_value()) {
+      pending = true;
+      continue;
+    }
+    const KeyFenceReply& reply = *release.reply;
+    switch (reply.state) {
+      case KeyFenceState::kFenced:
+        break;
+      case KeyFenceState::kRan: {
+        if (reply.request_hash != execution.request.request_hash) {
+          return RefuseNotRun(owner, execution, RunRefusal::kOtherRequest, now);
+        }
+        LedgerRecord record;
+        record.state = AttemptState::kDone;
+        record.request_hash = reply.request_hash;
+        record.response = reply.response;
+        EnterKey(owner.ledger, *execution.request.key, record, now);
+        return Respond(reply.response);
+      }
+      case KeyFenceState::kUnknown:
+        return RefuseUnknown(RunRefusal::kOutcomeUnknown);
+      case KeyFenceState::kUndecidable:
+        undecidable = true;
+        break;
+    }
+  }
+  if (undecidable) {
+    return RefuseNotRun(owner, execution, RunRefusal::kUnreleased, now);
+  }
+  if (!ask.fence_at.empty()) {
+    return ask;
+  }
+  if (pending) {
+    return KeyedAction();
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+void AdoptPlacement(KeyedOwner& owner,
+                    const PlacementVersion& version,
+                    const std::vector<PlacedEndpoint>& endpoints) {
+  if (owner.version < version) {
+    owner.version = version;
+    owner.endpoints = endpoints;
+  }
+}
+
+void ObserveOwnerClocks(KeyedOwner& owner,
+                        steady_clock::time_point now,
+                        system_clock::time_point wall) {
+  if (ObserveClocks(owner.pauses, now, wall)) {
+    owner.confirmed_at.reset();
+  }
+}
+
+// The age is counted from the time of the request, not of the reply, which may
+// be delayed. Two peers that confirm each other gain no age this way, as the
+// age goes back to a reply of the configuration service.
+void ConfirmPlacement(KeyedOwner& owner,
+                      const PlacementVersion& reported,
+                      steady_clock::time_point requested_at,
+                      milliseconds age,
+                      steady_clock::time_point now,
+                      system_clock::time_point wall) {
+  ObserveOwnerClocks(owner, now, wall);
+  if (!(reported == owner.version) || PausedSince(owner.pauses, requested_at)) {
+    return;
+  }
+  const steady_clock::time_point confirmed_at = requested_at - age;
+  if (!owner.confirmed_at.has_value() || *owner.confirmed_at < confirmed_at) {
+    owner.confirmed_at = confirmed_at;
+  }
+}
+
+std::optional<milliseconds> ConfirmationAge(KeyedOwner& owner,
+                                            steady_clock::time_point now,
+                                            system_clock::time_point wall) {
+  ObserveOwnerClocks(owner, now, wall);
+  if (!owner.confirmed_at.has_value()) {
+    return std::nullopt;
+  }
+  // Rounded up, so that repeated hand-over does not make it younger.
+  return std::chrono::ceil<milliseconds>(now - *owner.confirmed_at);
+}
+
+KeyedAction NextKeyedAction(KeyedOwner& owner,
+                            KeyedExecution& execution,
+                            steady_clock::time_point now,
+                            system_clock::time_point wall) {
+  const LedgerRequest& request = execution.request;
+  const std::optional<LedgerDecision> known =
+      LookUpAttempt(owner.ledger, request, owner.version, now);
+  if (known.has_value()) {
+    return ActionOf(owner, execution, *known, now);
+  }
+  if (request.key.has_value()) {
+    ObserveOwnerClocks(owner, now, wall);
+    if (!owner.confirmed_at.has_value() ||
+        now - *owner.confirmed_at > FreshnessLimit(owner.ledger.times)) {
+      return RefuseNotRun(owner, execution, RunRefusal::kConfigUnconfirmed,
+                          now);
+    }
+    const KeyPlacement placement = PlaceKey(*request.key, owner.endpoints);
+    if (placement.home != owner.endpoint) {
+      return RefuseNotRun(owner, execution, RunRefusal::kNotHome, now);
+    }
+    if (!IsRecovered(owner.recovery, now)) {
+      return RefuseNotRun(owner, execution, RunRefusal::kRecovering, now);
+    }
+    std::optional<KeyedAction> action =
+        CollectReleases(owner, execution, placement.must_release, now);
+    if (action.has_value()) {
+      return *std::move(action);
+    }
+  }
+  return ActionOf(owner, execution,
+                  BeginAttempt(owner.ledger, request, owner.version, now), now);
+}
+
+void RecordRelease(KeyedExecution& execution,
+                   const std::string& endpoint,
+                   const PlacementVersion& version,
+                   const KeyFenceReply& reply) {
+  const auto found = execution.releases.find(endpoint);
+  if (found != execution.releases.end() && found->second.version == version) {
+    found->second.reply = reply;
+  }
+}
+
+KeyFenceReply AnswerFenceKey(KeyedOwner& owner,
+                             const KeyId& key,
+                             const PlacementVersion& version,
+                             steady_clock::time_point now) {
+  if (!IsRecovered(owner.recovery, now)) {
+    // A fence that was recovered does not show that the key did not run here.
+    const auto found = owner.ledger.keys.find(key);
+    if (found == owner.ledger.keys.end() ||
+        found->second.state == AttemptState::kFenced) {
+      return {KeyFenceState::kUndecidable, nullptr, 0};
+    }
+  }
+  return FenceKey(owner.ledger, key, version, now);
+}
+
+}  // namespace comfrey
--- /dev/null
+++ b/Tests/core/keyed_execution_test.cc
@@ -0,0 +1,182 @@
+#include "core/keyed_execution.h"
+
+#include "catch2/catch.hpp"
+
+namespace comfrey {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+using std::chrono::system_clock;
+
+const KeyTimes kTimes{milliseconds(8'000)};
+const KeyId kKey{"team", "service", "k"};
+
+steady_clock::time_point At(int ms) {
+  return steady_clock::time_point(milliseconds(ms));
+}
+
+system_clock::time_point Wall(int ms) {
+  return system_clock::time_point(milliseconds(ms));
+}
+
+// A recovered, confirmed owner of the home, with the other endpoint in the
+// given phase.
+struct Setup {
+  KeyedOwner owner;
+  KeyedExecution execution;
+  std::string other;
+};
+
+Setup NewSetup(KeyPhase home_phase, KeyPhase other_phase) {
+  std::vector<PlacedEndpoint> endpoints = {{"127.0.1.1:8081", home_phase},
+                                           {"127.0.1.2:8081", other_phase}};
+  if (PlaceKey(kKey, endpoints).home != endpoints[0].endpoint) {
+    std::swap(endpoints[0].endpoint, endpoints[1].endpoint);
+  }
+  Setup setup;
+  setup.owner.endpoint = endpoints[0].endpoint;
+  setup.other = endpoints[1].endpoint;
+  setup.owner.recovery = MakeKeyRecovery(kTimes, false, At(0));
+  setup.owner.ledger = MakeAttemptLedger(kTimes, {}, 9, At(0));
+  setup.owner.pauses.limit = milliseconds(500);
+  AdoptPlacement(setup.owner, {1, 2}, endpoints);
+  ConfirmPlacement(setup.owner, {1, 2}, At(0), milliseconds(0), At(0), Wall(0));
+  setup.execution.request = {{"ingress", 1, 1}, kKey, 1, {9, milliseconds(0)}};
+  return setup;
+}
+
+KeyedAction Next(Setup& setup, int ms) {
+  return NextKeyedAction(setup.owner, setup.execution, At(ms), Wall(ms));
+}
+
+// Guards against a check that is left out of the decision, and against a
+// duplicate of a refused forward that runs once the cause is gone.
+TEST_CASE("a keyed forward is refused for good by each failed check") {
+  struct Case {
+    const char* name;
+    void (*break_owner)(KeyedOwner&);
+    void (*repair_owner)(KeyedOwner&);
+    RunRefusal reason;
+  };
+  const Case cases[] = {
+      {"not confirmed", [](KeyedOwner& o) { o.confirmed_at.reset(); },
+       [](KeyedOwner& o) { o.confirmed_at = At(1); },
+       RunRefusal::kConfigUnconfirmed},
+      {"confirmed long ago", [](KeyedOwner& o) { o.confirmed_at = At(-2'000); },
+       [](KeyedOwner& o) { o.confirmed_at = At(1); },
+       RunRefusal::kConfigUnconfirmed},
+      {"not the home", [](KeyedOwner& o) { o.endpoint += "1"; },
+       [](KeyedOwner& o) { o.endpoint.pop_back(); }, RunRefusal::kNotHome},
+      {"not recovered", [](KeyedOwner& o) { o.recovery.needed = true; },
+       [](KeyedOwner& o) { o.recovery.needed = false; },
+       RunRefusal::kRecovering},
+      {"no space", [](KeyedOwner& o) { o.ledger.limits.byte_budget = 0; },
+       [](KeyedOwner& o) { o.ledger.limits.byte_budget = 1 << 20; },
+       RunRefusal::kLedgerFull},
+  };
+  for (const Case& c : cases) {
+    INFO(c.name);
+    Setup setup = NewSetup(KeyPhase::kActive, KeyPhase::kActive);
+    c.break_owner(setup.owner);
+    const KeyedAction refused = Next(setup, 1);
+    CHECK(refused.step == KeyedStep::kRefuse);
+    CHECK(refused.not_run);
+    CHECK(refused.reason == c.reason);
+    c.repair_owner(setup.owner);
+    CHECK(Next(setup, 2).step == KeyedStep::kRefuse);
+    setup.execution.request.attempt.sequence = 2;
+    setup.execution.request.stamp.uptime = milliseconds(2);
+    CHECK(Next(setup, 3).step == KeyedStep::kRun);
+  }
+}
+
+// Guards against a key that runs before every former home released it, or on a
+// release for an older version.
+TEST_CASE("a joining home asks the former home first") {
+  struct Case {
+    KeyFenceReply reply;
+    KeyedStep step;
+    RunRefusal reason;
+    bool not_run;
+  };
+  const ResponsePtr response =
+      std::make_shared<StoredResponse>(StoredResponse{200, {}, "x"});
+  const Case cases[] = {
+      {{KeyFenceState::kFenced, nullptr, 0},
+       KeyedStep::kRun,
+       RunRefusal::kNone,
+       false},
+      {{KeyFenceState::kRan, response, 1},
+       KeyedStep::kRespond,
+       RunRefusal::kNone,
+       false},
+      {{KeyFenceState::kRan, response, 2},
+       KeyedStep::kRefuse,
+       RunRefusal::kOtherRequest,
+       true},
+      {{KeyFenceState::kUnknown, nullptr, 0},
+       KeyedStep::kRefuse,
+       RunRefusal::kOutcomeUnknown,
+       false},
+      {{KeyFenceState::kUndecidable, nullptr, 0},
+       KeyedStep::kRefuse,
+       RunRefusal::kUnreleased,
+       true},
+  };
+  for (const Case& c : cases) {
+    Setup setup = NewSetup(KeyPhase::kJoining, KeyPhase::kActive);
+    const KeyedAction ask = Next(setup, 1);
+    REQUIRE(ask.step == KeyedStep::kFence);
+    CHECK(ask.fence_at == std::vector<std::string>{setup.other});
+    CHECK(Next(setup, 1).step == KeyedStep::kWait);
+    // A version that is adopted meanwhile requires a new release.
+    AdoptPlacement(setup.owner, {1, 3}, setup.owner.endpoints);
+    RecordRelease(setup.execution, setup.other, ask.version, c.reply);
+    const KeyedAction again = Next(setup, 2);
+    REQUIRE(again.step == KeyedStep::kFence);
+    RecordRelease(setup.execution, setup.other, again.version, c.reply);
+    const KeyedAction decided = Next(setup, 3);
+    CHECK(decided.step == c.step);
+    CHECK(decided.reason == c.reason);
+    CHECK(decided.not_run == c.not_run);
+    if (c.step == KeyedStep::kRespond) {
+      CHECK(decided.response == response);
+    }
+  }
+}
+
+// Guards against an owner that takes a confirmation from before a pause, from
+// another version, or younger than it is.
+TEST_CASE("a confirmation counts from its request and ends with a pause") {
+  Setup setup = NewSetup(KeyPhase::kActive, KeyPhase::kActive);
+  KeyedOwner& owner = setup.owner;
+  CHECK(ConfirmationAge(owner, At(400), Wall(400)) == milliseconds(400));
+  ConfirmPlacement(owner, {1, 1}, At(400), milliseconds(0), At(401), Wall(401));
+  CHECK(ConfirmationAge(owner, At(401), Wall(401)) == milliseconds(401));
+  ConfirmPlacement(owner, {1, 2}, At(300), milliseconds(50), At(402),
+                   Wall(402));
+  CHECK(ConfirmationAge(owner, At(402), Wall(402)) == milliseconds(152));
+  // The VM is suspended for an hour; only the wall clock shows it.
+  ConfirmPlacement(owner, {1, 2}, At(403), milliseconds(0), At(404),
+                   Wall(3'600'404));
+  CHECK_FALSE(ConfirmationAge(owner, At(404), Wall(3'600'404)).has_value());
+  CHECK(Next(setup, 405).reason == RunRefusal::kConfigUnconfirmed);
+}
+
+// Guards against a former home that releases a key while it cannot know
+// whether it ran.
+TEST_CASE("an owner that is not recovered releases no key") {
+  Setup setup = NewSetup(KeyPhase::kActive, KeyPhase::kActive);
+  setup.owner.recovery = MakeKeyRecovery(kTimes, true, At(0));
+  CHECK(AnswerFenceKey(setup.owner, kKey, {1, 2}, At(1)).state ==
+        KeyFenceState::kUndecidable);
+  LedgerRecord record;
+  record.state = AttemptState::kUnknown;
+  REQUIRE(EnterKey(setup.owner.ledger, kKey, record, At(1)));
+  CHECK(AnswerFenceKey(setup.owner, kKey, {1, 2}, At(1)).state ==
+        KeyFenceState::kUnknown);
+}
+
+}  // namespace
+}  // namespace comfrey
