--- /dev/null
+++ b/Source/core/outlier_verdict.cc
@@ -0,0 +1,597 @@
+#include "core/outlier_verdict.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstddef>
+#include <functional>
+
+namespace comfrey {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using TimePoint = std::chrono::steady_clock::time_point;
+
+// Summaries older than this say nothing about the service now.
+constexpr std::chrono::seconds kSummaryLifetime{30};
+// An ejection needs this many siblings (or all, if there are fewer) whose
+// summaries describe the time after the change. Otherwise a slowdown of the
+// whole service, which siblings have not published yet, would eject everyone.
+constexpr std::size_t kConfirmingSiblings = 3;
+// The start of a change is known to about one slot, and the first slow
+// responses arrive later than the last fast ones.
+constexpr milliseconds kConfirmationMargin{400};
+// A summary covers about this much time before and after its midpoint.
+constexpr milliseconds kSummaryHalfTime{500};
+// Evidence (in nats) that the samples of this time must contribute.
+constexpr double kRecentEvidence = 2;
+// Failures in a row within less time than this are one event, e.g. a burst of
+// resets.
+constexpr milliseconds kMinRowTime{100};
+// Differences below this are not worth an ejection at any ratio.
+constexpr std::chrono::milliseconds kMinSlowdown{5};
+// Half of the samples lie above the median by definition, whatever the mix of
+// latencies; more of them above the limit means that the median is above it.
+constexpr double kShareAboveMedian = 0.5;
+// Failure shares of siblings vary between summaries of few requests.
+constexpr double kSiblingFailureFactor = 1.5;
+constexpr double kSiblingFailureMargin = 0.05;
+constexpr double kMaxExpectedFailedShare = 0.95;
+// A single refused connection also occurs when the server's listen queue
+// overflows.
+constexpr unsigned kRefusedConnections = 3;
+// The health endpoint may mislead, so failed probes lower the evidence that is
+// needed only by a fifth each, and by two fifths at most.
+constexpr double kProbeWeight = 0.2;
+constexpr unsigned kMaxProbes = 2;
+// A restarted server is back as soon as a probe passes; the pause prevents a
+// probe that was sent before the crash from ending the ejection.
+constexpr std::chrono::seconds kMinUnreachableTime{1};
+constexpr std::array<std::uint8_t, 3> kProbationShares = {12, 25, 50};
+constexpr double kFirstWarmupShare = 10;
+
+// Severities: failures rank above slowness, refused connections above both.
+constexpr std::uint16_t kProbationSeverity = 1;
+constexpr double kMaxSlowSeverity = 499;
+constexpr double kSlowSeverityPerOctave = 60;
+constexpr double kFailingSeverity = 500;
+constexpr double kFailingSeverityRange = 400;
+constexpr std::uint16_t kFailsAloneSeverity = 900;
+constexpr std::uint16_t kUnreachableSeverity = 1000;
+
+struct Evidence {
+  double nats = 0;
+  double share = 0;
+  TimePoint start;
+};
+
+enum class Judged : std::uint8_t { kFailuresOnly, kFailuresAndLatency };
+
+struct Finding {
+  VerdictReason reason = VerdictReason::kNone;
+  std::uint16_t severity = 0;
+};
+
+// Log-likelihood ratio of the observed share against the expected one.
+double LogLikelihoodRatio(double hits, double samples, double expected) {
+  if (samples <= 0 || hits / samples <= expected) {
+    return 0;
+  }
+  const double share = std::min(hits / samples, 1.0);
+  double sum = share * std::log(share / expected);
+  if (share < 1) {
+    sum += (1 - share) * std::log((1 - share) / (1 - expected));
+  }
+  return samples * sum;
+}
+
+struct Counts {
+  double hits;
+  double samples;
+};
+
+struct SlowCounter {
+  microseconds limit;
+  Counts operator()(const HealthSlot& slot) const {
+    return {SamplesAbove(slot, this->limit),
+            static_cast<double>(LatencySamples(slot))};
+  }
+};
+
+struct FailureCounter {
+  Counts operator()(const HealthSlot& slot) const {
+    return {static_cast<double>(slot.failed),
+            static_cast<double>(slot.ok) + slot.failed};
+  }
+};
+
+// Scans all windows that end now and returns the one with the strongest
+// evidence; its start estimates when the change happened. This finds a change
+// as fast as its size allows, without a fixed window length.
+template <typename Counter>
+Evidence StrongestEvidence(const EndpointHealth& health,
+                           double expected,
+                           const Counter& count,
+                           TimePoint now) {
+  Evidence strongest;
+  Counts total{0, 0};
+  const std::size_t fresh = FreshSlots(health, now);
+  for (std::size_t i = 0; i < fresh; ++i) {
+    const HealthSlot& slot = SlotAt(health, i);
+    const Counts counts = count(slot);
+    total.hits += counts.hits;
+    total.samples += counts.samples;
+    const double nats = LogLikelihoodRatio(total.hits, total.samples, expected);
+    if (nats > strongest.nats) {
+      strongest = {nats, total.hits / total.samples, slot.start};
+    }
+  }
+  return strongest;
+}
+
+// Evidence of the samples since `since`.
+template <typename Counter>
+double NatsSince(const EndpointHealth& health,
+                 double expected,
+                 const Counter& count,
+                 TimePoint since,
+                 TimePoint now) {
+  Counts total{0, 0};
+  const std::size_t fresh = FreshSlots(health, now);
+  for (std::size_t i = 0; i < fresh && SlotAt(health, i).start >= since; ++i) {
+    const Counts counts = count(SlotAt(health, i));
+    total.hits += counts.hits;
+    total.samples += counts.samples;
+  }
+  return LogLikelihoodRatio(total.hits, total.samples, expected);
+}
+
+// Medians over the siblings whose summaries describe the time since `since`.
+struct SiblingView {
+  std::size_t count = 0;
+  microseconds latency{0};
+  double failed_share = 0;
+};
+
+SiblingView ViewSiblings(const SiblingBaseline& baseline, TimePoint since) {
+  std::vector<microseconds> latencies;
+  std::vector<std::uint16_t> failed;
+  for (const EndpointSummary& sibling : baseline.siblings) {
+    if (sibling.midpoint >= since) {
+      latencies.push_back(sibling.median_latency);
+      failed.push_back(sibling.failed_permille);
+    }
+  }
+  SiblingView view;
+  view.count = latencies.size();
+  if (view.count == 0) {
+    return view;
+  }
+  // The upper median is the cautious choice for an even number.
+  const auto middle = static_cast<std::ptrdiff_t>(view.count / 2);
+  std::nth_element(latencies.begin(), latencies.begin() + middle,
+                   latencies.end());
+  std::nth_element(failed.begin(), failed.begin() + middle, failed.end());
+  view.latency = latencies[view.count / 2];
+  view.failed_share = failed[view.count / 2] / 1000.0;
+  return view;
+}
+
+microseconds SlowLimit(microseconds sibling_latency,
+                       const DetectionPolicy& policy) {
+  const microseconds scaled(std::llround(
+      policy.slow_ratio * static_cast<double>(sibling_latency.count())));
+  return std::max(scaled, sibling_latency + microseconds(kMinSlowdown));
+}
+
+double ExpectedFailedShare(double sibling_share,
+                           const DetectionPolicy& policy) {
+  return std::min(
+      std::max(policy.failed_share,
+               kSiblingFailureFactor * sibling_share + kSiblingFailureMargin),
+      kMaxExpectedFailedShare);
+}
+
+std::uint16_t SlowSeverity(const EndpointHealth& health,
+                           microseconds sibling_latency,
+                           TimePoint now) {
+  const auto summary = SummarizeEndpoint(health, now);
+  if (!summary || sibling_latency.count() <= 0) {
+    return 1 + kProbationSeverity;
+  }
+  const double ratio = static_cast<double>(summary->median_latency.count()) /
+                       static_cast<double>(sibling_latency.count());
+  return static_cast<std::uint16_t>(
+      std::clamp(kSlowSeverityPerOctave * std::log2(std::max(ratio, 1.0)),
+                 1.0 + kProbationSeverity, kMaxSlowSeverity));
+}
+
+// Newest time that the summaries of enough siblings describe.
+TimePoint ConfirmedUntil(const SiblingBaseline& baseline, std::size_t needed) {
+  std::vector<TimePoint> midpoints;
+  for (const EndpointSummary& sibling : baseline.siblings) {
+    midpoints.push_back(sibling.midpoint);
+  }
+  const auto rank = static_cast<std::ptrdiff_t>(needed) - 1;
+  std::nth_element(midpoints.begin(), midpoints.begin() + rank, midpoints.end(),
+                   std::greater<>());
+  return midpoints[needed - 1];
+}
+
+struct Thresholds {
+  double nats;
+  milliseconds time;
+};
+
+enum class Confirmation : std::uint8_t { kNoEvidence, kMissing, kConfirmed };
+
+// Decides whether evidence of a change stands against siblings that describe
+// the same time. `expected` and `count` give the expected share of hits and
+// the counter for a view of the siblings.
+template <typename Expected, typename MakeCounter>
+Confirmation ConfirmEvidence(const EndpointHealth& health,
+                             const SiblingBaseline& baseline,
+                             const Thresholds& needed,
+                             Expected expected,
+                             MakeCounter make_counter,
+                             Evidence* evidence,
+                             TimePoint now) {
+  const auto is_strong = [&](const Evidence& found) {
+    return found.nats >= needed.nats && now - found.start >= needed.time;
+  };
+  SiblingView view = ViewSiblings(baseline, now - kSummaryLifetime);
+  *evidence =
+      StrongestEvidence(health, expected(view), make_counter(view), now);
+  if (!is_strong(*evidence)) {
+    return Confirmation::kNoEvidence;
+  }
+  if (view.count == 0) {
+    return Confirmation::kMissing;
+  }
+  const TimePoint confirmed =
+      ConfirmedUntil(baseline, std::min(kConfirmingSiblings, view.count));
+  if (confirmed < evidence->start + kConfirmationMargin) {
+    return Confirmation::kMissing;
+  }
+  const SiblingView recent = ViewSiblings(baseline, confirmed);
+  view.latency = std::max(view.latency, recent.latency);
+  view.failed_share = std::max(view.failed_share, recent.failed_share);
+  *evidence =
+      StrongestEvidence(health, expected(view), make_counter(view), now);
+  // A fault that the whole service had a moment ago is no longer visible in
+  // the siblings' summaries, but still in this window. The samples of the time
+  // that the summaries describe must therefore agree.
+  const double recent_nats =
+      NatsSince(health, expected(view), make_counter(view),
+                confirmed - kSummaryHalfTime, now);
+  return is_strong(*evidence) && recent_nats >= kRecentEvidence
+             ? Confirmation::kConfirmed
+             : Confirmation::kNoEvidence;
+}
+
+// Whether all requests have failed while siblings answered requests that were
+// sent in the same time. This needs neither a summary of the siblings nor a
+// long window. A sibling that succeeds only after the last failure here proves
+// nothing: the whole service may have recovered.
+bool FailsAlone(const EndpointHealth& health,
+                const SiblingBaseline& baseline,
+                const DetectionPolicy& policy,
+                TimePoint now) {
+  if (health.failures_in_row < policy.failures_in_row ||
+      health.last_failure - health.failing_since < kMinRowTime) {
+    return false;
+  }
+  const SiblingView known = ViewSiblings(baseline, now - kSummaryLifetime);
+  const double nats =
+      LogLikelihoodRatio(health.failures_in_row, health.failures_in_row,
+                         ExpectedFailedShare(known.failed_share, policy));
+  if (nats < policy.evidence) {
+    return false;
+  }
+  std::size_t succeeding = 0;
+  for (const EndpointSummary& sibling : baseline.siblings) {
+    succeeding += sibling.last_ok_sent >= health.failing_since &&
+                          sibling.last_ok_sent <= health.last_failure
+                      ? 1
+                      : 0;
+  }
+  return succeeding > 0 &&
+         succeeding >= std::min(kConfirmingSiblings, known.count);
+}
+
+// Looks for evidence that the endpoint is worse than its siblings.
+Finding FindOutlier(const EndpointHealth& health,
+                    const SiblingBaseline& baseline,
+                    const DetectionPolicy& policy,
+                    Judged judged,
+                    Thresholds needed,
+                    TimePoint now) {
+  if (health.refused_connections >= kRefusedConnections) {
+    return {VerdictReason::kUnreachable, kUnreachableSeverity};
+  }
+  if (FailsAlone(health, baseline, policy, now)) {
+    return {VerdictReason::kFailing, kFailsAloneSeverity};
+  }
+  needed.nats *=
+      1 - kProbeWeight * std::min<unsigned>(health.failed_probes, kMaxProbes);
+  const bool has_siblings =
+      ViewSiblings(baseline, now - kSummaryLifetime).count > 0;
+
+  Evidence evidence;
+  const Confirmation failing = ConfirmEvidence(
+      health, baseline, needed,
+      [&](const SiblingView& view) {
+        return ExpectedFailedShare(view.failed_share, policy);
+      },
+      [](const SiblingView&) { return FailureCounter{}; }, &evidence, now);
+  if (failing == Confirmation::kConfirmed) {
+    return {VerdictReason::kFailing,
+            static_cast<std::uint16_t>(kFailingSeverity +
+                                       kFailingSeverityRange * evidence.share)};
+  }
+  // Without siblings there is nothing to compare a latency with.
+  Confirmation slow = Confirmation::kNoEvidence;
+  microseconds sibling_latency{0};
+  if (judged == Judged::kFailuresAndLatency && has_siblings) {
+    slow = ConfirmEvidence(
+        health, baseline, needed,
+        [](const SiblingView&) { return kShareAboveMedian; },
+        [&](const SiblingView& view) {
+          sibling_latency = view.latency;
+          return SlowCounter{SlowLimit(view.latency, policy)};
+        },
+        &evidence, now);
+  }
+  if (slow == Confirmation::kConfirmed) {
+    return {VerdictReason::kSlow, SlowSeverity(health, sibling_latency, now)};
+  }
+  if (failing == Confirmation::kMissing || slow == Confirmation::kMissing) {
+    return {
+        has_siblings ? VerdictReason::kUnconfirmed : VerdictReason::kNoSiblings,
+        0};
+  }
+  return {};
+}
+
+bool IsOutlier(const Finding& finding) {
+  return finding.severity > 0;
+}
+
+void EnterState(EndpointHealth& health,
+                EndpointState state,
+                VerdictReason reason,
+                TimePoint now) {
+  health.state = state;
+  health.reason = reason;
+  health.severity = 0;
+  health.state_since = now;
+  ClearWindow(health);
+}
+
+void Eject(EndpointHealth& health,
+           const Finding& finding,
+           const DetectionPolicy& policy,
+           TimePoint now) {
+  if (now - health.last_ejection_end > policy.flapping_window) {
+    health.ejections = 0;
+  }
+  auto duration = policy.ejection_time;
+  for (unsigned i = 0; i < health.ejections; ++i) {
+    duration = std::min(2 * duration, policy.max_ejection_time);
+  }
+  // Above 16 the ejection time is at its limit for any policy.
+  health.ejections =
+      static_cast<std::uint8_t>(std::min<unsigned>(health.ejections + 1U, 16));
+  EnterState(health, EndpointState::kEjected, finding.reason, now);
+  health.severity = finding.severity;
+  health.ejected_until = now + duration;
+  health.last_ejection_end = health.ejected_until;
+}
+
+void EnterProbation(EndpointHealth& health, unsigned stage, TimePoint now) {
+  EnterState(health, EndpointState::kProbation, VerdictReason::kReturning, now);
+  health.probation_stage = static_cast<std::uint8_t>(stage);
+  health.severity = kProbationSeverity;
+  health.refused_connections = 0;
+}
+
+// Requests that were sent before the return would be counted as its result.
+void DiscardRequestsInFlight(EndpointHealth& health, TimePoint now) {
+  health.valid_from = now;
+}
+
+bool PassesProbationStage(const EndpointHealth& health,
+                          const SiblingBaseline& baseline,
+                          const DetectionPolicy& policy,
+                          TimePoint now) {
+  const SiblingView known = ViewSiblings(baseline, now - kSummaryLifetime);
+  double failed = 0;
+  double requests = 0;
+  double slow = 0;
+  double latencies = 0;
+  const std::size_t fresh = FreshSlots(health, now);
+  for (std::size_t i = 0; i < fresh; ++i) {
+    const HealthSlot& slot = SlotAt(health, i);
+    failed += slot.failed;
+    requests += static_cast<double>(slot.ok) + slot.failed;
+    if (known.count > 0) {
+      slow += SamplesAbove(slot, SlowLimit(known.latency, policy));
+      latencies += LatencySamples(slot);
+    }
+  }
+  return requests >= policy.probation_samples &&
+         failed <= requests * ExpectedFailedShare(known.failed_share, policy) &&
+         slow <= latencies * kShareAboveMedian;
+}
+
+bool EjectionEnds(const EndpointHealth& health,
+                  const DetectionPolicy& policy,
+                  TimePoint now) {
+  if (now < health.ejected_until) {
+    return false;
+  }
+  // Failed probes prolong an ejection, but only once: a probe that fails for
+  // reasons of its own must not keep an endpoint out for good.
+  return health.failed_probes < kMaxProbes ||
+         now >= health.ejected_until + policy.ejection_time;
+}
+
+Verdict MakeVerdict(const EndpointHealth& health,
+                    const DetectionPolicy& policy,
+                    TimePoint now) {
+  Verdict verdict;
+  verdict.state = health.state;
+  verdict.reason = health.reason;
+  verdict.severity = health.severity;
+  switch (health.state) {
+    case EndpointState::kHealthy:
+      verdict.slot_share = 100;
+      break;
+    case EndpointState::kEjected:
+      verdict.slot_share = 0;
+      break;
+    case EndpointState::kProbation:
+      verdict.slot_share = kProbationShares[health.probation_stage];
+      break;
+    case EndpointState::kWarming: {
+      const double done =
+          std::chrono::duration<double>(now - health.state_since) /
+          std::chrono::duration<double>(policy.warmup);
+      verdict.slot_share = static_cast<std::uint8_t>(
+          kFirstWarmupShare +
+          (100 - kFirstWarmupShare) * std::clamp(done, 0.0, 1.0));
+      break;
+    }
+  }
+  return verdict;
+}
+
+void JudgeInUse(EndpointHealth& health,
+                const SiblingBaseline& baseline,
+                const DetectionPolicy& policy,
+                TimePoint now) {
+  if (health.state == EndpointState::kWarming &&
+      now - health.state_since >= policy.warmup) {
+    EnterState(health, EndpointState::kHealthy, VerdictReason::kNone, now);
+  }
+  const bool warming = health.state == EndpointState::kWarming;
+  // A cold server is slow by nature, but not wrong.
+  const Finding finding =
+      FindOutlier(health, baseline, policy,
+                  warming ? Judged::kFailuresOnly : Judged::kFailuresAndLatency,
+                  {policy.evidence, policy.evidence_time}, now);
+  if (IsOutlier(finding)) {
+    Eject(health, finding, policy, now);
+  } else if (!warming) {
+    health.reason = finding.reason;
+  }
+}
+
+void JudgeEjected(EndpointHealth& health,
+                  const DetectionPolicy& policy,
+                  TimePoint now) {
+  // A passed probe shows that the server accepts connections again, which is
+  // all that it was ejected for; it starts cold. If no probe passes, the
+  // ejection ends by time, since the health endpoint may be at fault.
+  if (health.reason == VerdictReason::kUnreachable &&
+      health.probe_passed_at >= health.state_since + kMinUnreachableTime) {
+    StartWarmup(health, now);
+    return;
+  }
+  if (EjectionEnds(health, policy, now)) {
+    DiscardRequestsInFlight(health, now);
+    EnterProbation(health, 0, now);
+  }
+}
+
+void JudgeProbation(EndpointHealth& health,
+                    const SiblingBaseline& baseline,
+                    const DetectionPolicy& policy,
+                    TimePoint now) {
+  const Finding finding =
+      FindOutlier(health, baseline, policy, Judged::kFailuresAndLatency,
+                  {policy.probation_evidence, milliseconds(0)}, now);
+  if (IsOutlier(finding)) {
+    Eject(health, finding, policy, now);
+    return;
+  }
+  if (!PassesProbationStage(health, baseline, policy, now)) {
+    return;
+  }
+  const unsigned next = health.probation_stage + 1U;
+  if (next < kProbationShares.size()) {
+    EnterProbation(health, next, now);
+    return;
+  }
+  EnterState(health, EndpointState::kHealthy, VerdictReason::kNone, now);
+  health.last_ejection_end = now;
+}
+
+}  // namespace
+
+DetectionPolicy MakeDetectionPolicy(Detection detection, milliseconds warmup) {
+  DetectionPolicy policy;
+  policy.ejection_time = std::chrono::seconds(10);
+  policy.max_ejection_time = std::chrono::minutes(5);
+  policy.flapping_window = std::chrono::minutes(10);
+  policy.probation_samples = 8;
+  policy.warmup = warmup;
+  switch (detection) {
+    case Detection::kCareful:
+      policy.slow_ratio = 2.0;
+      policy.failed_share = 0.10;
+      policy.evidence = 9;
+      policy.probation_evidence = 5;
+      policy.failures_in_row = 8;
+      policy.evidence_time = milliseconds(1000);
+      break;
+    case Detection::kBalanced:
+      policy.slow_ratio = 1.6;
+      policy.failed_share = 0.05;
+      policy.evidence = 9;
+      policy.probation_evidence = 4;
+      policy.failures_in_row = 5;
+      policy.evidence_time = milliseconds(500);
+      break;
+    case Detection::kFast:
+      policy.slow_ratio = 1.5;
+      policy.failed_share = 0.04;
+      policy.evidence = 8;
+      policy.probation_evidence = 3;
+      policy.failures_in_row = 5;
+      policy.evidence_time = milliseconds(250);
+      break;
+  }
+  return policy;
+}
+
+Verdict JudgeEndpoint(EndpointHealth& health,
+                      const SiblingBaseline& baseline,
+                      const DetectionPolicy& policy,
+                      TimePoint now) {
+  NotePause(health, now);
+  health.judged = true;
+  health.last_judged = now;
+  switch (health.state) {
+    case EndpointState::kWarming:
+    case EndpointState::kHealthy:
+      JudgeInUse(health, baseline, policy, now);
+      break;
+    case EndpointState::kEjected:
+      JudgeEjected(health, policy, now);
+      break;
+    case EndpointState::kProbation:
+      JudgeProbation(health, baseline, policy, now);
+      break;
+  }
+  return MakeVerdict(health, policy, now);
+}
+
+void StartWarmup(EndpointHealth& health, TimePoint now) {
+  EnterState(health, EndpointState::kWarming, VerdictReason::kStarted, now);
+  health.refused_connections = 0;
+  health.valid_from = now;
+}
+
+}  // namespace comfrey
