Extend the peer messages with stamps, summaries and key fences

Non-idempotent forwards carry a stamp of the owner's clock, which bounds the age of a delayed forward without synchronised clocks. Results carry a summary of the endpoint's recent requests; ingress daemons hand these to the owners of the sibling endpoints with the requests that they forward, so that the comparison of siblings costs no control messages.

--- a/Source/config/team_config.h
+++ b/Source/config/team_config.h
@@ -9,14 +9,13 @@
 
 #include "absl/strings/string_view.h"
 #include "config/ini_document.h"
+#include "core/outlier_verdict.h"
 
 namespace comfrey {
 
 /// \brief Whether an endpoint may be the home of idempotency keys.
 enum class KeysState { kJoining, kActive, kLeaving };
 
-/// \brief Selects the constants of outlier detection.
-enum class Detection { kCareful, kBalanced, kFast };
 
 /// \brief One backend server of a service.
 ///
--- /dev/null
+++ b/Source/daemon/owned_endpoint.cc
@@ -0,0 +1,153 @@
+#include "daemon/owned_endpoint.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace comfrey {
+namespace {
+
+// Endpoints of one VM share the memory of the daemon: about 14 endpoints of
+// the target size at 512 KiB take 7 MB of the 32 MB limit.
+constexpr std::size_t kLedgerBytes = std::size_t{512} << 10;
+
+AdmissionPolicy MakeAdmissionPolicy(const ServiceConfig& service,
+                                    const std::vector<RankConfig>& ranks) {
+  AdmissionPolicy policy;
+  policy.slots = static_cast<std::size_t>(service.slots);
+  policy.queue_limit = static_cast<std::size_t>(service.queue_limit);
+  if (service.expected_latency) {
+    policy.expected_service = *service.expected_latency;
+  }
+  for (const RankConfig& rank : ranks) {
+    policy.ranks.push_back({rank.name, rank.urgency, rank.share, rank.target});
+  }
+  return policy;
+}
+
+KeyTimes MakeKeyTimes(const ServiceConfig& service) {
+  KeyTimes times;
+  times.key_retention = std::chrono::duration_cast<std::chrono::milliseconds>(
+      service.key_retention);
+  return times;
+}
+
+KeyedOwner MakeKeyedOwner(const EndpointIdentity& identity,
+                          const ServiceConfig& service) {
+  const KeyTimes times = MakeKeyTimes(service);
+  LedgerLimits limits;
+  limits.byte_budget = kLedgerBytes;
+  KeyedOwner keyed;
+  keyed.endpoint = identity.endpoint.address;
+  keyed.ledger = MakeAttemptLedger(times, limits, identity.incarnation,
+                                   identity.started_at);
+  keyed.recovery = MakeKeyRecovery(
+      times, NeedsRecovery(identity.started_at_wall, service.keys_since),
+      identity.started_at);
+  return keyed;
+}
+
+KeyPhase PhaseOf(KeysState state) {
+  switch (state) {
+    case KeysState::kJoining:
+      return KeyPhase::kJoining;
+    case KeysState::kLeaving:
+      return KeyPhase::kLeaving;
+    case KeysState::kActive:
+      break;
+  }
+  return KeyPhase::kActive;
+}
+
+std::chrono::milliseconds WarmupOf(const ServiceConfig& service) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(service.warmup);
+}
+
+}  // namespace
+
+OwnedEndpoint::OwnedEndpoint(EndpointIdentity endpoint_identity,
+                             const ServiceConfig& service,
+                             const std::vector<RankConfig>& ranks,
+                             CallWatchdog& watchdog)
+    : identity(std::move(endpoint_identity)),
+      client(this->identity.endpoint.ip,
+             this->identity.endpoint.port,
+             watchdog),
+      queue(MakeAdmissionPolicy(service, ranks),
+            std::chrono::steady_clock::now()),
+      health(MakeEndpointHealth(std::chrono::steady_clock::now())),
+      detection(MakeDetectionPolicy(service.detection, WarmupOf(service))),
+      keyed(MakeKeyedOwner(this->identity, service)) {}
+
+void ConfigureEndpoint(OwnedEndpoint& endpoint,
+                       const ServiceConfig& service,
+                       const std::vector<RankConfig>& ranks,
+                       const ConfigVersion& version,
+                       std::chrono::steady_clock::time_point now) {
+  DropItems(endpoint,
+            Reconfigure(endpoint.queue, MakeAdmissionPolicy(service, ranks),
+                        now));
+  endpoint.detection =
+      MakeDetectionPolicy(service.detection, WarmupOf(service));
+  endpoint.keyed.ledger.times = MakeKeyTimes(service);
+  if (!NeedsRecovery(endpoint.identity.started_at_wall, service.keys_since)) {
+    endpoint.keyed.recovery.needed = false;
+  }
+  std::vector<PlacedEndpoint> placed;
+  placed.reserve(service.endpoints.size());
+  for (const EndpointConfig& other : service.endpoints) {
+    placed.push_back({other.address, PhaseOf(other.keys)});
+  }
+  AdoptPlacement(endpoint.keyed, {version.generation, version.revision},
+                 placed);
+  AdvanceQueue(endpoint, now);
+}
+
+void TickEndpoint(OwnedEndpoint& endpoint,
+                  std::chrono::steady_clock::time_point now,
+                  std::chrono::system_clock::time_point wall) {
+  SiblingBaseline baseline;
+  baseline.siblings.reserve(endpoint.siblings.size());
+  for (const auto& [address, summary] : endpoint.siblings) {
+    baseline.siblings.push_back(summary);
+  }
+  endpoint.verdict =
+      JudgeEndpoint(endpoint.health, baseline, endpoint.detection, now);
+  AdvanceQueue(endpoint, now);
+  ObserveOwnerClocks(endpoint.keyed, now, wall);
+  ExpireRecords(endpoint.keyed.ledger, now);
+}
+
+void AdvanceQueue(OwnedEndpoint& endpoint,
+                  std::chrono::steady_clock::time_point now) {
+  const AdmissionProgress progress = Advance(endpoint.queue, now);
+  for (const WorkItem& item : progress.started) {
+    endpoint.waiting[item.id] = QueueState::kStarted;
+  }
+  DropItems(endpoint, progress.expired);
+  if (!progress.started.empty()) {
+    endpoint.changed.notify_all();
+  }
+}
+
+void DropItems(OwnedEndpoint& endpoint, const std::vector<WorkItem>& items) {
+  for (const WorkItem& item : items) {
+    endpoint.waiting[item.id] = QueueState::kDropped;
+  }
+  if (!items.empty()) {
+    endpoint.changed.notify_all();
+  }
+}
+
+void EnterSiblingSummary(OwnedEndpoint& endpoint,
+                         const std::string& sibling,
+                         const EndpointSummary& summary) {
+  if (sibling == endpoint.identity.endpoint.address) {
+    return;
+  }
+  const auto [entry, inserted] = endpoint.siblings.emplace(sibling, summary);
+  if (!inserted && entry->second.midpoint < summary.midpoint) {
+    entry->second = summary;
+  }
+}
+
+}  // namespace comfrey
