Add the retry budget

Retries and hedged requests of a service must stay within 10% of its first attempts, and a non-idempotent request may only be repeated if it did not run. The budget counts in percent of an attempt, as integers, so that the limit is exact; a quiet period saves up at most 20 retries.

--- /dev/null
+++ b/Source/core/retry_budget.h
@@ -0,0 +1,50 @@
+#ifndef CORE_RETRY_BUDGET_H_
+#define CORE_RETRY_BUDGET_H_
+
+#include <cstdint>
+
+namespace comfrey {
+
+/// \brief Whether a request may run more than once (`repeat` of its route).
+enum class RepeatPolicy { kNever, kSafe };
+
+/// \brief How an attempt ended, as far as the ingress knows.
+enum class AttemptEnd {
+  kRefused,  ///< The owner refused it; it was not run.
+  kFenced,   ///< The owner fenced it; it was not run and never will be.
+  kFailed,   ///< It ran and failed.
+  kUnknown,  ///< It may have run.
+};
+
+enum class RetryVerdict {
+  kAllowed,
+  kNonIdempotent,  ///< A second attempt could run the request twice.
+  kBudgetSpent,
+};
+
+/// \brief Limits the retries and hedged requests of one service at an ingress
+/// to a tenth of its first attempts.
+///
+/// Amounts are in percent of one attempt, as integers, so that the limit is
+/// exact.
+struct RetryBudget {
+  std::int64_t percent_per_first_attempt = 10;
+  /// Retries that a quiet period may save up: 20.
+  std::int64_t most_percent = 2000;
+  std::int64_t percent = 0;
+};
+
+/// \brief Adds to the budget; call it once for each request.
+void RecordFirstAttempt(RetryBudget& budget);
+
+/// \brief Takes a retry from the budget if the request may be retried.
+RetryVerdict TakeRetry(RetryBudget& budget,
+                       RepeatPolicy repeat,
+                       AttemptEnd previous);
+
+/// \brief Takes a hedged request from the budget if the request may be hedged.
+RetryVerdict TakeHedge(RetryBudget& budget, RepeatPolicy repeat);
+
+}  // namespace comfrey
+
+#endif  // CORE_RETRY_BUDGET_H_
