Compare failures with siblings by odds

Failures are now compared by odds with the upper quartile of the siblings, and latencies are not compared while siblings fail.

--- a/Source/core/outlier_verdict.cc
+++ b/Source/core/outlier_verdict.cc
@@ -34,10 +34,17 @@
 // Half of the samples lie above the median by definition, whatever the mix of
 // latencies; more of them above the limit means that the median is above it.
 constexpr double kShareAboveMedian = 0.5;
-// Failure shares of siblings vary between summaries of few requests.
-constexpr double kSiblingFailureFactor = 1.5;
-constexpr double kSiblingFailureMargin = 0.05;
+// A timeout turns a small difference in speed into a large one in failures
+// while the whole service is overloaded, so failures are compared by their odds
+// and with a factor.
+constexpr double kSiblingOddsFactor = 4;
 constexpr double kMaxExpectedFailedShare = 0.95;
+// The failure share to compare with is that of the upper quartile, because the
+// summaries of few requests vary; a quarter of the siblings may be faulty.
+constexpr std::size_t kQuartiles = 4;
+// From this share of failures at the siblings on, latencies are not compared:
+// timeouts cut them off, and the medians of what is left vary.
+constexpr double kDistressedShare = 0.1;
 // A single refused connection also occurs when the server's listen queue
 // overflows.
 constexpr unsigned kRefusedConnections = 3;
@@ -147,11 +154,11 @@
   return LogLikelihoodRatio(total.hits, total.samples, expected);
 }
 
-// Medians over the siblings whose summaries describe the time since `since`.
+// The siblings whose summaries describe the time since `since`.
 struct SiblingView {
   std::size_t count = 0;
-  microseconds latency{0};
-  double failed_share = 0;
+  microseconds latency{0};  // median
+  double failed_share = 0;  // upper quartile
 };
 
 SiblingView ViewSiblings(const SiblingBaseline& baseline, TimePoint since) {
@@ -172,9 +179,13 @@
   const auto middle = static_cast<std::ptrdiff_t>(view.count / 2);
   std::nth_element(latencies.begin(), latencies.begin() + middle,
                    latencies.end());
-  std::nth_element(failed.begin(), failed.begin() + middle, failed.end());
+  const std::size_t quartile =
+      std::min(view.count - 1, view.count * (kQuartiles - 1) / kQuartiles);
+  std::nth_element(failed.begin(),
+                   failed.begin() + static_cast<std::ptrdiff_t>(quartile),
+                   failed.end());
   view.latency = latencies[view.count / 2];
-  view.failed_share = failed[view.count / 2] / 1000.0;
+  view.failed_share = failed[quartile] / 1000.0;
   return view;
 }
 
@@ -187,10 +198,10 @@
 
 double ExpectedFailedShare(double sibling_share,
                            const DetectionPolicy& policy) {
-  return std::min(
-      std::max(policy.failed_share,
-               kSiblingFailureFactor * sibling_share + kSiblingFailureMargin),
-      kMaxExpectedFailedShare);
+  const double odds =
+      kSiblingOddsFactor * sibling_share / std::max(1 - sibling_share, 0.001);
+  return std::min(std::max(policy.failed_share, odds / (1 + odds)),
+                  kMaxExpectedFailedShare);
 }
 
 std::uint16_t SlowSeverity(const EndpointHealth& health,
@@ -315,8 +326,8 @@
   }
   needed.nats *=
       1 - kProbeWeight * std::min<unsigned>(health.failed_probes, kMaxProbes);
-  const bool has_siblings =
-      ViewSiblings(baseline, now - kSummaryLifetime).count > 0;
+  const SiblingView siblings = ViewSiblings(baseline, now - kSummaryLifetime);
+  const bool has_siblings = siblings.count > 0;
 
   Evidence evidence;
   const Confirmation failing = ConfirmEvidence(
@@ -333,7 +344,8 @@
   // Without siblings there is nothing to compare a latency with.
   Confirmation slow = Confirmation::kNoEvidence;
   microseconds sibling_latency{0};
-  if (judged == Judged::kFailuresAndLatency && has_siblings) {
+  if (judged == Judged::kFailuresAndLatency && has_siblings &&
+      siblings.failed_share < kDistressedShare) {
     slow = ConfirmEvidence(
         health, baseline, needed,
         [](const SiblingView&) { return kShareAboveMedian; },
