--- a/Source/daemon/config_holder.h
+++ b/Source/daemon/config_holder.h
@@ -5,26 +5,27 @@
 #include <mutex>
 #include <utility>
 
-#include "config/route_table.h"
+#include "config/config_store.h"
 
 namespace comfrey {
 
-/// \brief The routes in force; requests keep the table that they started with.
+/// \brief The configuration in force; a request keeps the one that it started
+/// with.
 class ConfigHolder {
  public:
-  std::shared_ptr<const RouteTable> Current() const {
+  std::shared_ptr<const ConfigStore> Current() const {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    return this->table;
+    return this->store;
   }
 
-  void Replace(std::shared_ptr<const RouteTable> next) {
+  void Replace(std::shared_ptr<const ConfigStore> next) {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    this->table = std::move(next);
+    this->store = std::move(next);
   }
 
  private:
   mutable std::mutex mutex;
-  std::shared_ptr<const RouteTable> table = std::make_shared<RouteTable>();
+  std::shared_ptr<const ConfigStore> store = std::make_shared<ConfigStore>();
 };
 
 }  // namespace comfrey
--- a/Source/daemon/daemon.cc
+++ b/Source/daemon/daemon.cc
@@ -22,19 +22,24 @@
       incarnation(incarnation),
       watchdog(this->timers),
       channels(kMaxChannels),
-      owner({this->settings.address, incarnation},
-            this->watchdog,
-            this->counters),
-      peer_server(this->owner, incarnation),
-      ingress({this->settings.name, incarnation, this->settings.peer_port},
-              this->config,
-              this->channels,
-              this->counters),
+      directory({this->settings.region, this->settings.failure_domain}),
+      journal(std::chrono::steady_clock::now()),
+      owner_client(this->channels, this->settings.peer_port),
+      owner(
+          {this->settings.address, incarnation,
+           std::chrono::steady_clock::now(), std::chrono::system_clock::now()},
+          this->watchdog,
+          this->counters,
+          [this](const FenceKeyCall& call) { return this->FenceKey(call); }),
+      peer_server(this->owner, this->journal),
+      ingress({this->settings.name, incarnation},
+              {this->config, this->directory, this->owner_client, this->journal,
+               this->levels, this->counters}),
       frontend(this->ingress,
                this->counters,
                {static_cast<std::size_t>(this->settings.connections),
                 this->settings.body, this->settings.header},
-               {[this] { return !this->config.Current()->teams.empty(); },
+               {[this] { return !this->config.Current()->subtrees.empty(); },
                 [this] { return this->StatusPage(); }}),
       watcher(ConfigServiceClient(this->settings.config_service.ip,
                                   this->settings.config_service.port),
@@ -72,20 +77,35 @@
     return;
   }
   const std::string team = value.path.substr(sizeof(kTeamPrefix) - 1);
-  std::vector<IniError> errors;
-  auto parsed = std::make_shared<TeamConfig>(
-      ParseTeamConfig(team, value.path, value.text, errors));
-  if (!errors.empty()) {
+  const OfferOutcome outcome =
+      OfferRevision(this->store, team, value.revision, value.text);
+  if (outcome == OfferOutcome::kInvalid) {
     spdlog::warn("configuration of team {} revision {} refused: {}", team,
-                 value.revision, FormatIniErrors(errors));
-    return;
+                 value.revision,
+                 FormatIniErrors(this->store.rejected.at(team).errors));
+  }
+  if (ChangedStore(outcome)) {
+    spdlog::info("configuration of team {} revision {} in force", team,
+                 value.revision);
+    this->PublishConfig();
   }
-  auto next = std::make_shared<RouteTable>(
-      WithTeam(*this->config.Current(), std::move(parsed)));
+}
+
+void Daemon::PublishConfig() {
+  const auto next = std::make_shared<const ConfigStore>(this->store);
   this->owner.ApplyConfig(*next);
-  this->config.Replace(std::move(next));
-  spdlog::info("configuration of team {} revision {} in force", team,
-               value.revision);
+  this->directory.ApplyConfig(*next);
+  this->journal.ApplyConfig(*next);
+  this->levels.ApplyConfig(*next);
+  this->config.Replace(next);
+}
+
+KeyFenceReply Daemon::FenceKey(const FenceKeyCall& call) {
+  if (!this->journal.EnterKeyFence(call.endpoint, call.key, call.version,
+                                   std::chrono::steady_clock::now())) {
+    return {};
+  }
+  return this->owner_client.FenceKey(call);
 }
 
 std::string Daemon::StatusPage() const {
--- a/Source/daemon/daemon.h
+++ b/Source/daemon/daemon.h
@@ -14,10 +14,14 @@
 #include "daemon/channel_pool.h"
 #include "daemon/config_holder.h"
 #include "daemon/config_watcher.h"
+#include "daemon/endpoint_directory.h"
 #include "daemon/http_frontend.h"
 #include "daemon/ingress.h"
+#include "daemon/key_journal.h"
+#include "daemon/owner_client.h"
 #include "daemon/owner_service.h"
 #include "daemon/peer_server.h"
+#include "daemon/service_levels.h"
 
 namespace comfrey {
 
@@ -34,6 +38,8 @@
 
  private:
   void AcceptValue(const ServiceValue& value);
+  void PublishConfig();
+  KeyFenceReply FenceKey(const FenceKeyCall& call);
   std::string StatusPage() const;
 
   DaemonSettings settings;
@@ -43,6 +49,11 @@
   CallWatchdog watchdog;
   ChannelPool channels;
   ConfigHolder config;
+  ConfigStore store;
+  EndpointDirectory directory;
+  KeyJournal journal;
+  ServiceLevels levels;
+  OwnerClient owner_client;
   OwnerService owner;
   PeerServer peer_server;
   Ingress ingress;
--- /dev/null
+++ b/Source/daemon/endpoint_directory.cc
@@ -0,0 +1,318 @@
+#include "daemon/endpoint_directory.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "daemon/message_conversion.h"
+
+namespace comfrey {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+// Summaries older than this tell an owner nothing about the present load.
+constexpr std::chrono::seconds kMaxSummaryAge{10};
+// Bounds the size of a forward for services with many endpoints.
+constexpr std::size_t kMaxSiblings = 16;
+
+constexpr double kPercent = 100;
+
+std::uint16_t Clamp16(std::uint32_t value) {
+  return static_cast<std::uint16_t>(std::min<std::uint32_t>(value, 0xFFFF));
+}
+
+}  // namespace
+
+EndpointDirectory::EndpointDirectory(Location location)
+    : location(std::move(location)), rng(std::random_device()()) {}
+
+void EndpointDirectory::ApplyConfig(const ConfigStore& store) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  std::map<ServiceId, Service> next;
+  for (const auto& [team, subtree] : store.subtrees) {
+    for (const ServiceConfig& config : subtree->config->services) {
+      const ServiceId id{team, config.name};
+      Service service;
+      service.floor_percent =
+          static_cast<unsigned>(std::lround(config.floor * kPercent));
+      const auto known = this->services.find(id);
+      if (known != this->services.end()) {
+        service.budget = known->second.budget;
+      }
+      for (const EndpointConfig& endpoint_config : config.endpoints) {
+        Endpoint endpoint;
+        if (known != this->services.end()) {
+          const auto old = std::find_if(
+              known->second.endpoints.begin(), known->second.endpoints.end(),
+              [&](const Endpoint& e) {
+                return e.address == endpoint_config.address;
+              });
+          if (old != known->second.endpoints.end()) {
+            endpoint = *old;
+          }
+        }
+        endpoint.address = endpoint_config.address;
+        endpoint.ip = endpoint_config.ip;
+        endpoint.view.endpoint_id =
+            XXH64(endpoint.address.data(), endpoint.address.size(), 0);
+        service.endpoints.push_back(std::move(endpoint));
+      }
+      for (const auto& [ip, owner] : this->owners) {
+        this->ApplyOwnerTo(owner, service);
+      }
+      next[id] = std::move(service);
+    }
+  }
+  this->services = std::move(next);
+}
+
+void EndpointDirectory::ApplyOwner(const OwnerView& owner) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->owners[owner.ip] = owner;
+  for (auto& [id, service] : this->services) {
+    this->ApplyOwnerTo(owner, service);
+  }
+}
+
+void EndpointDirectory::ApplyOwnerTo(const OwnerView& owner, Service& service) {
+  for (Endpoint& endpoint : service.endpoints) {
+    if (endpoint.ip != owner.ip) {
+      continue;
+    }
+    endpoint.view.leaving = owner.leaving;
+    endpoint.view.same_region = owner.location.region == this->location.region;
+    endpoint.view.same_failure_domain =
+        owner.location.failure_domain == this->location.failure_domain;
+    endpoint.view.owner_reachable =
+        !owner.dead && IsPathClear(this->paths[endpoint.ip]);
+    for (const rpc::EndpointStatus& status : owner.endpoints) {
+      if (status.endpoint() == endpoint.address) {
+        this->ApplyStatus(status, endpoint);
+      }
+    }
+    service.plan_is_current = false;
+  }
+}
+
+void EndpointDirectory::ApplyStatus(const rpc::EndpointStatus& status,
+                                    Endpoint& endpoint) {
+  endpoint.view.state = static_cast<EndpointState>(status.verdict());
+  endpoint.view.severity = Clamp16(status.severity());
+  endpoint.view.draining = status.draining();
+  endpoint.reason = static_cast<VerdictReason>(status.reason());
+  if (status.latency_us() > 0) {
+    endpoint.latency = std::chrono::microseconds(status.latency_us());
+  }
+  // Published records omit load, limit and slot share.
+  if (status.limit() > 0) {
+    endpoint.view.load = Clamp16(status.load());
+    endpoint.view.limit = Clamp16(status.limit());
+  }
+  if (status.slot_share() > 0) {
+    endpoint.view.slot_share =
+        static_cast<std::uint8_t>(std::min(status.slot_share(), 100U));
+  }
+}
+
+std::vector<EndpointView> EndpointDirectory::Views(
+    const Service& service) const {
+  std::vector<EndpointView> views;
+  views.reserve(service.endpoints.size());
+  for (const Endpoint& endpoint : service.endpoints) {
+    views.push_back(endpoint.view);
+  }
+  return views;
+}
+
+void EndpointDirectory::UpdatePlan(Service& service) {
+  if (!service.plan_is_current) {
+    service.plan = PlanCapacity(this->Views(service), service.floor_percent);
+    service.plan_is_current = true;
+  }
+}
+
+std::optional<std::string> EndpointDirectory::Choose(
+    const ServiceId& id,
+    const std::string& rank,
+    const std::set<std::string>& tried,
+    bool may_try_suspect) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const auto found = this->services.find(id);
+  if (found == this->services.end()) {
+    return std::nullopt;
+  }
+  Service& service = found->second;
+  const TimePoint now = Clock::now();
+  std::vector<EndpointView> views = this->Views(service);
+  for (std::size_t i = 0; i < views.size(); ++i) {
+    const Endpoint& endpoint = service.endpoints[i];
+    const auto full = endpoint.full_until.find(rank);
+    if (full != endpoint.full_until.end()) {
+      views[i].full_until = full->second;
+    }
+    if (tried.count(endpoint.address) > 0) {
+      views[i].full_until = TimePoint::max();
+      continue;
+    }
+    PathHealth& path = this->paths[endpoint.ip];
+    if (may_try_suspect && !IsPathClear(path) && IsTrialDue(path, now)) {
+      BeginTrial(path, now);
+      return endpoint.address;
+    }
+  }
+  this->UpdatePlan(service);
+  const std::optional<std::size_t> chosen =
+      ChooseEndpoint(service.plan, views, now, this->rng);
+  if (!chosen) {
+    return std::nullopt;
+  }
+  return service.endpoints[*chosen].address;
+}
+
+void EndpointDirectory::RecordReply(const ServiceId& id,
+                                    const std::string& rank,
+                                    const rpc::Result& result,
+                                    TimePoint now) {
+  if (!result.has_status()) {
+    return;
+  }
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const auto found = this->services.find(id);
+  if (found == this->services.end()) {
+    return;
+  }
+  for (Endpoint& endpoint : found->second.endpoints) {
+    if (endpoint.address != result.status().endpoint()) {
+      continue;
+    }
+    const EndpointView before = endpoint.view;
+    this->ApplyStatus(result.status(), endpoint);
+    if (before.state != endpoint.view.state ||
+        before.severity != endpoint.view.severity ||
+        before.draining != endpoint.view.draining ||
+        before.slot_share != endpoint.view.slot_share) {
+      found->second.plan_is_current = false;
+    }
+    if (result.status().full_for_us() > 0) {
+      endpoint.full_until[rank] =
+          now + std::chrono::microseconds(result.status().full_for_us());
+    }
+    if (result.has_summary()) {
+      endpoint.summary = FromProto(result.summary(), now);
+    }
+  }
+}
+
+void EndpointDirectory::RecordAccepted(const std::string& ip,
+                                       TimePoint sent_at,
+                                       TimePoint now) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  PathHealth& path = this->paths[ip];
+  const bool was_clear = IsPathClear(path);
+  RecordAcceptance(path, sent_at, now);
+  this->ChangePath(ip, was_clear);
+}
+
+void EndpointDirectory::RecordFailure(const std::string& ip,
+                                      PathFailure failure,
+                                      TimePoint sent_at,
+                                      TimePoint now) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  PathHealth& path = this->paths[ip];
+  const bool was_clear = IsPathClear(path);
+  RecordPathFailure(path, failure, sent_at, now, this->rng);
+  this->ChangePath(ip, was_clear);
+}
+
+// Updates the views of the owner's endpoints if its path became clear or
+// suspect.
+void EndpointDirectory::ChangePath(const std::string& ip, bool was_clear) {
+  const bool clear = IsPathClear(this->paths[ip]);
+  if (clear == was_clear) {
+    return;
+  }
+  const auto owner = this->owners.find(ip);
+  const bool dead = owner != this->owners.end() && owner->second.dead;
+  for (auto& [id, service] : this->services) {
+    for (Endpoint& endpoint : service.endpoints) {
+      if (endpoint.ip == ip) {
+        endpoint.view.owner_reachable = clear && !dead;
+        service.plan_is_current = false;
+      }
+    }
+  }
+}
+
+std::chrono::microseconds EndpointDirectory::AcceptTimeoutOf(
+    const std::string& ip) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return AcceptTimeout(this->paths[ip]);
+}
+
+void EndpointDirectory::AddSiblings(const ServiceId& id,
+                                    rpc::ForwardRequest& request) {
+  const TimePoint now = Clock::now();
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const auto found = this->services.find(id);
+  if (found == this->services.end()) {
+    return;
+  }
+  std::size_t added = 0;
+  for (const Endpoint& endpoint : found->second.endpoints) {
+    if (added == kMaxSiblings) {
+      return;
+    }
+    if (endpoint.summary && endpoint.address != request.endpoint() &&
+        now - endpoint.summary->midpoint <= kMaxSummaryAge) {
+      rpc::EndpointSummary& sibling = *request.add_siblings();
+      ToProto(*endpoint.summary, now, sibling);
+      sibling.set_endpoint(endpoint.address);
+      ++added;
+    }
+  }
+}
+
+void EndpointDirectory::CountFirstAttempt(const ServiceId& id) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const auto found = this->services.find(id);
+  if (found != this->services.end()) {
+    RecordFirstAttempt(found->second.budget);
+  }
+}
+
+bool EndpointDirectory::TakeRetryOf(const ServiceId& id,
+                                    RepeatPolicy repeat,
+                                    AttemptEnd previous) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const auto found = this->services.find(id);
+  return found != this->services.end() &&
+         TakeRetry(found->second.budget, repeat, previous) ==
+             RetryVerdict::kAllowed;
+}
+
+std::vector<EndpointReport> EndpointDirectory::Report() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  std::vector<EndpointReport> reports;
+  for (auto& [id, service] : this->services) {
+    this->UpdatePlan(service);
+    std::set<std::size_t> in_use;
+    for (const auto* group :
+         {&service.plan.same_failure_domain, &service.plan.same_region,
+          &service.plan.other_regions}) {
+      for (const PlannedEndpoint& planned : *group) {
+        in_use.insert(planned.view);
+      }
+    }
+    for (std::size_t i = 0; i < service.endpoints.size(); ++i) {
+      const Endpoint& endpoint = service.endpoints[i];
+      reports.push_back({id, endpoint.address, endpoint.view, endpoint.reason,
+                         endpoint.latency, in_use.count(i) > 0});
+    }
+  }
+  return reports;
+}
+
+}  // namespace comfrey
--- /dev/null
+++ b/Source/daemon/endpoint_directory.h
@@ -0,0 +1,138 @@
+#ifndef DAEMON_ENDPOINT_DIRECTORY_H_
+#define DAEMON_ENDPOINT_DIRECTORY_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "config/config_store.h"
+#include "core/endpoint_selector.h"
+#include "core/path_health.h"
+#include "core/retry_budget.h"
+#include "peer.pb.h"
+
+namespace comfrey {
+
+/// \brief Where this daemon is, for the choice of near endpoints.
+struct Location {
+  std::string region;
+  std::string failure_domain;
+};
+
+/// \brief What membership tells of the owner of endpoints.
+struct OwnerView {
+  /// IP number.
+  std::string ip;
+  Location location;
+  bool dead = false;
+  bool leaving = false;
+  std::vector<rpc::EndpointStatus> endpoints;
+};
+
+/// \brief Names a service of a team.
+struct ServiceId {
+  std::string team;
+  std::string service;
+};
+
+inline bool operator<(const ServiceId& a, const ServiceId& b) {
+  return std::tie(a.team, a.service) < std::tie(b.team, b.service);
+}
+
+/// \brief One endpoint as the ingress sees it, for reports.
+struct EndpointReport {
+  ServiceId service;
+  std::string address;
+  EndpointView view;
+  VerdictReason reason = VerdictReason::kNone;
+  std::chrono::microseconds latency{0};
+  bool in_use = false;
+};
+
+/// \brief What the ingress knows of all endpoints of the fleet; thread-safe.
+class EndpointDirectory {
+ public:
+  using TimePoint = std::chrono::steady_clock::time_point;
+
+  explicit EndpointDirectory(Location location);
+
+  void ApplyConfig(const ConfigStore& store);
+
+  /// \brief Adopts the state of an owner from membership.
+  void ApplyOwner(const OwnerView& owner);
+
+  /// \brief Chooses an endpoint that is not in `tried`, or nothing if none is
+  /// in use or all refuse work of the rank. `may_try_suspect` permits the trial
+  /// of a suspect path.
+  std::optional<std::string> Choose(const ServiceId& service,
+                                    const std::string& rank,
+                                    const std::set<std::string>& tried,
+                                    bool may_try_suspect);
+
+  /// \brief Adopts the status that came with a reply of an owner.
+  void RecordReply(const ServiceId& service,
+                   const std::string& rank,
+                   const rpc::Result& result,
+                   TimePoint now);
+
+  void RecordAccepted(const std::string& ip, TimePoint sent_at, TimePoint now);
+  void RecordFailure(const std::string& ip,
+                     PathFailure failure,
+                     TimePoint sent_at,
+                     TimePoint now);
+  std::chrono::microseconds AcceptTimeoutOf(const std::string& ip);
+
+  /// \brief Adds recent summaries of the other endpoints of the service.
+  void AddSiblings(const ServiceId& service, rpc::ForwardRequest& request);
+
+  void CountFirstAttempt(const ServiceId& service);
+  bool TakeRetryOf(const ServiceId& service,
+                   RepeatPolicy repeat,
+                   AttemptEnd previous);
+
+  std::vector<EndpointReport> Report();
+
+ private:
+  struct Endpoint {
+    std::string address;
+    std::string ip;
+    EndpointView view;
+    VerdictReason reason = VerdictReason::kNone;
+    std::chrono::microseconds latency{0};
+    std::optional<EndpointSummary> summary;
+    /// Per rank, until when the owner refuses further work.
+    std::map<std::string, TimePoint> full_until;
+  };
+
+  struct Service {
+    unsigned floor_percent = 0;
+    std::vector<Endpoint> endpoints;
+    CapacityPlan plan;
+    bool plan_is_current = false;
+    RetryBudget budget;
+  };
+
+  void ApplyOwnerTo(const OwnerView& owner, Service& service);
+  void ApplyStatus(const rpc::EndpointStatus& status, Endpoint& endpoint);
+  void ChangePath(const std::string& ip, bool was_clear);
+  std::vector<EndpointView> Views(const Service& service) const;
+  void UpdatePlan(Service& service);
+
+  Location location;
+  std::mutex mutex;
+  std::mt19937_64 rng;
+  std::map<ServiceId, Service> services;
+  std::map<std::string, OwnerView> owners;
+  std::map<std::string, PathHealth> paths;
+};
+
+}  // namespace comfrey
+
+#endif  // DAEMON_ENDPOINT_DIRECTORY_H_
--- a/Source/daemon/forward_call.cc
+++ b/Source/daemon/forward_call.cc
@@ -96,15 +96,14 @@
   return absl::UnavailableError(absl::StrCat(step, " ", address, ": ", cause));
 }
 
-// gRPC takes deadlines as system time.
+}  // namespace
+
 std::chrono::system_clock::time_point ToSystemTime(Clock::time_point time) {
   return std::chrono::system_clock::now() +
          std::chrono::duration_cast<std::chrono::system_clock::duration>(
              time - Clock::now());
 }
 
-}  // namespace
-
 ForwardCallResult ForwardOnce(PeerChannel& owner,
                               const rpc::ForwardRequest& request,
                               const ForwardLimits& limits) {
--- a/Source/daemon/forward_call.h
+++ b/Source/daemon/forward_call.h
@@ -39,6 +39,10 @@
                               const rpc::ForwardRequest& request,
                               const ForwardLimits& limits);
 
+/// \brief Converts a deadline; gRPC takes deadlines as system time.
+std::chrono::system_clock::time_point ToSystemTime(
+    std::chrono::steady_clock::time_point time);
+
 }  // namespace comfrey
 
 #endif  // DAEMON_FORWARD_CALL_H_
--- a/Source/daemon/ingress.h
+++ b/Source/daemon/ingress.h
@@ -8,8 +8,11 @@
 
 #include "base/counters.h"
 #include "core/http_message.h"
-#include "daemon/channel_pool.h"
 #include "daemon/config_holder.h"
+#include "daemon/endpoint_directory.h"
+#include "daemon/key_journal.h"
+#include "daemon/owner_client.h"
+#include "daemon/service_levels.h"
 
 namespace comfrey {
 
@@ -31,32 +34,53 @@
 struct IngressIdentity {
   std::string name;
   std::uint64_t incarnation = 0;
-  /// gRPC port of all daemons of the fleet.
-  int peer_port = 0;
+};
+
+/// \brief The parts that an ingress works with; they outlive it.
+struct IngressParts {
+  const ConfigHolder& config;
+  EndpointDirectory& directory;
+  OwnerClient& owners;
+  KeyJournal& journal;
+  ServiceLevels& levels;
+  CounterRegistry& counters;
 };
 
 /// \brief Matches callers' requests to routes and forwards them to owners.
 class Ingress {
  public:
-  Ingress(IngressIdentity identity,
-          const ConfigHolder& config,
-          ChannelPool& channels,
-          CounterRegistry& counters);
+  using TimePoint = std::chrono::steady_clock::time_point;
+
+  Ingress(IngressIdentity identity, const IngressParts& parts);
 
   /// \brief Serves one request; blocks until its outcome is known or its
   /// deadline has passed.
   IngressReply Handle(const HttpRequest& request);
 
  private:
-  IngressReply Forward(const HttpRequest& request, const RouteMatch& match);
+  struct Context;
+  struct Attempt;
+
+  IngressReply Forward(Context& context);
+  IngressReply ForwardIdempotent(Context& context);
+  IngressReply ForwardNonIdempotent(Context& context);
+  bool PrepareStamp(const Context& context, Attempt& attempt);
+  void SendIdempotent(const Context& context, Attempt& attempt);
+  void SendNonIdempotent(const Context& context, Attempt& attempt);
+  void Send(const Context& context, Attempt& attempt);
+  void FenceAfterFailure(const Context& context, Attempt& attempt);
+  void FillMessage(const Context& context, Attempt& attempt);
 
   IngressIdentity identity;
-  const ConfigHolder& config;
-  ChannelPool& channels;
+  IngressParts parts;
   std::atomic<std::uint64_t> next_sequence{1};
   Metric& requests;
+  Metric& answered;
   Metric& not_run;
   Metric& unknown;
+  Metric& retries;
+  Metric& fences;
+  Metric& path_failures;
 };
 
 /// \brief Builds the reply to a request that no backend server answered.
--- a/Source/daemon/message_conversion.h
+++ b/Source/daemon/message_conversion.h
@@ -1,7 +1,14 @@
 #ifndef DAEMON_MESSAGE_CONVERSION_H_
 #define DAEMON_MESSAGE_CONVERSION_H_
 
+#include <chrono>
+#include <string>
+
+#include "config/team_config.h"
 #include "core/attempt_id.h"
+#include "core/attempt_journal.h"
+#include "core/attempt_ledger.h"
+#include "core/endpoint_health.h"
 #include "core/http_message.h"
 #include "peer.pb.h"
 
@@ -14,6 +21,36 @@
 void ToProto(const HttpResponse& response, rpc::Answer& message);
 HttpResponse FromProto(const rpc::Answer& message);
 
+void ToProto(const StoredResponse& response, rpc::Answer& message);
+ResponsePtr ToStored(const HttpResponse& response);
+ResponsePtr StoredFromProto(const rpc::Answer& message);
+HttpResponse ToHttp(const StoredResponse& response);
+
+/// \brief Conversions of summaries; ages are relative to `now`.
+void ToProto(const EndpointSummary& summary,
+             std::chrono::steady_clock::time_point now,
+             rpc::EndpointSummary& message);
+EndpointSummary FromProto(const rpc::EndpointSummary& message,
+                          std::chrono::steady_clock::time_point now);
+
+void ToProto(const KeyFenceReply& fence, rpc::FenceReply& message);
+KeyFenceReply KeyFenceFromProto(const rpc::FenceReply& message);
+
+void ToProto(const OwnerStamp& stamp, rpc::OwnerStamp& message);
+OwnerStamp FromProto(const rpc::OwnerStamp& message);
+
+/// \brief Returns the identity that the ledger keeps of a forward.
+LedgerRequest LedgerRequestFromProto(const rpc::ForwardRequest& message);
+LedgerRequest LedgerRequestFromProto(const rpc::FenceAttemptRequest& message);
+
+/// \brief Conversions of journal entries of `RecoverKeys`.
+void ToProto(const JournalEntry& entry, rpc::JournalEntry& message);
+JournalEntry FromProto(const rpc::JournalEntry& message,
+                       const std::string& endpoint);
+
+/// \brief The key phase that the configuration gives an endpoint.
+KeyPhase PhaseOf(KeysState state);
+
 /// \brief Returns the HTTP request that a Forward call carries.
 HttpRequest RequestFromProto(const rpc::ForwardRequest& message);
 
--- a/Source/daemon/owned_endpoint.cc
+++ b/Source/daemon/owned_endpoint.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "daemon/message_conversion.h"
+
 namespace comfrey {
 namespace {
 
@@ -46,16 +48,23 @@
   return keyed;
 }
 
-KeyPhase PhaseOf(KeysState state) {
-  switch (state) {
-    case KeysState::kJoining:
-      return KeyPhase::kJoining;
-    case KeysState::kLeaving:
-      return KeyPhase::kLeaving;
-    case KeysState::kActive:
-      break;
+// A backend server that drains gets no queued work after this time; the
+// requirement is a few seconds from the first sign.
+constexpr std::chrono::seconds kDrainQueueTime{2};
+
+// Drops what is still queued at an endpoint that drains.
+void DropQueued(OwnedEndpoint& endpoint) {
+  bool dropped = false;
+  for (auto& [id, state] : endpoint.waiting) {
+    if (state == QueueState::kQueued &&
+        Cancel(endpoint.queue, id) == CancelResult::kCancelled) {
+      state = QueueState::kDropped;
+      dropped = true;
+    }
+  }
+  if (dropped) {
+    endpoint.changed.notify_all();
   }
-  return KeyPhase::kActive;
 }
 
 std::chrono::milliseconds WarmupOf(const ServiceConfig& service) {
@@ -83,9 +92,8 @@
                        const std::vector<RankConfig>& ranks,
                        const ConfigVersion& version,
                        std::chrono::steady_clock::time_point now) {
-  DropItems(endpoint,
-            Reconfigure(endpoint.queue, MakeAdmissionPolicy(service, ranks),
-                        now));
+  DropItems(endpoint, Reconfigure(endpoint.queue,
+                                  MakeAdmissionPolicy(service, ranks), now));
   endpoint.detection =
       MakeDetectionPolicy(service.detection, WarmupOf(service));
   endpoint.keyed.ledger.times = MakeKeyTimes(service);
@@ -112,6 +120,10 @@
   }
   endpoint.verdict =
       JudgeEndpoint(endpoint.health, baseline, endpoint.detection, now);
+  if (endpoint.draining_since &&
+      now - *endpoint.draining_since >= kDrainQueueTime) {
+    DropQueued(endpoint);
+  }
   AdvanceQueue(endpoint, now);
   ObserveOwnerClocks(endpoint.keyed, now, wall);
   ExpireRecords(endpoint.keyed.ledger, now);
@@ -138,6 +150,17 @@
   }
 }
 
+void UpdateDraining(OwnedEndpoint& endpoint,
+                    std::chrono::steady_clock::time_point now) {
+  const bool draining = endpoint.drain.Any();
+  SetLeaving(endpoint.queue, draining);
+  if (!draining) {
+    endpoint.draining_since.reset();
+  } else if (!endpoint.draining_since) {
+    endpoint.draining_since = now;
+  }
+}
+
 void EnterSiblingSummary(OwnedEndpoint& endpoint,
                          const std::string& sibling,
                          const EndpointSummary& summary) {
--- a/Source/daemon/owned_endpoint.h
+++ b/Source/daemon/owned_endpoint.h
@@ -6,7 +6,9 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "config/config_version.h"
 #include "config/team_config.h"
@@ -69,6 +71,7 @@
   std::uint64_t next_item_id = 1;
   std::map<std::uint64_t, QueueState> waiting;
   DrainSigns drain;
+  std::optional<std::chrono::steady_clock::time_point> draining_since;
   EndpointHealth health;
   DetectionPolicy detection;
   Verdict verdict;
@@ -99,6 +102,10 @@
 /// mutex.
 void DropItems(OwnedEndpoint& endpoint, const std::vector<WorkItem>& items);
 
+/// \brief Adopts a change of `drain`. The caller holds the mutex.
+void UpdateDraining(OwnedEndpoint& endpoint,
+                    std::chrono::steady_clock::time_point now);
+
 /// \brief Enters a newer summary of another endpoint of the service. The caller
 /// holds the mutex.
 void EnterSiblingSummary(OwnedEndpoint& endpoint,
--- /dev/null
+++ b/Source/daemon/owner_client.cc
@@ -0,0 +1,135 @@
+#include "daemon/owner_client.h"
+
+#include <grpcpp/grpcpp.h>
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+#include "daemon/message_conversion.h"
+
+namespace comfrey {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+// A unary call that got no reply by then is repeated over a new connection.
+constexpr std::chrono::milliseconds kCallTimeout{250};
+
+// Performs a unary call over the pooled channel, and once more over a new one.
+template <typename Request, typename Reply>
+bool CallOwner(ChannelPool& channels,
+               const std::string& address,
+               grpc::Status (rpc::Peer::Stub::*method)(grpc::ClientContext*,
+                                                       const Request&,
+                                                       Reply*),
+               const Request& request,
+               Reply& reply,
+               Clock::time_point deadline) {
+  constexpr int kTries = 2;
+  for (int i = 0; i < kTries && Clock::now() < deadline; ++i) {
+    const std::shared_ptr<PeerChannel> channel = channels.Get(address);
+    const Clock::time_point now = Clock::now();
+    grpc::ClientContext context;
+    context.set_deadline(ToSystemTime(std::min(deadline, now + kCallTimeout)));
+    context.set_wait_for_ready(true);
+    if (((*channel->stub).*method)(&context, request, &reply).ok()) {
+      return true;
+    }
+    channels.Drop(channel);
+  }
+  return false;
+}
+
+std::string IpOf(const std::string& endpoint) {
+  return endpoint.substr(0, endpoint.rfind(':'));
+}
+
+}  // namespace
+
+OwnerClient::OwnerClient(ChannelPool& channels, int peer_port)
+    : channels(channels), peer_port(peer_port) {}
+
+ForwardCallResult OwnerClient::Forward(const std::string& ip,
+                                       const rpc::ForwardRequest& request,
+                                       const ForwardLimits& limits) {
+  const std::shared_ptr<PeerChannel> channel =
+      this->channels.Get(this->AddressOf(ip));
+  ForwardCallResult call = ForwardOnce(*channel, request, limits);
+  if (call.transport == ForwardTransport::kReplied) {
+    this->KeepStamp(ip, call.result.stamp());
+  } else {
+    this->channels.Drop(channel);
+  }
+  return call;
+}
+
+std::optional<ReceivedStamp> OwnerClient::StampOf(const std::string& ip,
+                                                  TimePoint deadline) {
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    const auto found = this->stamps.find(ip);
+    if (found != this->stamps.end()) {
+      return found->second;
+    }
+  }
+  return this->RefreshStamp(ip, deadline);
+}
+
+std::optional<ReceivedStamp> OwnerClient::RefreshStamp(const std::string& ip,
+                                                       TimePoint deadline) {
+  rpc::OwnerStamp stamp;
+  if (!CallOwner(this->channels, this->AddressOf(ip),
+                 &rpc::Peer::Stub::GetStamp, rpc::StampRequest(), stamp,
+                 deadline)) {
+    return std::nullopt;
+  }
+  this->KeepStamp(ip, stamp);
+  return ReceivedStamp{FromProto(stamp), Clock::now()};
+}
+
+rpc::FenceReply OwnerClient::FenceAttempt(
+    const std::string& ip,
+    const rpc::FenceAttemptRequest& request,
+    TimePoint deadline) {
+  rpc::FenceReply reply;
+  if (!CallOwner(this->channels, this->AddressOf(ip),
+                 &rpc::Peer::Stub::FenceAttempt, request, reply, deadline)) {
+    reply.set_state(rpc::FENCE_UNSPECIFIED);
+  }
+  return reply;
+}
+
+KeyFenceReply OwnerClient::FenceKey(const FenceKeyCall& call) {
+  rpc::FenceKeyRequest request;
+  request.set_team(call.key.team);
+  request.set_service(call.key.service);
+  request.set_idempotency_key(call.key.key);
+  request.set_endpoint(call.endpoint);
+  request.mutable_version()->set_generation(call.version.generation);
+  request.mutable_version()->set_revision(call.version.revision);
+  rpc::FenceReply reply;
+  if (!CallOwner(this->channels, this->AddressOf(IpOf(call.endpoint)),
+                 &rpc::Peer::Stub::FenceKey, request, reply, call.deadline)) {
+    return {};
+  }
+  return KeyFenceFromProto(reply);
+}
+
+std::string OwnerClient::AddressOf(const std::string& ip) const {
+  return absl::StrCat(ip, ":", this->peer_port);
+}
+
+// Of two stamps of one incarnation the one with the greater uptime is newer.
+void OwnerClient::KeepStamp(const std::string& ip,
+                            const rpc::OwnerStamp& message) {
+  const OwnerStamp stamp = FromProto(message);
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  ReceivedStamp& known = this->stamps[ip];
+  if (known.stamp.incarnation < stamp.incarnation ||
+      (known.stamp.incarnation == stamp.incarnation &&
+       known.stamp.uptime <= stamp.uptime)) {
+    known = {stamp, Clock::now()};
+  }
+}
+
+}  // namespace comfrey
--- a/Source/daemon/owner_service.cc
+++ b/Source/daemon/owner_service.cc
@@ -1,111 +1,267 @@
 #include "daemon/owner_service.h"
 
-#include <condition_variable>
+#include <algorithm>
+#include <array>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "daemon/backend_client.h"
 #include "daemon/message_conversion.h"
 
 namespace comfrey {
-
-// State of one endpoint of this VM.
-struct OwnedEndpoint {
-  OwnedEndpoint(const EndpointConfig& endpoint,
-                int slots,
-                CallWatchdog& watchdog)
-      : slots(slots), client(endpoint.ip, endpoint.port, watchdog) {}
-
-  std::mutex mutex;
-  std::condition_variable slot_free;
-  int slots;
-  int running = 0;
-  BackendClient client;
-};
-
 namespace {
 
 using Clock = std::chrono::steady_clock;
 
+// A waiting call looks for cancellation by the ingress this often.
+constexpr std::chrono::milliseconds kWaitPeriod{50};
+// An ingress asks again at the latest after this time, since the forecast may
+// be wrong.
+constexpr std::chrono::microseconds kMaxFullTime =
+    std::chrono::milliseconds(100);
+
 std::string EndpointKey(absl::string_view team,
                         absl::string_view service,
                         absl::string_view address) {
   return absl::StrCat(team, "/", service, "/", address);
 }
 
-rpc::Result Refuse(rpc::RefusalReason reason, const std::string& detail) {
+rpc::Result MakeRefusal(rpc::Outcome outcome,
+                        rpc::RefusalReason reason,
+                        absl::string_view detail) {
   rpc::Result result;
-  result.set_outcome(rpc::OUTCOME_NOT_RUN);
+  result.set_outcome(outcome);
   result.set_reason(reason);
-  result.set_detail(detail);
+  result.set_detail(std::string(detail));
   return result;
 }
 
-bool TakeSlot(OwnedEndpoint& endpoint, Clock::time_point deadline) {
-  std::unique_lock<std::mutex> lock(endpoint.mutex);
-  if (!endpoint.slot_free.wait_until(
-          lock, deadline, [&] { return endpoint.running < endpoint.slots; })) {
-    return false;
+rpc::Result NotRun(rpc::RefusalReason reason, absl::string_view detail) {
+  return MakeRefusal(rpc::OUTCOME_NOT_RUN, reason, detail);
+}
+
+rpc::Result Unknown(rpc::RefusalReason reason, absl::string_view detail) {
+  return MakeRefusal(rpc::OUTCOME_UNKNOWN, reason, detail);
+}
+
+rpc::Result Answered(const HttpResponse& response) {
+  rpc::Result result;
+  result.set_outcome(rpc::OUTCOME_ANSWERED);
+  ToProto(response, *result.mutable_answer());
+  return result;
+}
+
+rpc::RefusalReason ReasonOf(RunRefusal refusal) {
+  switch (refusal) {
+    case RunRefusal::kNone:
+      return rpc::REFUSAL_NONE;
+    case RunRefusal::kIncarnation:
+      return rpc::REFUSAL_INCARNATION;
+    case RunRefusal::kStaleForward:
+      return rpc::REFUSAL_STALE_FORWARD;
+    case RunRefusal::kFenced:
+      return rpc::REFUSAL_FENCED;
+    case RunRefusal::kCancelled:
+      return rpc::REFUSAL_CANCELLED;
+    case RunRefusal::kOtherRequest:
+      return rpc::REFUSAL_OTHER_REQUEST;
+    case RunRefusal::kNotHome:
+      return rpc::REFUSAL_KEY_NOT_HOME;
+    case RunRefusal::kRecovering:
+      return rpc::REFUSAL_KEY_RECOVERING;
+    case RunRefusal::kUnreleased:
+      return rpc::REFUSAL_KEY_UNRELEASED;
+    case RunRefusal::kConfigUnconfirmed:
+      return rpc::REFUSAL_STALE_CONFIG;
+    case RunRefusal::kLedgerFull:
+      return rpc::REFUSAL_LEDGER_FULL;
+    case RunRefusal::kOutcomeUnknown:
+    case RunRefusal::kResponseNotKept:
+      break;
   }
-  ++endpoint.running;
-  return true;
+  return rpc::REFUSAL_BACKEND_FAILED;
 }
 
-void ReleaseSlot(OwnedEndpoint& endpoint) {
-  const std::lock_guard<std::mutex> lock(endpoint.mutex);
-  --endpoint.running;
-  endpoint.slot_free.notify_one();
+rpc::RefusalReason ReasonOf(RefusalReason reason) {
+  switch (reason) {
+    case RefusalReason::kQueueFull:
+      return rpc::REFUSAL_QUEUE_FULL;
+    case RefusalReason::kLeaving:
+      return rpc::REFUSAL_LEAVING;
+    case RefusalReason::kUnknownRank:
+      return rpc::REFUSAL_CONFIG;
+    case RefusalReason::kNone:
+    case RefusalReason::kDeadline:
+    case RefusalReason::kDuplicateId:
+      break;
+  }
+  return rpc::REFUSAL_DEADLINE;
 }
 
-rpc::Result ToResult(const BackendResult& backend) {
-  if (backend.outcome == BackendOutcome::kNotSent) {
-    return Refuse(rpc::REFUSAL_BACKEND_CONNECT,
-                  std::string(backend.error.message()));
+constexpr int kTooManyRequests = 429;
+constexpr int kServerError = 500;
+constexpr int kUnavailable = 503;
+
+bool IsDrainRefusal(const HttpResponse& response) {
+  return response.status == kUnavailable &&
+         !FindHeader(response.headers, "Draining").empty();
+}
+
+bool IsShed(const HttpResponse& response) {
+  return response.status == kTooManyRequests ||
+         (response.status == kUnavailable &&
+          !FindHeader(response.headers, "Retry-After").empty());
+}
+
+FinishOutcome FinishOutcomeOf(const BackendResult& result) {
+  switch (result.outcome) {
+    case BackendOutcome::kAnswered:
+      return IsShed(result.response) ? FinishOutcome::kShed
+                                     : FinishOutcome::kServed;
+    case BackendOutcome::kCancelled:
+      return FinishOutcome::kCancelled;
+    case BackendOutcome::kNotSent:
+    case BackendOutcome::kFailed:
+    case BackendOutcome::kTimedOut:
+      break;
   }
-  rpc::Result result;
+  return FinishOutcome::kFailed;
+}
+
+void RecordHealth(OwnedEndpoint& endpoint,
+                  const BackendResult& result,
+                  Clock::time_point now) {
+  Outcome outcome = Outcome::kOk;
+  switch (result.outcome) {
+    case BackendOutcome::kAnswered:
+      if (IsDrainRefusal(result.response)) {
+        return;
+      }
+      if (IsShed(result.response)) {
+        outcome = Outcome::kShed;
+      } else if (result.response.status >= kServerError) {
+        outcome = Outcome::kFailed;
+      }
+      break;
+    case BackendOutcome::kNotSent:
+      outcome = Outcome::kUnreachable;
+      break;
+    case BackendOutcome::kFailed:
+      outcome = Outcome::kFailed;
+      break;
+    case BackendOutcome::kTimedOut:
+      outcome = Outcome::kTimedOut;
+      break;
+    case BackendOutcome::kCancelled:
+      return;
+  }
+  RecordOutcome(endpoint.health, outcome, result.latency, now);
+}
+
+rpc::Result ToResult(const BackendResult& backend) {
   if (backend.outcome == BackendOutcome::kAnswered) {
-    result.set_outcome(rpc::OUTCOME_ANSWERED);
-    ToProto(backend.response, *result.mutable_answer());
+    rpc::Result result = Answered(backend.response);
+    if (IsDrainRefusal(backend.response)) {
+      result.set_reason(rpc::REFUSAL_LEAVING);
+    } else if (IsShed(backend.response)) {
+      result.set_reason(rpc::REFUSAL_BACKEND_SHED);
+    }
     return result;
   }
-  result.set_outcome(rpc::OUTCOME_UNKNOWN);
-  result.set_reason(rpc::REFUSAL_BACKEND_FAILED);
-  result.set_detail(std::string(backend.error.message()));
-  return result;
+  if (backend.outcome == BackendOutcome::kNotSent) {
+    return NotRun(rpc::REFUSAL_BACKEND_CONNECT, backend.error.message());
+  }
+  return Unknown(rpc::REFUSAL_BACKEND_FAILED, backend.error.message());
+}
+
+std::size_t RankIndex(const AdmissionQueue& queue, const std::string& rank) {
+  const std::vector<RankPolicy>& ranks = queue.policy.ranks;
+  const auto found =
+      std::find_if(ranks.begin(), ranks.end(),
+                   [&](const RankPolicy& r) { return r.name == rank; });
+  return static_cast<std::size_t>(found - ranks.begin());
+}
+
+rpc::FenceReply ToFenceReply(const AttemptFenceReply& fence) {
+  rpc::FenceReply reply;
+  switch (fence.state) {
+    case AttemptState::kFenced:
+      reply.set_state(rpc::FENCE_FENCED);
+      break;
+    case AttemptState::kQueued:
+    case AttemptState::kRunning:
+      reply.set_state(rpc::FENCE_RUNNING);
+      break;
+    case AttemptState::kDone:
+      reply.set_state(fence.response ? rpc::FENCE_DONE : rpc::FENCE_UNKNOWN);
+      break;
+    case AttemptState::kUnknown:
+      reply.set_state(rpc::FENCE_UNKNOWN);
+      break;
+  }
+  if (fence.response) {
+    ToProto(*fence.response, *reply.mutable_answer());
+  }
+  return reply;
 }
 
 }  // namespace
 
+// One Forward call in progress.
+struct OwnerService::Call {
+  const rpc::ForwardRequest& message;
+  const ForwardHooks& hooks;
+  OwnedEndpoint& endpoint;
+  Clock::time_point deadline;
+  HttpRequest request;
+  KeyedExecution execution;
+  std::uint64_t item = 0;
+  rpc::Result result;
+};
+
 OwnerService::OwnerService(OwnerIdentity identity,
                            CallWatchdog& watchdog,
-                           CounterRegistry& counters)
+                           CounterRegistry& counters,
+                           FenceKeyFunction fence_key)
     : identity(std::move(identity)),
       watchdog(watchdog),
+      fence_key(std::move(fence_key)),
       attempts(counters.Counter("comfrey_owner_attempts_total")),
-      refusals(counters.Counter("comfrey_owner_refusals_total")) {}
+      refusals(counters.Counter("comfrey_owner_not_run_total")),
+      backend_calls(counters.Counter("comfrey_owner_backend_calls_total")),
+      backend_failures(
+          counters.Counter("comfrey_owner_backend_failures_total")) {}
 
 OwnerService::~OwnerService() = default;
 
-void OwnerService::ApplyConfig(const RouteTable& table) {
+void OwnerService::ApplyConfig(const ConfigStore& store) {
+  const Clock::time_point now = Clock::now();
   const std::lock_guard<std::mutex> lock(this->mutex);
-  std::map<std::string, std::shared_ptr<OwnedEndpoint>> next;
-  for (const auto& [team, routes] : table.teams) {
-    for (const ServiceConfig& service : routes->config->services) {
+  for (auto& [key, endpoint] : this->endpoints) {
+    const std::lock_guard<std::mutex> endpoint_lock(endpoint->mutex);
+    endpoint->configured = false;
+  }
+  for (const auto& [team, subtree] : store.subtrees) {
+    for (const ServiceConfig& service : subtree->config->services) {
       for (const EndpointConfig& endpoint : service.endpoints) {
         if (endpoint.ip != this->identity.ip) {
           continue;
         }
-        const std::string key =
-            EndpointKey(team, service.name, endpoint.address);
-        const auto known = this->endpoints.find(key);
-        next[key] = known != this->endpoints.end()
-                        ? known->second
-                        : std::make_shared<OwnedEndpoint>(
-                              endpoint, service.slots, this->watchdog);
+        std::shared_ptr<OwnedEndpoint>& owned =
+            this->endpoints[EndpointKey(team, service.name, endpoint.address)];
+        if (!owned) {
+          owned = std::make_shared<OwnedEndpoint>(
+              EndpointIdentity{
+                  team, service.name, endpoint, this->identity.incarnation,
+                  this->identity.started_at, this->identity.started_at_wall},
+              service, subtree->config->ranks, this->watchdog);
+        }
+        const std::lock_guard<std::mutex> endpoint_lock(owned->mutex);
+        owned->configured = true;
+        ConfigureEndpoint(*owned, service, subtree->config->ranks,
+                          subtree->version, now);
       }
     }
   }
-  this->endpoints = std::move(next);
 }
 
 rpc::Result OwnerService::Forward(const rpc::ForwardRequest& request,
@@ -113,39 +269,398 @@
   this->attempts.Add();
   const Clock::time_point deadline =
       Clock::now() + std::chrono::microseconds(request.time_left_us());
-  const std::shared_ptr<OwnedEndpoint> endpoint = this->Find(request);
+  const std::shared_ptr<OwnedEndpoint> endpoint =
+      this->Find(request.team(), request.service(), request.endpoint());
+  rpc::Result result;
   if (!endpoint) {
-    this->refusals.Add();
-    return Refuse(rpc::REFUSAL_NOT_OWNER,
-                  absl::StrCat("endpoint ", request.endpoint(),
-                               " is not served by ", this->identity.ip));
+    result = NotRun(
+        rpc::REFUSAL_NOT_OWNER,
+        absl::StrCat("endpoint ", request.endpoint(),
+                     " is not configured at its owner ", this->identity.ip));
+  } else {
+    hooks.accepted();
+    Call call{request, hooks, *endpoint, deadline, RequestFromProto(request),
+              {},      0,     {}};
+    result = this->Run(call);
+    this->FillStatus(*endpoint, result);
+    if (result.reason() == rpc::REFUSAL_QUEUE_FULL) {
+      result.mutable_status()->set_full_for_us(
+          this->FullFor(*endpoint, request.rank()).count());
+    }
   }
-  hooks.accepted();
-  if (!TakeSlot(*endpoint, deadline)) {
+  if (result.outcome() == rpc::OUTCOME_NOT_RUN) {
     this->refusals.Add();
-    return Refuse(rpc::REFUSAL_DEADLINE,
-                  absl::StrCat("no free slot at ", request.endpoint(),
-                               " before the deadline"));
-  }
-  const HttpRequest http_request = RequestFromProto(request);
-  BackendCall call;
-  call.request = &http_request;
-  call.idempotent = request.repeatable();
-  call.deadline = deadline;
+  }
+  *result.mutable_stamp() = this->Stamp();
+  return result;
+}
+
+rpc::Result OwnerService::Run(Call& call) {
+  const rpc::ForwardRequest& message = call.message;
+  OwnedEndpoint& endpoint = call.endpoint;
+  LedgerRequest& ledger_request = call.execution.request;
+  ledger_request = LedgerRequestFromProto(message);
+
+  std::unique_lock<std::mutex> lock(endpoint.mutex);
+  const Clock::time_point received = Clock::now();
+  for (const rpc::EndpointSummary& summary : message.siblings()) {
+    EnterSiblingSummary(endpoint, summary.endpoint(),
+                        FromProto(summary, received));
+  }
+  const bool refuses = !endpoint.configured || endpoint.drain.Any();
+  // A repeat of a key that ran here is answered also while draining; only an
+  // attempt that is not known yet is refused.
+  if (message.repeatable() && refuses) {
+    return NotRun(rpc::REFUSAL_LEAVING,
+                  absl::StrCat(message.endpoint(), " is draining"));
+  }
+  if (!message.repeatable() && !this->DecideNonIdempotent(call, lock)) {
+    return std::move(call.result);
+  }
+  if (!this->WaitForSlot(call, lock)) {
+    if (!message.repeatable() &&
+        call.result.outcome() == rpc::OUTCOME_NOT_RUN &&
+        !RefuseAttempt(endpoint.keyed.ledger, ledger_request,
+                       RunRefusal::kCancelled, Clock::now())) {
+      return Unknown(rpc::REFUSAL_CANCELLED, "the attempt may have run");
+    }
+    endpoint.changed.notify_all();
+    return std::move(call.result);
+  }
+  this->CallBackend(call, lock);
+  return std::move(call.result);
+}
+
+// Decides whether a non-idempotent attempt may be queued; if not, sets the
+// result of the call.
+bool OwnerService::DecideNonIdempotent(Call& call,
+                                       std::unique_lock<std::mutex>& lock) {
+  OwnedEndpoint& endpoint = call.endpoint;
+  for (;;) {
+    const Clock::time_point now = Clock::now();
+    const auto wall = std::chrono::system_clock::now();
+    if (endpoint.drain.Any() || !endpoint.configured) {
+      const std::optional<LedgerDecision> known =
+          LookUpAttempt(endpoint.keyed.ledger, call.execution.request,
+                        endpoint.keyed.version, now);
+      if (!known) {
+        RefuseAttempt(endpoint.keyed.ledger, call.execution.request,
+                      RunRefusal::kCancelled, now);
+        call.result =
+            NotRun(rpc::REFUSAL_LEAVING,
+                   absl::StrCat(call.message.endpoint(), " is draining"));
+        return false;
+      }
+    }
+    const KeyedAction action =
+        NextKeyedAction(endpoint.keyed, call.execution, now, wall);
+    switch (action.step) {
+      case KeyedStep::kRun:
+        return true;
+      case KeyedStep::kRespond:
+        call.result = Answered(ToHttp(*action.response));
+        return false;
+      case KeyedStep::kRefuse:
+        call.result = MakeRefusal(
+            action.not_run ? rpc::OUTCOME_NOT_RUN : rpc::OUTCOME_UNKNOWN,
+            ReasonOf(action.reason),
+            std::string(RunRefusalName(action.reason)));
+        return false;
+      case KeyedStep::kFence:
+        this->FenceFormerHomes(call, action, lock);
+        break;
+      case KeyedStep::kWait:
+        if (now >= call.deadline || call.hooks.cancelled()) {
+          const AttemptFenceReply fence = comfrey::FenceAttempt(
+              endpoint.keyed.ledger, call.execution.request, now);
+          call.result = fence.state == AttemptState::kFenced
+                            ? NotRun(rpc::REFUSAL_DEADLINE, "deadline exceeded")
+                            : Unknown(rpc::REFUSAL_DEADLINE,
+                                      "another attempt for the key is running");
+          return false;
+        }
+        endpoint.changed.wait_until(lock,
+                                    std::min(call.deadline, now + kWaitPeriod));
+        break;
+    }
+  }
+}
+
+void OwnerService::FenceFormerHomes(Call& call,
+                                    const KeyedAction& action,
+                                    std::unique_lock<std::mutex>& lock) {
+  lock.unlock();
+  for (const std::string& former : action.fence_at) {
+    const KeyFenceReply reply = this->fence_key(
+        {former, *call.execution.request.key, action.version, call.deadline});
+    RecordRelease(call.execution, former, action.version, reply);
+  }
+  lock.lock();
+}
+
+// Waits until the request holds a slot; if it gets none, sets the result.
+bool OwnerService::WaitForSlot(Call& call, std::unique_lock<std::mutex>& lock) {
+  OwnedEndpoint& endpoint = call.endpoint;
+  call.item = endpoint.next_item_id++;
+  WorkItem item;
+  item.id = call.item;
+  item.rank = RankIndex(endpoint.queue, call.message.rank());
+  item.organisation = call.message.organisation();
+  item.arrival = Clock::now();
+  item.deadline = call.deadline;
+  const AdmissionDecision decision = Offer(endpoint.queue, item, item.arrival);
+  DropItems(endpoint, decision.displaced);
+  DropItems(endpoint, decision.expired);
+  if (decision.verdict == AdmissionVerdict::kRefused) {
+    call.result = NotRun(ReasonOf(decision.reason),
+                         absl::StrCat(call.message.endpoint(), ": ",
+                                      RefusalReasonName(decision.reason)));
+    return false;
+  }
+  if (decision.verdict == AdmissionVerdict::kRun) {
+    return true;
+  }
+  endpoint.waiting[call.item] = QueueState::kQueued;
+  AdvanceQueue(endpoint, Clock::now());
+  while (endpoint.waiting[call.item] == QueueState::kQueued) {
+    if (call.hooks.cancelled() &&
+        Cancel(endpoint.queue, call.item) == CancelResult::kCancelled) {
+      endpoint.waiting[call.item] = QueueState::kDropped;
+      break;
+    }
+    const Clock::time_point now = Clock::now();
+    const std::optional<TimePoint> expiry = NextExpiry(endpoint.queue);
+    const Clock::time_point poll = now + kWaitPeriod;
+    endpoint.changed.wait_until(lock, expiry ? std::min(poll, *expiry) : poll);
+    AdvanceQueue(endpoint, Clock::now());
+  }
+  const bool started = endpoint.waiting[call.item] == QueueState::kStarted;
+  endpoint.waiting.erase(call.item);
+  if (!started) {
+    call.result = NotRun(
+        rpc::REFUSAL_DEADLINE,
+        absl::StrCat(call.message.endpoint(), ": removed from the queue"));
+  }
+  return started;
+}
+
+// Sends the request to the backend server and sets the result.
+void OwnerService::CallBackend(Call& call, std::unique_lock<std::mutex>& lock) {
+  OwnedEndpoint& endpoint = call.endpoint;
+  const bool repeatable = call.message.repeatable();
+  const LedgerRequest& ledger_request = call.execution.request;
+  if (!repeatable &&
+      !StartAttempt(endpoint.keyed.ledger, ledger_request, Clock::now())) {
+    Finish(endpoint.queue, call.item, FinishOutcome::kCancelled, Clock::now());
+    AdvanceQueue(endpoint, Clock::now());
+    call.result = NotRun(rpc::REFUSAL_FENCED, "fenced before it started");
+    return;
+  }
+  lock.unlock();
+  BackendCall backend_call;
+  backend_call.request = &call.request;
+  backend_call.idempotent = repeatable;
+  backend_call.deadline = call.deadline;
   // Cancelling a non-idempotent request would only make its outcome unknown.
-  call.cancelled =
-      request.repeatable() ? hooks.cancelled : [] { return false; };
-  const BackendResult result = endpoint->client.Call(call);
-  ReleaseSlot(*endpoint);
-  return ToResult(result);
+  backend_call.cancelled =
+      repeatable ? call.hooks.cancelled : [] { return false; };
+  const BackendResult backend = endpoint.client.Call(backend_call);
+  this->backend_calls.Add();
+  if (backend.outcome != BackendOutcome::kAnswered) {
+    this->backend_failures.Add();
+  }
+  lock.lock();
+
+  const Clock::time_point now = Clock::now();
+  Finish(endpoint.queue, call.item, FinishOutcomeOf(backend), now);
+  RecordHealth(endpoint, backend, now);
+  if (backend.outcome == BackendOutcome::kAnswered &&
+      IsDrainRefusal(backend.response)) {
+    endpoint.drain.backend_server = true;
+    UpdateDraining(endpoint, now);
+  }
+  call.result = ToResult(backend);
+  if (!repeatable) {
+    if (backend.outcome == BackendOutcome::kAnswered) {
+      FinishAttempt(endpoint.keyed.ledger, ledger_request,
+                    ToStored(backend.response), now);
+    } else {
+      LoseAttempt(endpoint.keyed.ledger, ledger_request, now);
+    }
+  }
+  AdvanceQueue(endpoint, now);
+  endpoint.changed.notify_all();
+}
+
+rpc::FenceReply OwnerService::FenceAttempt(
+    const rpc::FenceAttemptRequest& request) {
+  const std::shared_ptr<OwnedEndpoint> endpoint =
+      this->Find(request.team(), request.service(), request.endpoint());
+  rpc::FenceReply reply;
+  if (!endpoint) {
+    reply.set_state(rpc::FENCE_UNKNOWN);
+    reply.set_detail("the endpoint is not configured at its owner");
+  } else if (request.stamp().incarnation() != this->identity.incarnation) {
+    // The attempt may have run at the earlier incarnation.
+    reply.set_state(rpc::FENCE_UNKNOWN);
+    reply.set_detail("the owner has restarted");
+  } else {
+    const std::lock_guard<std::mutex> lock(endpoint->mutex);
+    reply = ToFenceReply(comfrey::FenceAttempt(
+        endpoint->keyed.ledger, LedgerRequestFromProto(request), Clock::now()));
+    endpoint->changed.notify_all();
+  }
+  reply.set_owner_incarnation(this->identity.incarnation);
+  return reply;
+}
+
+rpc::FenceReply OwnerService::FenceKey(const rpc::FenceKeyRequest& request) {
+  rpc::FenceReply reply;
+  reply.set_owner_incarnation(this->identity.incarnation);
+  const std::shared_ptr<OwnedEndpoint> endpoint =
+      this->Find(request.team(), request.service(), request.endpoint());
+  if (!endpoint) {
+    reply.set_state(rpc::FENCE_UNDECIDABLE);
+    reply.set_detail("the endpoint is not configured at its owner");
+    return reply;
+  }
+  const std::lock_guard<std::mutex> lock(endpoint->mutex);
+  const KeyFenceReply fence = AnswerFenceKey(
+      endpoint->keyed,
+      {request.team(), request.service(), request.idempotency_key()},
+      {request.version().generation(), request.version().revision()},
+      Clock::now());
+  ToProto(fence, reply);
+  return reply;
+}
+
+rpc::OwnerStamp OwnerService::Stamp() const {
+  rpc::OwnerStamp stamp;
+  stamp.set_incarnation(this->identity.incarnation);
+  stamp.set_uptime_us(std::chrono::duration_cast<std::chrono::microseconds>(
+                          Clock::now() - this->identity.started_at)
+                          .count());
+  return stamp;
+}
+
+absl::StatusOr<std::size_t> OwnerService::Drain(const std::string& endpoint,
+                                                DrainSource source,
+                                                bool draining) {
+  bool found = false;
+  std::size_t in_flight = 0;
+  for (const std::shared_ptr<OwnedEndpoint>& owned : this->Endpoints()) {
+    if (!endpoint.empty() && owned->identity.endpoint.address != endpoint) {
+      continue;
+    }
+    found = true;
+    const std::lock_guard<std::mutex> lock(owned->mutex);
+    switch (source) {
+      case DrainSource::kOperator:
+        owned->drain.operator_command = draining;
+        break;
+      case DrainSource::kVmList:
+        owned->drain.vm_list = draining;
+        break;
+      case DrainSource::kBackendServer:
+        owned->drain.backend_server = draining;
+        break;
+    }
+    UpdateDraining(*owned, Clock::now());
+    in_flight += owned->queue.running.size() + owned->queue.queued.size();
+  }
+  if (!found && !endpoint.empty()) {
+    return absl::NotFoundError(absl::StrCat("endpoint ", endpoint,
+                                            " is not owned by the daemon on ",
+                                            this->identity.ip));
+  }
+  return in_flight;
+}
+
+void OwnerService::BeginStop() {
+  for (const std::shared_ptr<OwnedEndpoint>& endpoint : this->Endpoints()) {
+    const std::lock_guard<std::mutex> lock(endpoint->mutex);
+    endpoint->drain.daemon_stopping = true;
+    UpdateDraining(*endpoint, Clock::now());
+  }
+}
+
+void OwnerService::Tick(Clock::time_point now) {
+  const auto wall = std::chrono::system_clock::now();
+  for (const std::shared_ptr<OwnedEndpoint>& endpoint : this->Endpoints()) {
+    const std::lock_guard<std::mutex> lock(endpoint->mutex);
+    TickEndpoint(*endpoint, now, wall);
+  }
+}
+
+std::vector<rpc::EndpointStatus> OwnerService::Statuses() {
+  std::vector<rpc::EndpointStatus> statuses;
+  for (const std::shared_ptr<OwnedEndpoint>& endpoint : this->Endpoints()) {
+    rpc::Result result;
+    this->FillStatus(*endpoint, result);
+    const std::lock_guard<std::mutex> lock(endpoint->mutex);
+    if (endpoint->configured) {
+      statuses.push_back(result.status());
+    }
+  }
+  return statuses;
+}
+
+std::vector<std::shared_ptr<OwnedEndpoint>> OwnerService::Endpoints() const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  std::vector<std::shared_ptr<OwnedEndpoint>> all;
+  all.reserve(this->endpoints.size());
+  for (const auto& [key, endpoint] : this->endpoints) {
+    all.push_back(endpoint);
+  }
+  return all;
 }
 
 std::shared_ptr<OwnedEndpoint> OwnerService::Find(
-    const rpc::ForwardRequest& request) {
+    const std::string& team,
+    const std::string& service,
+    const std::string& endpoint) const {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  const auto found = this->endpoints.find(
-      EndpointKey(request.team(), request.service(), request.endpoint()));
+  const auto found = this->endpoints.find(EndpointKey(team, service, endpoint));
   return found == this->endpoints.end() ? nullptr : found->second;
 }
 
+std::chrono::microseconds OwnerService::FullFor(OwnedEndpoint& endpoint,
+                                                const std::string& rank) const {
+  const std::lock_guard<std::mutex> lock(endpoint.mutex);
+  const std::size_t index = RankIndex(endpoint.queue, rank);
+  for (const RefusalForecast& forecast :
+       ForecastRefusals(endpoint.queue, Clock::now())) {
+    if (forecast.rank == index) {
+      return std::min(forecast.refused_for, kMaxFullTime);
+    }
+  }
+  return std::chrono::microseconds(0);
+}
+
+void OwnerService::FillStatus(OwnedEndpoint& endpoint,
+                              rpc::Result& result) const {
+  const Clock::time_point now = Clock::now();
+  const std::lock_guard<std::mutex> lock(endpoint.mutex);
+  rpc::EndpointStatus& status = *result.mutable_status();
+  status.set_endpoint(endpoint.identity.endpoint.address);
+  status.set_team(endpoint.identity.team);
+  status.set_service(endpoint.identity.service);
+  status.set_verdict(static_cast<std::uint32_t>(endpoint.verdict.state));
+  status.set_reason(static_cast<std::uint32_t>(endpoint.verdict.reason));
+  status.set_severity(endpoint.verdict.severity);
+  status.set_slot_share(endpoint.verdict.slot_share);
+  status.set_draining(endpoint.drain.Any());
+  status.set_load(static_cast<std::uint32_t>(endpoint.queue.running.size() +
+                                             endpoint.queue.queued.size()));
+  status.set_limit(
+      static_cast<std::uint32_t>(ConcurrencyLimit(endpoint.queue)));
+  const std::optional<EndpointSummary> summary =
+      SummarizeEndpoint(endpoint.health, now);
+  if (summary) {
+    status.set_latency_us(summary->median_latency.count());
+    ToProto(*summary, now, *result.mutable_summary());
+    result.mutable_summary()->set_endpoint(endpoint.identity.endpoint.address);
+  }
+}
+
 }  // namespace comfrey
--- a/Source/daemon/owner_service.h
+++ b/Source/daemon/owner_service.h
@@ -8,37 +8,56 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
+#include "absl/status/statusor.h"
 #include "base/counters.h"
-#include "config/route_table.h"
+#include "base/timer_service.h"
+#include "config/config_store.h"
 #include "daemon/call_watchdog.h"
+#include "daemon/owned_endpoint.h"
 #include "peer.pb.h"
 
 namespace comfrey {
 
-struct OwnedEndpoint;
-
 /// \brief Identity of this daemon as an owner.
 struct OwnerIdentity {
   /// IP number; the endpoints with this IP belong to this daemon.
   std::string ip;
   std::uint64_t incarnation = 0;
+  std::chrono::steady_clock::time_point started_at;
+  std::chrono::system_clock::time_point started_at_wall;
 };
 
 /// \brief Hooks of one Forward call.
 struct ForwardHooks {
-  /// Called once when the attempt is queued or started.
+  /// Called once when the attempt is received.
   std::function<void()> accepted;
   /// Whether the ingress gave the call up.
   std::function<bool()> cancelled;
 };
 
+/// \brief One FenceKey call to the owner of a former home.
+struct FenceKeyCall {
+  std::string endpoint;
+  KeyId key;
+  PlacementVersion version;
+  std::chrono::steady_clock::time_point deadline;
+};
+
+/// \brief Performs a FenceKey call; kUndecidable where it fails.
+using FenceKeyFunction = std::function<KeyFenceReply(const FenceKeyCall&)>;
+
+/// \brief Which sign of draining a call sets or clears.
+enum class DrainSource { kOperator, kVmList, kBackendServer };
+
 /// \brief Runs forwarded requests at the backend servers of this VM.
 class OwnerService {
  public:
   OwnerService(OwnerIdentity identity,
                CallWatchdog& watchdog,
-               CounterRegistry& counters);
+               CounterRegistry& counters,
+               FenceKeyFunction fence_key);
   ~OwnerService();
 
   OwnerService(const OwnerService&) = delete;
@@ -46,20 +65,58 @@
 
   /// \brief Adopts the endpoints of a configuration. Requests in flight at an
   /// endpoint that is gone still finish.
-  void ApplyConfig(const RouteTable& table);
+  void ApplyConfig(const ConfigStore& store);
 
   /// \brief Runs one attempt; blocks until its outcome is known.
   rpc::Result Forward(const rpc::ForwardRequest& request,
                       const ForwardHooks& hooks);
 
+  rpc::FenceReply FenceAttempt(const rpc::FenceAttemptRequest& request);
+  rpc::FenceReply FenceKey(const rpc::FenceKeyRequest& request);
+  rpc::OwnerStamp Stamp() const;
+
+  /// \brief Drains or undrains an endpoint "ip:port", or all if it is empty.
+  /// Returns the requests in flight there, or NotFound.
+  absl::StatusOr<std::size_t> Drain(const std::string& endpoint,
+                                    DrainSource source,
+                                    bool draining);
+
+  /// \brief Refuses new work at all endpoints for good.
+  void BeginStop();
+
+  /// \brief Periodic work of all endpoints.
+  void Tick(std::chrono::steady_clock::time_point now);
+
+  /// \brief State of all configured endpoints, for publication.
+  std::vector<rpc::EndpointStatus> Statuses();
+
+  std::vector<std::shared_ptr<OwnedEndpoint>> Endpoints() const;
+
  private:
-  std::shared_ptr<OwnedEndpoint> Find(const rpc::ForwardRequest& request);
+  struct Call;
+
+  std::shared_ptr<OwnedEndpoint> Find(const std::string& team,
+                                      const std::string& service,
+                                      const std::string& endpoint) const;
+  rpc::Result Run(Call& call);
+  bool DecideNonIdempotent(Call& call, std::unique_lock<std::mutex>& lock);
+  void FenceFormerHomes(Call& call,
+                        const KeyedAction& action,
+                        std::unique_lock<std::mutex>& lock);
+  bool WaitForSlot(Call& call, std::unique_lock<std::mutex>& lock);
+  void CallBackend(Call& call, std::unique_lock<std::mutex>& lock);
+  std::chrono::microseconds FullFor(OwnedEndpoint& endpoint,
+                                    const std::string& rank) const;
+  void FillStatus(OwnedEndpoint& endpoint, rpc::Result& result) const;
 
   OwnerIdentity identity;
   CallWatchdog& watchdog;
+  FenceKeyFunction fence_key;
   Metric& attempts;
   Metric& refusals;
-  std::mutex mutex;
+  Metric& backend_calls;
+  Metric& backend_failures;
+  mutable std::mutex mutex;
   std::map<std::string, std::shared_ptr<OwnedEndpoint>> endpoints;
 };
 
--- a/Source/daemon/peer_server.cc
+++ b/Source/daemon/peer_server.cc
@@ -13,8 +13,8 @@
 
 }  // namespace
 
-PeerServer::PeerServer(OwnerService& owner, std::uint64_t incarnation)
-    : owner(owner), incarnation(incarnation) {}
+PeerServer::PeerServer(OwnerService& owner, KeyJournal& journal)
+    : owner(owner), journal(journal) {}
 
 absl::Status PeerServer::Start(const std::string& address) {
   grpc::ServerBuilder builder;
@@ -48,15 +48,57 @@
   ForwardHooks hooks;
   hooks.accepted = [&] {
     rpc::ForwardReply reply;
-    reply.mutable_accepted()->set_owner_incarnation(this->incarnation);
+    *reply.mutable_accepted()->mutable_stamp() = this->owner.Stamp();
     writer->Write(reply);
   };
   hooks.cancelled = [context] { return context->IsCancelled(); };
   rpc::ForwardReply reply;
   *reply.mutable_result() = this->owner.Forward(*request, hooks);
-  reply.mutable_result()->set_owner_incarnation(this->incarnation);
   writer->Write(reply);
   return grpc::Status::OK;
 }
 
+grpc::Status PeerServer::GetStamp(grpc::ServerContext*,
+                                  const rpc::StampRequest*,
+                                  rpc::OwnerStamp* reply) {
+  *reply = this->owner.Stamp();
+  return grpc::Status::OK;
+}
+
+grpc::Status PeerServer::FenceAttempt(grpc::ServerContext*,
+                                      const rpc::FenceAttemptRequest* request,
+                                      rpc::FenceReply* reply) {
+  *reply = this->owner.FenceAttempt(*request);
+  return grpc::Status::OK;
+}
+
+grpc::Status PeerServer::FenceKey(grpc::ServerContext*,
+                                  const rpc::FenceKeyRequest* request,
+                                  rpc::FenceReply* reply) {
+  *reply = this->owner.FenceKey(*request);
+  return grpc::Status::OK;
+}
+
+grpc::Status PeerServer::RecoverKeys(grpc::ServerContext*,
+                                     const rpc::RecoverKeysRequest* request,
+                                     rpc::RecoverKeysReply* reply) {
+  *reply = this->journal.Read(*request, std::chrono::steady_clock::now());
+  return grpc::Status::OK;
+}
+
+grpc::Status PeerServer::Drain(grpc::ServerContext*,
+                               const rpc::DrainRequest* request,
+                               rpc::DrainReply* reply) {
+  const DrainSource source =
+      request->from_vm_list() ? DrainSource::kVmList : DrainSource::kOperator;
+  const absl::StatusOr<std::size_t> in_flight =
+      this->owner.Drain(request->endpoint(), source, request->draining());
+  if (!in_flight.ok()) {
+    return {grpc::StatusCode::NOT_FOUND,
+            std::string(in_flight.status().message())};
+  }
+  reply->set_in_flight(static_cast<std::uint32_t>(*in_flight));
+  return grpc::Status::OK;
+}
+
 }  // namespace comfrey
--- a/Source/daemon/peer_server.h
+++ b/Source/daemon/peer_server.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "absl/status/status.h"
+#include "daemon/key_journal.h"
 #include "daemon/owner_service.h"
 #include "peer.grpc.pb.h"
 
@@ -17,7 +18,7 @@
 /// \brief gRPC server for other daemons and comfreyctl.
 class PeerServer : public rpc::Peer::Service {
  public:
-  PeerServer(OwnerService& owner, std::uint64_t incarnation);
+  PeerServer(OwnerService& owner, KeyJournal& journal);
 
   /// \brief Starts to listen on "ip:port".
   absl::Status Start(const std::string& address);
@@ -28,10 +29,25 @@
   grpc::Status Forward(grpc::ServerContext* context,
                        const rpc::ForwardRequest* request,
                        grpc::ServerWriter<rpc::ForwardReply>* writer) override;
+  grpc::Status GetStamp(grpc::ServerContext* context,
+                        const rpc::StampRequest* request,
+                        rpc::OwnerStamp* reply) override;
+  grpc::Status FenceAttempt(grpc::ServerContext* context,
+                            const rpc::FenceAttemptRequest* request,
+                            rpc::FenceReply* reply) override;
+  grpc::Status FenceKey(grpc::ServerContext* context,
+                        const rpc::FenceKeyRequest* request,
+                        rpc::FenceReply* reply) override;
+  grpc::Status RecoverKeys(grpc::ServerContext* context,
+                           const rpc::RecoverKeysRequest* request,
+                           rpc::RecoverKeysReply* reply) override;
+  grpc::Status Drain(grpc::ServerContext* context,
+                     const rpc::DrainRequest* request,
+                     rpc::DrainReply* reply) override;
 
  private:
   OwnerService& owner;
-  std::uint64_t incarnation;
+  KeyJournal& journal;
   std::unique_ptr<grpc::Server> server;
 };
 
