--- a/Source/config/ini_fields.cc
+++ b/Source/config/ini_fields.cc
@@ -24,6 +24,24 @@
 // Longer words cannot be a slip in a key; the cost of the distance is bounded.
 constexpr std::size_t kMaxComparedLength = 64;
 
+struct SizeUnit {
+  absl::string_view name;
+  std::uint64_t bytes;
+};
+
+constexpr std::array<SizeUnit, 3> kSizeUnits = {
+    {{"MiB", 1 << 20}, {"KiB", 1 << 10}, {"B", 1}}};
+
+// Renders a size in the largest unit that divides it evenly.
+std::string FormatSize(std::uint64_t bytes) {
+  for (const SizeUnit& unit : kSizeUnits) {
+    if (bytes % unit.bytes == 0) {
+      return absl::StrCat(bytes / unit.bytes, unit.name);
+    }
+  }
+  return absl::StrCat(bytes, "B");
+}
+
 std::size_t EditDistance(absl::string_view a, absl::string_view b) {
   std::vector<std::size_t> row(b.size() + 1);
   std::iota(row.begin(), row.end(), 0);
@@ -73,10 +91,6 @@
   return std::int64_t{percent} * kPpmPerPercent + fraction;
 }
 
-std::string FormatPpm(int ppm) {
-  return absl::StrCat(static_cast<double>(ppm) / kPpmPerPercent, "%");
-}
-
 template <typename T>
 FieldReader WholeNumberField(T& value, T min, T max) {
   return [&value, min,
@@ -153,6 +167,16 @@
   return std::nullopt;
 }
 
+std::string FormatPpm(std::int64_t ppm) {
+  std::string text = absl::StrCat(ppm / kPpmPerPercent);
+  if (ppm % kPpmPerPercent != 0) {
+    absl::StrAppend(&text, ".",
+                    absl::Dec(ppm % kPpmPerPercent, absl::kZeroPad4));
+    text.erase(text.find_last_not_of('0') + 1);
+  }
+  return text + "%";
+}
+
 bool IsValidName(absl::string_view name) {
   return !name.empty() && name.size() <= kMaxNameLength &&
          std::all_of(name.begin(), name.end(), [](unsigned char c) {
@@ -297,13 +321,7 @@
                       std::uint64_t max) {
   return [&value, min,
           max](absl::string_view text) -> std::optional<FieldProblem> {
-    struct Unit {
-      absl::string_view name;
-      std::uint64_t bytes;
-    };
-    constexpr std::array<Unit, 3> kUnits = {
-        {{"MiB", 1 << 20}, {"KiB", 1 << 10}, {"B", 1}}};
-    for (const Unit& unit : kUnits) {
+    for (const SizeUnit& unit : kSizeUnits) {
       absl::string_view digits = text;
       if (!absl::ConsumeSuffix(&digits, unit.name)) {
         continue;
@@ -314,14 +332,15 @@
       }
       if (!absl::SimpleAtoi(digits, &number) || number > max / unit.bytes ||
           number * unit.bytes < min) {
-        return OutOfRange(absl::StrCat(min, "B"), absl::StrCat(max, "B"));
+        return OutOfRange(FormatSize(min), FormatSize(max));
       }
       value = number * unit.bytes;
       return std::nullopt;
     }
-    return FieldProblem{"the value is not a size",
-                        "write a whole number with the unit B, KiB or MiB, for "
-                        "example 16KiB"};
+    return FieldProblem{
+        "the value is not a size",
+        absl::StrCat("write a whole number with the unit B, KiB or MiB, from ",
+                     FormatSize(min), " to ", FormatSize(max))};
   };
 }
 
--- a/Source/config/ini_fields.h
+++ b/Source/config/ini_fields.h
@@ -96,6 +96,9 @@
 /// are in millionths; `value` is the share from 0 to 1.
 FieldReader PercentField(double& value, int min_ppm, int max_ppm);
 
+/// \brief Renders millionths as a percentage, for example "99.9%".
+std::string FormatPpm(std::int64_t ppm);
+
 /// \brief Size in bytes with the unit B, KiB or MiB.
 FieldReader SizeField(std::uint64_t& value,
                       std::uint64_t min,
--- a/Source/config/team_config.cc
+++ b/Source/config/team_config.cc
@@ -54,8 +54,8 @@
   constexpr absl::string_view kFormat = "%Y-%m-%dT%H:%M:%SZ";
   const absl::TimeZone utc = absl::UTCTimeZone();
   absl::Time time;
-  // Formatting again refuses what absl::ParseTime takes beyond the format,
-  // such as "infinite-past", and days that do not exist.
+  // Formatting again refuses what absl::ParseTime takes beyond the format, such
+  // as surrounding spaces. The range refuses "infinite-past".
   if (!absl::ParseTime(kFormat, text, &time, nullptr) ||
       absl::FormatTime(kFormat, time, utc) != text) {
     return FieldProblem{"the value is not a time in UTC",
@@ -352,11 +352,11 @@
       [](const IniSection& s) {
         return s.kind == "rank" && FindEntry(s, "share") != nullptr;
       });
-  AddSectionError(reader.document, *last, FindEntry(*last, "share"),
-                  {absl::StrCat("the shares of all ranks add up to ",
-                                static_cast<double>(total) / (kPpm / 100), "%"),
-                   "lower shares until they add up to at most 100%"},
-                  reader.errors);
+  AddSectionError(
+      reader.document, *last, FindEntry(*last, "share"),
+      {absl::StrCat("the shares of all ranks add up to ", FormatPpm(total)),
+       "lower shares until they add up to at most 100%"},
+      reader.errors);
 }
 
 void CheckReferences(TeamReader& reader) {
--- /dev/null
+++ b/Tests/config/daemon_settings_test.cc
@@ -0,0 +1,150 @@
+#include "config/daemon_settings.h"
+
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_replace.h"
+#include "catch2/catch.hpp"
+
+namespace comfrey {
+namespace {
+
+// The example of the design page.
+constexpr char kExample[] = R"([daemon]
+address = 127.0.1.1        ; IP number only
+peer_port = 7401
+http_port = 8081
+region = budapest
+failure_domain = budapest-a
+name = vm-1
+[peers]
+seeds = 127.0.1.2, 127.0.1.3
+bootstrap_peers = 1
+[config_service]
+address = 127.0.0.1:7300
+[limits]
+connections = 401
+body = 2MiB
+header = 17KiB
+[shutdown]
+grace = 31s
+)";
+
+// Guards against a key that is read into another setting or not at all: no
+// value but the addresses and names is the default.
+TEST_CASE("the daemon settings are read") {
+  std::vector<IniError> errors;
+  const DaemonSettings s = ParseDaemonSettings("d.ini", kExample, errors);
+  INFO(FormatIniErrors(errors));
+  REQUIRE(errors.empty());
+  CHECK(s.address == "127.0.1.1");
+  CHECK(s.peer_port == 7401);
+  CHECK(s.http_port == 8081);
+  CHECK(s.region == "budapest");
+  CHECK(s.failure_domain == "budapest-a");
+  CHECK(s.name == "vm-1");
+  CHECK(s.seeds == std::vector<std::string>{"127.0.1.2", "127.0.1.3"});
+  CHECK(s.bootstrap_peers == 1);
+  CHECK(FormatSocketAddress(s.config_service) == "127.0.0.1:7300");
+  CHECK(s.connections == 401);
+  CHECK(s.body == 2 * 1024 * 1024);
+  CHECK(s.header == 17 * 1024);
+  CHECK(s.grace == std::chrono::seconds(31));
+}
+
+TEST_CASE("the own address is no seed, and optional settings have defaults") {
+  std::vector<IniError> errors;
+  const DaemonSettings s = ParseDaemonSettings(
+      "d.ini",
+      "[daemon]\naddress = 127.0.1.2\nregion = b\nfailure_domain = b-a\n"
+      "name = vm-2\n[peers]\nseeds = 127.0.1.2,\n  127.0.1.3\n"
+      "[config_service]\naddress = [::1]:7300\n",
+      errors);
+  INFO(FormatIniErrors(errors));
+  REQUIRE(errors.empty());
+  CHECK(s.seeds == std::vector<std::string>{"127.0.1.3"});
+  CHECK(FormatSocketAddress(s.config_service) == "[::1]:7300");
+  CHECK(s.peer_port == 7400);
+  CHECK(s.bootstrap_peers == 2);
+  CHECK(s.connections == 400);
+  CHECK(s.body == 1024 * 1024);
+}
+
+// Guards against an error that is missed or lacks its place, its cause or its
+// remedy.
+TEST_CASE("each error of the settings names place, cause and remedy") {
+  struct Case {
+    const char* replaced;
+    const char* replacement;
+    const char* place_and_cause;
+    const char* remedy;
+  };
+  const Case cases[] = {
+      {"address = 127.0.1.1 ", "address = vm-1 ",
+       "d.ini:2: [daemon] address = vm-1: \"vm-1\" is not an IP number",
+       "host names are not resolved"},
+      {"address = 127.0.1.1 ", "address = 127.0.1.1:80 ", "not an IP number",
+       "without a port"},
+      {"address = 127.0.1.1 ", "address = 127.0.1 ", "not an IP number",
+       "numeric address"},
+      {"address = 127.0.1.1 ", "address = 0.0.0.0 ", "no single host",
+       "one VM"},
+      {"address = 127.0.1.1 ", "",
+       "d.ini:1: [daemon] the key \"address\" is "
+       "missing",
+       "address = ..."},
+      {"peer_port = 7401", "peer_port = 0", "out of range", "1 to 65535"},
+      {"peer_port = 7401", "peer_port = 8081",
+       "d.ini:4: [daemon] http_port = 8081: peer_port and http_port are equal",
+       "a different port"},
+      {"peer_port = 7401", "per_port = 7401",
+       "per_port = 7401: the key is "
+       "unknown",
+       "\"peer_port\""},
+      {"region = budapest\n", "region = buda pest\n", "not a valid name",
+       "letters, digits"},
+      {"name = vm-1\n", "", "d.ini:1: [daemon] the key \"name\" is missing",
+       "name = ..."},
+      {"127.0.1.3", "vm-3", "\"vm-3\" is not an IP number", "numeric"},
+      {"127.0.1.3", "127.0.1.2", "the seed 127.0.1.2 is given twice", "once"},
+      {"bootstrap_peers = 1", "bootstrap_peers = 101", "out of range",
+       "0 to 100"},
+      {"[config_service]\naddress = 127.0.0.1:7300\n", "",
+       "d.ini: [config_service] the key \"address\" is missing", "address = "},
+      {"127.0.0.1:7300", "127.0.0.1", "is not an IP number with a port",
+       "IP:port"},
+      {"connections = 401", "connections = 0", "out of range", "1 to 10000"},
+      {"body = 2MiB", "body = 2MB", "the value is not a size", "MiB"},
+      {"body = 2MiB", "body = 4MiB", "out of range", "from 1KiB to 3MiB"},
+      {"body = 2MiB", "body = 18446744073709551615MiB", "out of range", "3MiB"},
+      {"body = 2MiB", "body = -1B", "not a size", "KiB"},
+      {"header = 17KiB", "header = 1B", "out of range", "from 1KiB to 256KiB"},
+      {"grace = 31s", "grace = 31", "not a duration", "from 0s to 1h"},
+      {"[shutdown]\ngrace", "[limit]\nbody",
+       "d.ini:17: [limit] the section is unknown", "[limits]"},
+      {"[limits]", "[limits x]", "the section is unknown", "[limits]"},
+  };
+  for (const Case& c : cases) {
+    INFO(c.replacement);
+    const std::string text =
+        absl::StrReplaceAll(kExample, {{c.replaced, c.replacement}});
+    REQUIRE(text != kExample);
+    std::vector<IniError> errors;
+    ParseDaemonSettings("d.ini", text, errors);
+    const std::string rendered = FormatIniErrors(errors);
+    INFO(rendered);
+    CHECK(errors.size() == 1);
+    CHECK(rendered.find(c.place_and_cause) != std::string::npos);
+    CHECK(rendered.find(c.remedy) != std::string::npos);
+  }
+}
+
+TEST_CASE("all errors of the settings are reported at once") {
+  std::vector<IniError> errors;
+  ParseDaemonSettings("d.ini", "[daemon]\nnme = x\npeer_port = y\n", errors);
+  // Two wrong lines and the five required keys that are missing.
+  CHECK(errors.size() == 7);
+}
+
+}  // namespace
+}  // namespace comfrey
--- /dev/null
+++ b/Tests/config/route_table_test.cc
@@ -0,0 +1,216 @@
+#include "config/route_table.h"
+
+#include <algorithm>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_split.h"
+#include "catch2/catch.hpp"
+
+namespace comfrey {
+namespace {
+
+std::shared_ptr<const TeamConfig> Parse(const std::string& team,
+                                        const std::string& routes) {
+  std::vector<IniError> errors;
+  TeamConfig config = ParseTeamConfig(team, "t.ini",
+                                      "[service s]\nendpoints = 127.0.0.1:1\n"
+                                      "[rank r]\nurgency = 1\ntarget = 1s\n" +
+                                          routes,
+                                      errors);
+  INFO(FormatIniErrors(errors));
+  REQUIRE(errors.empty());
+  return std::make_shared<const TeamConfig>(std::move(config));
+}
+
+std::string Route(const std::string& name, const std::string& keys) {
+  return "[route " + name + "]\nservice = s\nrank = r\n" + keys;
+}
+
+RouteTable ExampleTable() {
+  return BuildRouteTable(
+      {Parse("salon",
+             Route("visits", "path = /visits\n") +
+                 Route("visits-post", "path = /visits\nmethod = POST\n") +
+                 Route("visits-internal",
+                       "path = /visits\nmatch_header = X-Caller: internal\n") +
+                 Route("visits-internal-post",
+                       "path = /visits\nmethod = POST\n"
+                       "match_header = X-Caller: internal\n") +
+                 Route("deep", "path = /visits/by-day\nmethod = GET\n") +
+                 Route("at", "path = /a@b/\n")),
+       Parse("desk", Route("all", ""))});
+}
+
+RouteMatch MatchWith(const RouteTable& table,
+                     const std::string& method,
+                     const std::string& target,
+                     const std::string& caller) {
+  return Match(table, method, target,
+               [&](absl::string_view name) -> std::optional<std::string> {
+                 return absl::EqualsIgnoreCase(name, "x-caller") &&
+                                !caller.empty()
+                            ? std::optional<std::string>(caller)
+                            : std::nullopt;
+               });
+}
+
+// Guards against a wrong order of precedence, a request that evades its route
+// by another spelling of the path, and a forwarded path that is not the
+// matched one.
+TEST_CASE("requests find their route") {
+  const RouteTable table = ExampleTable();
+  struct Case {
+    const char* method;
+    const char* target;
+    const char* caller;
+    MatchStatus status;
+    const char* route;
+    const char* forwarded;
+  };
+  const MatchStatus found = MatchStatus::kFound;
+  const MatchStatus bad = MatchStatus::kBadTarget;
+  const Case cases[] = {
+      {"GET", "/salon/visits", "", found, "visits", "/visits"},
+      {"POST", "/salon/visits", "", found, "visits-post", "/visits"},
+      {"GET", "/salon/visits", "internal", found, "visits-internal", "/visits"},
+      {"POST", "/salon/visits", "internal", found, "visits-internal-post",
+       "/visits"},
+      {"POST", "/salon/visits", "Internal", found, "visits-post", "/visits"},
+      {"GET", "/salon/visits/by-day/1", "internal", found, "deep",
+       "/visits/by-day/1"},
+      {"PUT", "/salon/visits/by-day", "", found, "visits", "/visits/by-day"},
+      {"GET", "/salon/visits/", "", found, "visits", "/visits/"},
+      {"GET", "/salon/visits?d=/../desk", "", found, "visits",
+       "/visits?d=/../desk"},
+      {"GET", "/salon//visits///1", "", found, "visits", "/visits/1"},
+      {"GET", "//salon/visits", "", found, "visits", "/visits"},
+      {"GET", "/salon/%76isits/a%20b", "", found, "visits", "/%76isits/a%20b"},
+      {"GET", "/%73alon/visits", "", found, "visits", "/visits"},
+      {"GET", "/salon/a%40b/c", "", found, "at", "/a%40b/c"},
+      {"GET", "/salon/visits/%252e%252e", "", found, "visits",
+       "/visits/%252e%252e"},
+      {"GET", "/desk", "", found, "all", "/"},
+      {"GET", "/desk?x=1", "", found, "all", "/?x=1"},
+      {"GET", "/desk/x/y/", "", found, "all", "/x/y/"},
+      {"GET", "/salon/visitsx", "", MatchStatus::kNoRoute, "", ""},
+      {"GET", "/salon", "", MatchStatus::kNoRoute, "", ""},
+      {"GET", "/Salon/visits", "", MatchStatus::kNoTeam, "", ""},
+      {"GET", "/salo/visits", "", MatchStatus::kNoTeam, "", ""},
+      {"GET", "/", "", MatchStatus::kNoTeam, "", ""},
+      {"GET", "//", "", MatchStatus::kNoTeam, "", ""},
+      {"GET", "", "", bad, "", ""},
+      {"GET", "*", "", bad, "", ""},
+      {"GET", "http://127.0.0.1/salon/visits", "", bad, "", ""},
+      {"GET", "/salon/../desk", "", bad, "", ""},
+      {"GET", "/salon/./visits", "", bad, "", ""},
+      {"GET", "/salon/visits/..", "", bad, "", ""},
+      {"GET", "/salon/%2e%2E/desk", "", bad, "", ""},
+      {"GET", "/salon/.%2e/desk", "", bad, "", ""},
+      {"GET", "/salon/..;x/desk", "", bad, "", ""},
+      {"GET", "/salon/..%2fdesk", "", bad, "", ""},
+      {"GET", "/salon%2fvisits", "", bad, "", ""},
+      {"GET", "/salon/..%5cdesk", "", bad, "", ""},
+      {"GET", "/salon/..\\desk", "", bad, "", ""},
+      {"GET", "/salon/visits%00", "", bad, "", ""},
+      {"GET", "/salon/visits%0d%0aX:y", "", bad, "", ""},
+      {"GET", "/salon/visits%", "", bad, "", ""},
+      {"GET", "/salon/visits%4", "", bad, "", ""},
+      {"GET", "/salon/visits%zz", "", bad, "", ""},
+      {"GET", "/salon/visits#x", "", bad, "", ""},
+      {"GET", "/salon/visits?a b", "", bad, "", ""},
+      {"GET", "/salon/visits\xc3\xa9", "", bad, "", ""},
+  };
+  for (const Case& c : cases) {
+    INFO(c.method << " " << c.target << " " << c.caller);
+    const RouteMatch match = MatchWith(table, c.method, c.target, c.caller);
+    CHECK(match.status == c.status);
+    if (match.status != MatchStatus::kFound) {
+      CHECK(match.route == nullptr);
+      continue;
+    }
+    CHECK(match.route->name == c.route);
+    CHECK(match.target == c.forwarded);
+    CHECK(match.path == match.target.substr(0, match.target.find('?')));
+    CHECK(match.service->name == "s");
+    CHECK(match.rank->name == "r");
+  }
+}
+
+// Resolves a target as a lenient server might: decodes twice, takes
+// backslashes for slashes and resolves dot segments. Returns the first
+// segment, or nothing if the path leaves the root.
+std::string LenientFirstSegment(std::string path) {
+  path = path.substr(0, path.find('?'));
+  for (const auto& [code, plain] : {std::pair<const char*, char>{"%2e", '.'},
+                                    {"%2f", '/'},
+                                    {"%5c", '\\'}}) {
+    for (std::size_t at = 0; (at = path.find(code)) != std::string::npos;) {
+      path.replace(at, 3, 1, plain);
+    }
+  }
+  std::replace(path.begin(), path.end(), '\\', '/');
+  std::vector<std::string> resolved;
+  for (const absl::string_view segment : absl::StrSplit(path, '/')) {
+    const std::string name(segment.substr(0, segment.find(';')));
+    if (name == "..") {
+      if (resolved.empty()) {
+        return "";
+      }
+      resolved.pop_back();
+    } else if (!name.empty() && name != ".") {
+      resolved.push_back(name);
+    }
+  }
+  return resolved.empty() ? "" : resolved.front();
+}
+
+// Guards against a path that is matched for one team while a server reads it
+// as the prefix of another one.
+TEST_CASE("no path reaches the prefix of another team") {
+  const RouteTable table = BuildRouteTable(
+      {Parse("salon", Route("all", "")), Parse("desk", Route("all", ""))});
+  const std::vector<std::string> pieces = {"/",  "/",   "salon", "desk",  "..",
+                                           ".",  "%2e", "%2f",   "\\",    "%5c",
+                                           ";x", "?",   "//x",   "%2e%2e"};
+  std::mt19937 random(7);
+  int matched = 0;
+  for (int i = 0; i < 50'000; ++i) {
+    std::string target = random() % 2 == 0 ? "/salon/" : "/desk/";
+    for (std::size_t n = random() % 8; n > 0; --n) {
+      target += pieces[random() % pieces.size()];
+    }
+    INFO(target);
+    const RouteMatch match = MatchWith(table, "GET", target, "");
+    if (match.status != MatchStatus::kFound) {
+      continue;
+    }
+    ++matched;
+    CHECK(LenientFirstSegment(target) == match.team->team);
+    CHECK(LenientFirstSegment("/" + match.team->team + match.target) ==
+          match.team->team);
+  }
+  CHECK(matched > 5'000);
+}
+
+// Guards against a change of one team that copies, drops or alters others.
+TEST_CASE("a change of one team shares the other teams") {
+  const RouteTable table = ExampleTable();
+  const RouteTable changed =
+      WithTeam(table, Parse("desk", Route("new", "path = /n\n")));
+  CHECK(changed.teams.at("salon") == table.teams.at("salon"));
+  CHECK(MatchWith(changed, "GET", "/desk/n", "").route->name == "new");
+  CHECK(MatchWith(table, "GET", "/desk/n", "").route->name == "all");
+  auto removed = std::make_shared<TeamConfig>();
+  removed->team = "desk";
+  removed->removed = true;
+  const RouteTable without = WithTeam(table, removed);
+  CHECK(MatchWith(without, "GET", "/desk", "").status == MatchStatus::kNoTeam);
+  CHECK(without.teams.size() == 1);
+}
+
+}  // namespace
+}  // namespace comfrey
