--- a/Source/config/daemon_settings.cc
+++ b/Source/config/daemon_settings.cc
@@ -105,6 +105,7 @@
                            const std::vector<SectionRules>& known,
                            std::vector<IniError>& errors) {
   std::vector<absl::string_view> names;
+  names.reserve(known.size());
   for (const SectionRules& section : known) {
     names.push_back(section.name);
   }
--- a/Source/config/ini_document.cc
+++ b/Source/config/ini_document.cc
@@ -129,13 +129,19 @@
     return nullptr;
   }
   const std::size_t end = state.rest.find('\n');
+  if (++state.line > kMaxIniLines) {
+    AddLineError(
+        state,
+        absl::StrCat("the document has more than ", kMaxIniLines, " lines"),
+        "split it, for example into several teams");
+    return nullptr;
+  }
   state.raw = state.rest.substr(0, end);
   state.rest.remove_prefix(end == absl::string_view::npos ? state.rest.size()
                                                           : end + 1);
   if (!state.raw.empty() && state.raw.back() == '\r') {
     state.raw.remove_suffix(1);
   }
-  ++state.line;
   CheckLine(state);
   ClassifyLine(state);
   const std::size_t length =
--- a/Source/config/ini_document.h
+++ b/Source/config/ini_document.h
@@ -39,6 +39,11 @@
 /// fill the memory of the daemon with errors.
 inline constexpr std::size_t kMaxIniErrors = 200;
 
+/// \brief Lines read per document. 20,000 lines hold the 340 services, 6,200
+/// endpoints and 1,600 routes of the target fleet in one document; a value of
+/// 1 MB in short lines would otherwise take more than 20 MB while it is read.
+inline constexpr int kMaxIniLines = 20'000;
+
 /// \brief Appends the error, with long texts shortened. The list ends with a
 /// note that further errors are not listed, and then stays as it is.
 void AddIniError(std::vector<IniError>& errors, IniError error);
--- a/Source/config/ini_fields.cc
+++ b/Source/config/ini_fields.cc
@@ -245,6 +245,7 @@
       continue;
     }
     std::vector<absl::string_view> keys;
+    keys.reserve(rules.size());
     for (const FieldRule& known : rules) {
       keys.push_back(known.key);
     }
--- a/Source/config/team_config.cc
+++ b/Source/config/team_config.cc
@@ -394,6 +394,7 @@
                    [&](const Kind& k) { return k.name == section.kind; });
   if (kind == kKinds.end()) {
     std::vector<absl::string_view> names;
+    names.reserve(kKinds.size());
     for (const Kind& known : kKinds) {
       names.push_back(known.name);
     }
--- a/Tests/config/ini_document_test.cc
+++ b/Tests/config/ini_document_test.cc
@@ -44,6 +44,8 @@
        "t.ini:4: [team] the section is given twice"},
       {"long line", "[team]\na = " + std::string(300, 'x') + "\n",
        "t.ini:2: the line is longer than 198 characters"},
+      {"too many lines", std::string(kMaxIniLines, '\n') + "[x]",
+       "t.ini:20001: the document has more than 20000 lines; split it"},
       {"second malformed line", "[team]\nnonsense\na = 1\nmore\n",
        "t.ini:4: the line is neither"},
       {"unclosed heading", "[team]\n[service a\n",
--- /dev/null
+++ b/Utilities/measure_config.cc
@@ -0,0 +1,243 @@
+// Measures memory and time of the configuration for capacity planning:
+// bytes per endpoint, route and team, and the time to parse, to build the
+// route table, to change one team and to match a request.
+
+#include <malloc.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "config/config_store.h"
+#include "config/ini_fields.h"
+#include "config/route_table.h"
+#include "config/team_config.h"
+
+namespace comfrey {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::nanoseconds;
+using std::chrono::steady_clock;
+
+struct FleetSize {
+  int teams;
+  int services;
+  int endpoints;
+  int routes;
+};
+
+// The target of the design page; the number of teams is an assumption.
+constexpr FleetSize kTarget = {40, 340, 6'200, 1'600};
+constexpr int kRanks = 4;
+constexpr int kRepetitions = 9;
+constexpr int kMatches = 200'000;
+
+struct Value {
+  std::string team;
+  std::string text;
+};
+
+// Part number `index` of `total` split into `parts` as evenly as possible.
+int Part(int total, int parts, int index) {
+  return total * (index + 1) / parts - total * index / parts;
+}
+
+std::string EndpointList(int first, int count) {
+  std::string list;
+  for (int i = first; i < first + count; ++i) {
+    // Short lines, since a line has at most 198 characters.
+    absl::StrAppend(&list,
+                    i == first   ? ""
+                    : i % 6 == 0 ? ",\n  "
+                                 : ", ",
+                    "10.", i / 62'500, ".", i / 250 % 250, ".", 1 + i % 250,
+                    ":8081");
+  }
+  return list;
+}
+
+std::vector<Value> MakeValues(const FleetSize& size) {
+  std::vector<Value> values;
+  int service = 0;
+  int endpoint = 0;
+  for (int team = 0; team < size.teams; ++team) {
+    std::string text = "[team]\ngeneration = 1\n";
+    const int services = Part(size.services, size.teams, team);
+    for (int i = 0; i < services; ++i, ++service) {
+      const int endpoints = Part(size.endpoints, size.services, service);
+      absl::StrAppend(&text, "[service service-", i,
+                      "]\nendpoints = ", EndpointList(endpoint, endpoints),
+                      "\nslots = 4\nfloor = 70%\n");
+      endpoint += endpoints;
+    }
+    for (int i = 0; i < kRanks; ++i) {
+      absl::StrAppend(&text, "[rank rank-", i, "]\nurgency = ", i + 1,
+                      "\ntarget = 250ms\nshare = 20%\n");
+    }
+    const int routes = Part(size.routes, size.teams, team);
+    for (int i = 0; i < routes; ++i) {
+      absl::StrAppend(&text, "[route route-", i, "]\nservice = service-",
+                      i % services, "\nrank = rank-", i % kRanks,
+                      "\nmethod = POST\npath = /area-", i % 7, "/resource-", i,
+                      "\nrepeat = safe\ndeadline = 2s\n");
+    }
+    values.push_back({absl::StrCat("team-", team), std::move(text)});
+  }
+  return values;
+}
+
+ConfigStore MakeStore(const std::vector<Value>& values) {
+  ConfigStore store;
+  for (const Value& value : values) {
+    OfferRevision(store, value.team, 1, value.text);
+  }
+  return store;
+}
+
+// Allocated bytes, with the overhead of the allocator.
+std::size_t HeapBytes() {
+  return mallinfo2().uordblks + mallinfo2().hblkhd;
+}
+
+struct MemoryUse {
+  std::size_t text = 0;
+  std::size_t heap = 0;
+};
+
+MemoryUse MeasureMemory(const FleetSize& size) {
+  const std::vector<Value> values = MakeValues(size);
+  const std::size_t before = HeapBytes();
+  const ConfigStore store = MakeStore(values);
+  MemoryUse use;
+  use.heap = HeapBytes() - before;
+  for (const auto& [team, subtree] : store.subtrees) {
+    use.text += subtree->text.size();
+  }
+  if (!store.rejected.empty()) {
+    std::fputs(FormatIniErrors(store.rejected.begin()->second.errors).c_str(),
+               stderr);
+  }
+  return use;
+}
+
+template <typename Run>
+nanoseconds MedianTime(Run run) {
+  std::array<nanoseconds, kRepetitions> times{};
+  for (nanoseconds& time : times) {
+    const auto start = steady_clock::now();
+    run();
+    time = steady_clock::now() - start;
+  }
+  std::sort(times.begin(), times.end());
+  return times[kRepetitions / 2];
+}
+
+double Micros(nanoseconds time) {
+  return std::chrono::duration<double, std::micro>(time).count();
+}
+
+double MeasureMatchNanoseconds(const RouteTable& table) {
+  std::vector<std::string> targets;
+  for (const auto& [team, routes] : table.teams) {
+    for (const RouteConfig& route : routes->config->routes) {
+      targets.push_back(
+          absl::StrCat("/", team, route.path, "/item/12345?day=2026-12-04"));
+    }
+  }
+  std::size_t found = 0;
+  const nanoseconds time = MedianTime([&] {
+    for (int i = 0; i < kMatches; ++i) {
+      // A stride visits the routes in an order without locality.
+      const RouteMatch match =
+          Match(table, "POST",
+                targets[static_cast<std::size_t>(i) * 7919 % targets.size()],
+                [](absl::string_view) { return std::optional<std::string>(); });
+      found += match.status == MatchStatus::kFound ? 1 : 0;
+    }
+  });
+  if (found != std::size_t{kMatches} * kRepetitions) {
+    std::fputs("some requests found no route\n", stderr);
+  }
+  return static_cast<double>(time.count()) / kMatches;
+}
+
+void PrintTimes(const FleetSize& size) {
+  const std::vector<Value> values = MakeValues(size);
+  const MemoryUse memory = MeasureMemory(size);
+  std::vector<std::shared_ptr<const TeamConfig>> configs;
+  const nanoseconds parse = MedianTime([&] {
+    configs.clear();
+    for (const Value& value : values) {
+      std::vector<IniError> errors;
+      configs.push_back(std::make_shared<const TeamConfig>(
+          ParseTeamConfig(value.team, "", value.text, errors)));
+    }
+  });
+  RouteTable table;
+  const nanoseconds build =
+      MedianTime([&] { table = BuildRouteTable(configs); });
+  ConfigStore store = MakeStore(values);
+  std::uint64_t revision = 1;
+  std::shared_ptr<const ConfigStore> snapshot;
+  const nanoseconds change = MedianTime([&] {
+    OfferRevision(store, values[0].team, ++revision, values[0].text);
+    snapshot = std::make_shared<const ConfigStore>(store);
+  });
+  std::printf("%5d %8d %9d %6d %10zu %10zu %9.1f %9.1f %10.1f %8.0f\n",
+              size.teams, size.services, size.endpoints, size.routes,
+              memory.text, memory.heap, Micros(parse) / 1e3,
+              Micros(build) / 1e3, Micros(change),
+              MeasureMatchNanoseconds(table));
+}
+
+void PrintSlope(const char* name, int FleetSize::*varied) {
+  MemoryUse last;
+  int last_count = 0;
+  for (const int divisor : {4, 2, 1}) {
+    FleetSize size = kTarget;
+    size.*varied /= divisor;
+    const MemoryUse use = MeasureMemory(size);
+    std::printf("%-10s %6d %10zu %10zu", name, size.*varied, use.text,
+                use.heap);
+    if (last_count > 0) {
+      const double added = size.*varied - last_count;
+      std::printf(
+          " %12.1f %12.1f",
+          (static_cast<double>(use.text) - static_cast<double>(last.text)) /
+              added,
+          (static_cast<double>(use.heap) - static_cast<double>(last.heap)) /
+              added);
+    }
+    std::printf("\n");
+    last = use;
+    last_count = size.*varied;
+  }
+}
+
+}  // namespace
+}  // namespace comfrey
+
+int main() {
+  using comfrey::FleetSize;
+  using comfrey::kTarget;
+  std::printf(
+      "teams services endpoints routes text bytes heap bytes  parse ms  "
+      "build ms  change us match ns\n");
+  for (const int divisor : {4, 2, 1}) {
+    comfrey::PrintTimes({kTarget.teams / divisor, kTarget.services / divisor,
+                         kTarget.endpoints / divisor,
+                         kTarget.routes / divisor});
+  }
+  std::printf(
+      "\nvaried      count text bytes heap bytes text/added  heap/added\n");
+  comfrey::PrintSlope("endpoints", &FleetSize::endpoints);
+  comfrey::PrintSlope("services", &FleetSize::services);
+  comfrey::PrintSlope("routes", &FleetSize::routes);
+  comfrey::PrintSlope("teams", &FleetSize::teams);
+  return 0;
+}
