Add membership and dissemination

Every daemon needs a view of the fleet, endpoint verdicts and configuration within seconds, without a coordination service and within 7 KB/s.

Adds the member records and their order, the rumor buffer, the selection of neighbours and readers, and a state machine that returns typed actions.

--- /dev/null
+++ b/Source/core/peer_protocol.cc
@@ -0,0 +1,1043 @@
+#include "core/peer_protocol.h"
+
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+#include <tuple>
+#include <utility>
+
+#include "core/neighbour_selection.h"
+
+namespace comfrey {
+namespace {
+
+using Time = PeerProtocol::Time;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr std::size_t kIndirectMembers = 3;
+
+// Allows a joining daemon to answer and to send a few full messages at once;
+// over a minute it adds 200 B/s.
+constexpr double kSendBurstBytes = 12'000;
+constexpr std::size_t kMaxPingRumorBytes = 1000;
+constexpr std::size_t kMaxPushRumorBytes = 2000;
+constexpr std::size_t kMaxExchangeBytes = 6000;
+
+// About 2.6 KB of versions, so that a list does not use up the send budget.
+constexpr std::size_t kSliceMembers = 100;
+constexpr std::size_t kMaxWantedMembers = 64;
+// An exchange that moved this many records is followed by another one soon.
+constexpr std::size_t kProductiveRecords = 8;
+constexpr milliseconds kExchangeRetry{2000};
+// A new daemon's view is incomplete, and its partners may be short of budget.
+constexpr milliseconds kJoiningTime{60'000};
+constexpr milliseconds kJoiningExchangePeriod{2000};
+// Fewer known members than this, and a new daemon keeps asking the seeds and
+// does not probe yet. When a whole fleet started, probes by daemons that knew
+// only the seeds used up the seeds' send budget for over a minute.
+constexpr std::size_t kIntroducedMembers = 6;
+constexpr milliseconds kFirstProbeDelay{5000};
+// Records that an answer to an introduction holds regardless of the budget.
+constexpr std::size_t kIntroductionRecords = 3;
+
+// Three random neighbours per member reach about 95% of the fleet; pings reach
+// the rest. Pushing a record to all 8 costs almost three times the bytes.
+constexpr std::size_t kPushFanOut = 3;
+
+// At this rate, 220 members reach each of 220 dead ones within about 30 s of
+// the end of a partition, for about 40 B/s each.
+constexpr milliseconds kDeadRetryPeriod{5000};
+constexpr milliseconds kSeedPeriod{30'000};
+constexpr milliseconds kFirstSeedDelay{1000};
+constexpr milliseconds kMaxSeedBackoff{8000};
+
+// A longer gap between ticks means that this process was paused.
+constexpr milliseconds kPauseLimit{2000};
+
+constexpr milliseconds kPublicationPeriod{2000};
+// Fleet-wide rate of records with new latency summaries alone. One record of
+// 14 endpoints has about 280 bytes and is sent about three times per member.
+constexpr double kFleetPublicationsPerSecond = 1.0;
+constexpr double kPublicationBurst = 3.0;
+constexpr double kPublishedChange = 0.25;
+
+// A push normally delivers a change sooner than this.
+constexpr milliseconds kConfigPullDelay{500};
+constexpr milliseconds kConfigPullBackoff{1000};
+constexpr milliseconds kMaxConfigPullBackoff{30'000};
+constexpr milliseconds kExpectedValueTimeout{1000};
+// At least one value is sent, whatever its size.
+constexpr std::size_t kMaxSubtreeBytes = 64 * 1024;
+
+// The age in a message does not include its own transit time.
+constexpr microseconds kTransitAllowance{50'000};
+
+void RefillSendTokens(PeerProtocol& protocol, Time now) {
+  const std::chrono::duration<double> elapsed = now - protocol.tokens_at;
+  protocol.tokens_at = now;
+  protocol.send_tokens =
+      std::min(kSendBurstBytes,
+               protocol.send_tokens + elapsed.count() * kSendBytesPerSecond);
+}
+
+std::size_t Allowance(const PeerProtocol& protocol, std::size_t limit) {
+  if (protocol.send_tokens <= 0) {
+    return 0;
+  }
+  return std::min(limit, static_cast<std::size_t>(protocol.send_tokens));
+}
+
+// Configuration values are not counted: their volume is set by the operators'
+// changes and not by the protocol.
+template <typename Message>
+void Spend(PeerProtocol& protocol, const Message& message) {
+  protocol.send_tokens =
+      std::max(-kSendBurstBytes,
+               protocol.send_tokens -
+                   static_cast<double>(EncodedSize(message) + kFramingBytes));
+}
+
+milliseconds Jitter(milliseconds period, std::mt19937_64& rng) {
+  std::uniform_int_distribution<std::int64_t> spread(period.count() * 3 / 4,
+                                                     period.count() * 5 / 4);
+  return milliseconds(spread(rng));
+}
+
+template <typename T>
+const T& Pick(const std::vector<T>& values, std::mt19937_64& rng) {
+  std::uniform_int_distribution<std::size_t> index(0, values.size() - 1);
+  return values[index(rng)];
+}
+
+template <typename Predicate>
+std::vector<const MemberRecord*> OtherMembers(const PeerProtocol& protocol,
+                                              Predicate matches) {
+  std::vector<const MemberRecord*> found;
+  for (const auto& [name, entry] : protocol.membership.members) {
+    if (name != protocol.membership.self && matches(entry.record)) {
+      found.push_back(&entry.record);
+    }
+  }
+  return found;
+}
+
+bool IsLive(const MemberRecord& record) {
+  return !IsDead(record);
+}
+
+bool HasClaim(const MemberRecord& record) {
+  return IsSuspected(record) || IsDead(record);
+}
+
+void HastenExchange(PeerProtocol& protocol,
+                    const std::string& address,
+                    Time at) {
+  protocol.next_exchange = std::min(protocol.next_exchange, at);
+  protocol.exchange_address = address;
+  protocol.slices_left = std::max<std::size_t>(protocol.slices_left, 1);
+}
+
+enum class Source { kRumor, kExchange };
+
+// Returns whether the record was news.
+bool Merge(PeerProtocol& protocol,
+           const MemberRecord& record,
+           Source source,
+           Time now) {
+  const MemberRecord* held = FindMember(protocol.membership, record.name);
+  const bool was_dead = held != nullptr && IsDead(*held);
+  const MergeResult result = MergeRecord(protocol.membership, record, now);
+  if (result == MergeResult::kIgnored) {
+    return false;
+  }
+  if (result == MergeResult::kDuplicate) {
+    NoteDuplicate(protocol.rumors, record.name);
+    return false;
+  }
+  if (record.name == protocol.membership.self) {
+    ++protocol.statistics.refutations;
+  }
+  // The other members learn by anti-entropy what this one learned by it,
+  // unless it is urgent.
+  if (source == Source::kRumor || result == MergeResult::kUrgent) {
+    AddRumor(protocol.rumors, record.name, result);
+  }
+  if (result == MergeResult::kUrgent) {
+    protocol.urgent_records.insert(record.name);
+  }
+  if (was_dead && IsLive(record)) {
+    HastenExchange(protocol, record.address, now + kExchangeRetry);
+  }
+  return true;
+}
+
+void NoteConfigAge(PeerProtocol& protocol, microseconds age, Time now) {
+  if (age < microseconds(0)) {
+    return;
+  }
+  protocol.newest_config_contact =
+      std::max(protocol.newest_config_contact, now - age - kTransitAllowance);
+}
+
+microseconds ConfigAge(const PeerProtocol& protocol, Time now) {
+  if (protocol.newest_config_contact == Time()) {
+    return microseconds(-1);
+  }
+  return std::chrono::duration_cast<microseconds>(
+      now - protocol.newest_config_contact);
+}
+
+void NoteConfigDigest(PeerProtocol& protocol,
+                      const std::string& peer,
+                      std::uint64_t digest,
+                      Time now) {
+  const std::uint64_t own = protocol.config.digest();
+  if (digest == own) {
+    return;
+  }
+  const MemberRecord* member = FindMember(protocol.membership, peer);
+  const bool planned = !protocol.config_pull_address.empty() &&
+                       protocol.config_pull_digest == own;
+  if (member == nullptr || planned || now < protocol.config_pull_not_before) {
+    return;
+  }
+  protocol.config_pull_address = member->address;
+  protocol.config_pull_digest = own;
+  protocol.config_pull_at = now + kConfigPullDelay;
+}
+
+PingRequest MakePingRequest(const PeerProtocol& protocol, Time now) {
+  PingRequest request;
+  request.sender = protocol.membership.self;
+  request.incarnation = Self(protocol.membership).incarnation;
+  request.config_digest = protocol.config.digest();
+  request.config_age = ConfigAge(protocol, now);
+  return request;
+}
+
+void AddRumors(PeerProtocol& protocol, std::vector<MemberRecord>& rumors) {
+  std::vector<MemberRecord> taken =
+      TakeRumors(protocol.rumors, protocol.membership,
+                 Allowance(protocol, kMaxPingRumorBytes));
+  for (MemberRecord& record : taken) {
+    const bool present = std::any_of(
+        rumors.begin(), rumors.end(),
+        [&](const MemberRecord& r) { return r.name == record.name; });
+    if (!present) {
+      rumors.push_back(std::move(record));
+    }
+  }
+}
+
+// A claim is sent to its subject regardless of the budget, so that the subject
+// can refute it.
+SendPing MakePing(PeerProtocol& protocol,
+                  const MemberRecord& target,
+                  bool counts,
+                  Time now) {
+  SendPing ping;
+  ping.probe = protocol.next_probe_id++;
+  ping.address = target.address;
+  ping.request = MakePingRequest(protocol, now);
+  if (HasClaim(target)) {
+    ping.request.rumors.push_back(target);
+    ping.request.rumors.back().endpoints.clear();
+  }
+  if (counts) {
+    AddRumors(protocol, ping.request.rumors);
+  }
+  protocol.probes[ping.probe] = Probe{target.name, 0, counts};
+  Spend(protocol, ping.request);
+  return ping;
+}
+
+void Suspect(PeerProtocol& protocol, const std::string& name, Time now) {
+  if (!SuspectMember(protocol.membership, name, now)) {
+    return;
+  }
+  ++protocol.statistics.suspicions;
+  AddRumor(protocol.rumors, name, MergeResult::kUrgent);
+  protocol.urgent_records.insert(name);
+  protocol.suspects_to_tell.push_back(name);
+}
+
+void ResumeAfterPause(PeerProtocol& protocol, Time now) {
+  // Replies that arrived during the pause look like timeouts, and suspicions
+  // were not refutable.
+  ++protocol.statistics.pauses;
+  ShiftTimes(protocol.membership, now - protocol.last_tick);
+  protocol.probes.clear();
+  protocol.next_exchange = std::min(protocol.next_exchange, now);
+}
+
+void ProbeNext(PeerProtocol& protocol,
+               Time now,
+               std::mt19937_64& rng,
+               std::vector<PeerAction>& actions) {
+  // Each round probes every member once, in random order, which bounds the
+  // time between two probes of a member by the same prober.
+  while (true) {
+    if (protocol.probe_order.empty()) {
+      for (const MemberRecord* member : OtherMembers(protocol, IsLive)) {
+        protocol.probe_order.push_back(member->name);
+      }
+      if (protocol.probe_order.empty()) {
+        return;
+      }
+      std::shuffle(protocol.probe_order.begin(), protocol.probe_order.end(),
+                   rng);
+    }
+    const std::string name = protocol.probe_order.back();
+    protocol.probe_order.pop_back();
+    const MemberRecord* member = FindMember(protocol.membership, name);
+    if (member != nullptr && IsLive(*member)) {
+      actions.emplace_back(MakePing(protocol, *member, true, now));
+      return;
+    }
+    if (protocol.probe_order.empty()) {
+      return;
+    }
+  }
+}
+
+void RetryDead(PeerProtocol& protocol,
+               Time now,
+               std::mt19937_64& rng,
+               std::vector<PeerAction>& actions) {
+  const auto dead = OtherMembers(protocol, IsDead);
+  if (!dead.empty()) {
+    actions.emplace_back(MakePing(protocol, *Pick(dead, rng), false, now));
+  }
+}
+
+// Seeds are pinged until another member is known, and occasionally afterwards,
+// so that two groups that started apart find each other.
+void PingSeed(PeerProtocol& protocol,
+              Time now,
+              std::mt19937_64& rng,
+              std::vector<PeerAction>& actions) {
+  const auto live = OtherMembers(protocol, IsLive);
+  const bool introduced = live.size() >= kIntroducedMembers;
+  std::vector<std::string> missing;
+  for (const std::string& seed : protocol.settings.seeds) {
+    const bool known = std::any_of(
+        live.begin(), live.end(),
+        [&](const MemberRecord* member) { return member->address == seed; });
+    if (!known || !introduced) {
+      missing.push_back(seed);
+    }
+  }
+  if (!introduced) {
+    protocol.seed_backoff = std::min(
+        kMaxSeedBackoff, std::max(kFirstSeedDelay, protocol.seed_backoff * 2));
+    protocol.next_seed_ping = now + Jitter(protocol.seed_backoff, rng);
+  } else {
+    protocol.next_seed_ping = now + Jitter(kSeedPeriod, rng);
+  }
+  if (missing.empty()) {
+    return;
+  }
+  SendPing ping;
+  ping.probe = protocol.next_probe_id++;
+  ping.address = Pick(missing, rng);
+  ping.request = MakePingRequest(protocol, now);
+  ping.request.rumors.push_back(Self(protocol.membership));
+  protocol.probes[ping.probe] = Probe{"", 0, false};
+  Spend(protocol, ping.request);
+  actions.emplace_back(std::move(ping));
+}
+
+std::vector<MemberVersion> TakeSlice(PeerProtocol& protocol) {
+  const auto& members = protocol.membership.members;
+  auto it = members.lower_bound(protocol.slice_start);
+  std::vector<MemberVersion> slice;
+  const auto add = [&] {
+    if (it == members.end()) {
+      it = members.begin();
+    }
+    const MemberRecord& record = it->second.record;
+    slice.push_back({record.name, record.incarnation, record.sequence});
+    ++it;
+  };
+  // One more than the members closes the circle.
+  const std::size_t count = std::min(kSliceMembers, members.size() + 1);
+  while (slice.size() < count) {
+    add();
+  }
+  protocol.slice_start = slice.back().name;
+  return slice;
+}
+
+void StartExchange(PeerProtocol& protocol,
+                   Time now,
+                   std::mt19937_64& rng,
+                   std::vector<PeerAction>& actions) {
+  const bool joining = now - protocol.started < kJoiningTime;
+  protocol.next_exchange =
+      now + Jitter(joining ? kJoiningExchangePeriod : kExchangePeriod, rng);
+  std::string address;
+  address.swap(protocol.exchange_address);
+  if (address.empty()) {
+    const auto& seeds = protocol.settings.seeds;
+    auto partners = OtherMembers(protocol, [&](const MemberRecord& record) {
+      return !IsDead(record) &&
+             !(joining &&
+               std::count(seeds.begin(), seeds.end(), record.address) > 0);
+    });
+    if (partners.empty()) {
+      partners = OtherMembers(protocol, IsLive);
+    }
+    if (partners.empty()) {
+      return;
+    }
+    address = Pick(partners, rng)->address;
+  }
+  SendExchange exchange;
+  exchange.address = std::move(address);
+  exchange.request.sender = protocol.membership.self;
+  exchange.request.member_digest = protocol.membership.digest;
+  protocol.compares_digests = protocol.slices_left == 0;
+  if (protocol.slices_left > 0) {
+    if (Allowance(protocol, kMaxExchangeBytes) < kMaxExchangeBytes / 2) {
+      protocol.next_exchange = now + Jitter(kExchangeRetry, rng);
+      return;
+    }
+    exchange.request.wants_members = true;
+    exchange.request.members = TakeSlice(protocol);
+    --protocol.slices_left;
+    if (protocol.slices_left > 0) {
+      protocol.next_exchange = now + Jitter(kExchangeRetry, rng);
+    }
+  }
+  Spend(protocol, exchange.request);
+  actions.emplace_back(std::move(exchange));
+}
+
+void PullConfig(PeerProtocol& protocol,
+                Time now,
+                std::vector<PeerAction>& actions) {
+  std::string address;
+  address.swap(protocol.config_pull_address);
+  if (protocol.config.digest() != protocol.config_pull_digest) {
+    return;
+  }
+  protocol.config_pull_backoff =
+      std::clamp(protocol.config_pull_backoff * 2, kConfigPullBackoff,
+                 kMaxConfigPullBackoff);
+  protocol.config_pull_not_before = now + protocol.config_pull_backoff;
+  SendExchange exchange;
+  exchange.address = std::move(address);
+  exchange.request.sender = protocol.membership.self;
+  exchange.request.member_digest = protocol.membership.digest;
+  exchange.request.subtrees = protocol.config.versions();
+  exchange.request.wants_subtrees = true;
+  actions.emplace_back(std::move(exchange));
+}
+
+void PushChanges(PeerProtocol& protocol,
+                 std::mt19937_64& rng,
+                 std::vector<PeerAction>& actions) {
+  if (protocol.urgent_records.empty() && protocol.announced_teams.empty()) {
+    return;
+  }
+  if (protocol.neighbours_revision != protocol.membership.live_revision) {
+    protocol.neighbours = SelectNeighbours(protocol.membership);
+    protocol.neighbours_revision = protocol.membership.live_revision;
+  }
+  PushRequest request;
+  request.sender = protocol.membership.self;
+  const std::size_t limit =
+      Allowance(protocol, kMaxPushRumorBytes * kPushFanOut) / kPushFanOut;
+  std::size_t bytes = 0;
+  for (const std::string& name : protocol.urgent_records) {
+    const MemberRecord* record = FindMember(protocol.membership, name);
+    if (record != nullptr && bytes + EncodedSize(*record) <= limit) {
+      bytes += EncodedSize(*record);
+      request.rumors.push_back(*record);
+    }
+  }
+  for (const std::string& team : protocol.announced_teams) {
+    if (auto subtree = protocol.config.look_up(team)) {
+      subtree->value.clear();
+      request.subtrees.push_back(std::move(*subtree));
+    }
+  }
+  // Records beyond the budget stay in the rumor buffer.
+  protocol.urgent_records.clear();
+  protocol.announced_teams.clear();
+  if (request.rumors.empty() && request.subtrees.empty()) {
+    return;
+  }
+  std::vector<std::string> targets = protocol.neighbours;
+  std::shuffle(targets.begin(), targets.end(), rng);
+  for (std::size_t i = 0; i < targets.size(); ++i) {
+    const MemberRecord* target = FindMember(protocol.membership, targets[i]);
+    if (i == kPushFanOut) {
+      request.rumors.clear();
+    }
+    if (target == nullptr ||
+        (request.rumors.empty() && request.subtrees.empty())) {
+      continue;
+    }
+    Spend(protocol, request);
+    actions.emplace_back(SendPush{target->address, request});
+  }
+}
+
+bool ChangedMuch(microseconds a, microseconds b) {
+  const auto low = static_cast<double>(std::min(a, b).count());
+  const auto high = static_cast<double>(std::max(a, b).count());
+  return high > low * (1 + kPublishedChange);
+}
+
+bool WorthPublishing(const std::vector<EndpointStatus>& published,
+                     const std::vector<EndpointStatus>& current) {
+  for (std::size_t i = 0; i < published.size(); ++i) {
+    const EndpointStatus& a = published[i];
+    const EndpointStatus& b = current[i];
+    if (std::tie(a.reason, a.severity) != std::tie(b.reason, b.severity) ||
+        (a.full_for.count() > 0) != (b.full_for.count() > 0) ||
+        ChangedMuch(a.latency, b.latency)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void PublishPending(PeerProtocol& protocol, Time now) {
+  // A fleet-wide limit keeps the volume independent of the number of members;
+  // the burst lets a service that changes as a whole publish at once.
+  const double rate =
+      std::min(1000.0 / static_cast<double>(kPublicationPeriod.count()),
+               kFleetPublicationsPerSecond /
+                   static_cast<double>(protocol.membership.live_count));
+  const std::chrono::duration<double> elapsed =
+      now - protocol.publication_tokens_at;
+  protocol.publication_tokens_at = now;
+  protocol.publication_tokens = std::min(
+      kPublicationBurst, protocol.publication_tokens + elapsed.count() * rate);
+  if (!protocol.pending_statuses || protocol.publication_tokens < 1 ||
+      now - protocol.last_publication < kPublicationPeriod) {
+    return;
+  }
+  protocol.publication_tokens -= 1;
+  protocol.last_publication = now;
+  UpdateSelf(protocol.membership, MemberState::kAlive,
+             std::move(*protocol.pending_statuses), now);
+  protocol.pending_statuses.reset();
+  AddRumor(protocol.rumors, protocol.membership.self, MergeResult::kBackground);
+}
+
+void PublishAtOnce(PeerProtocol& protocol) {
+  AddRumor(protocol.rumors, protocol.membership.self, MergeResult::kUrgent);
+  protocol.urgent_records.insert(protocol.membership.self);
+}
+
+void NormalizeStatuses(std::vector<EndpointStatus>& statuses,
+                       const std::string& address) {
+  for (EndpointStatus& status : statuses) {
+    status = PublishedForm(std::move(status), address);
+  }
+  std::sort(statuses.begin(), statuses.end(),
+            [](const EndpointStatus& a, const EndpointStatus& b) {
+              return a.endpoint < b.endpoint;
+            });
+}
+
+bool InRange(const std::string& name,
+             const std::string& first,
+             const std::string& last) {
+  if (first == last) {
+    return true;
+  }
+  if (first < last) {
+    return first <= name && name <= last;
+  }
+  return first <= name || name <= last;
+}
+
+bool IsOlder(const SubtreeVersion& a, const SubtreeVersion& b) {
+  return std::tie(a.generation, a.revision, a.digest) <
+         std::tie(b.generation, b.revision, b.digest);
+}
+
+std::map<std::string, SubtreeVersion> VersionsByTeam(
+    std::vector<SubtreeVersion> versions) {
+  std::map<std::string, SubtreeVersion> by_team;
+  for (SubtreeVersion& version : versions) {
+    by_team[version.team] = std::move(version);
+  }
+  return by_team;
+}
+
+void Offer(PeerProtocol& protocol, const SubtreeValue& subtree) {
+  protocol.expected_teams.erase(subtree.team);
+  // Values that the store refuses as invalid or old are not propagated.
+  if (protocol.config.offer(subtree)) {
+    protocol.announced_teams.insert(subtree.team);
+    protocol.config_pull_backoff = milliseconds(0);
+  }
+}
+
+void CompareMembers(PeerProtocol& protocol,
+                    const ExchangeRequest& request,
+                    std::mt19937_64& rng,
+                    ExchangeReply& reply) {
+  std::map<std::string, const MemberVersion*> listed;
+  for (const MemberVersion& version : request.members) {
+    listed[version.name] = &version;
+  }
+  const std::string first =
+      request.members.empty() ? "" : request.members.front().name;
+  const std::string last =
+      request.members.empty() ? "" : request.members.back().name;
+  std::vector<const MemberRecord*> newer;
+  for (const auto& [name, entry] : protocol.membership.members) {
+    const MemberRecord& record = entry.record;
+    const auto found = listed.find(name);
+    if (found == listed.end()) {
+      if (!IsDead(record) && InRange(name, first, last)) {
+        newer.push_back(&record);
+      }
+    } else if (std::tie(found->second->incarnation, found->second->sequence) <
+               std::tie(record.incarnation, record.sequence)) {
+      newer.push_back(&record);
+    }
+  }
+  // The order is random, so that several partners of a joining member together
+  // give it all records.
+  std::shuffle(newer.begin(), newer.end(), rng);
+  const std::size_t limit = Allowance(protocol, kMaxExchangeBytes);
+  std::size_t bytes = 0;
+  for (const MemberRecord* record : newer) {
+    bytes += EncodedSize(*record);
+    if (bytes > limit) {
+      break;
+    }
+    reply.members.push_back(*record);
+  }
+  for (const auto& [name, version] : listed) {
+    const MemberRecord* held = FindMember(protocol.membership, name);
+    MemberRecord claimed;
+    claimed.sequence = version->sequence;
+    const bool lacks =
+        held == nullptr ? !IsDead(claimed)
+                        : std::tie(held->incarnation, held->sequence) <
+                              std::tie(version->incarnation, version->sequence);
+    if (lacks && reply.wanted_members.size() < kMaxWantedMembers) {
+      reply.wanted_members.push_back(*version);
+    }
+  }
+}
+
+void CompareSubtrees(const PeerProtocol& protocol,
+                     const ExchangeRequest& request,
+                     ExchangeReply& reply) {
+  const auto theirs = VersionsByTeam(request.subtrees);
+  const auto ours = VersionsByTeam(protocol.config.versions());
+  std::size_t bytes = 0;
+  for (const auto& [team, version] : ours) {
+    const auto found = theirs.find(team);
+    if ((found != theirs.end() && !IsOlder(found->second, version)) ||
+        bytes > kMaxSubtreeBytes) {
+      continue;
+    }
+    if (auto subtree = protocol.config.look_up(team)) {
+      bytes += subtree->value.size();
+      reply.subtrees.push_back(std::move(*subtree));
+    }
+  }
+  for (const auto& [team, version] : theirs) {
+    const auto found = ours.find(team);
+    if (found == ours.end() || IsOlder(found->second, version)) {
+      reply.wanted_subtrees.push_back(version);
+    }
+  }
+}
+
+std::vector<SubtreeValue> LookUpSubtrees(
+    const PeerProtocol& protocol,
+    const std::vector<SubtreeVersion>& wanted) {
+  std::vector<SubtreeValue> subtrees;
+  std::size_t bytes = 0;
+  for (const SubtreeVersion& version : wanted) {
+    auto subtree = protocol.config.look_up(version.team);
+    if (subtree && bytes <= kMaxSubtreeBytes) {
+      bytes += subtree->value.size();
+      subtrees.push_back(std::move(*subtree));
+    }
+  }
+  return subtrees;
+}
+
+}  // namespace
+
+PeerProtocol MakePeerProtocol(MemberRecord self,
+                              PeerSettings settings,
+                              ConfigAccess config,
+                              Time now,
+                              std::mt19937_64& rng) {
+  PeerProtocol protocol;
+  NormalizeStatuses(self.endpoints, self.address);
+  protocol.settings = std::move(settings);
+  protocol.config = std::move(config);
+  protocol.membership = MakeMembership(std::move(self), now);
+  protocol.started = now;
+  protocol.last_tick = now;
+  protocol.tokens_at = now;
+  protocol.send_tokens = kSendBurstBytes / 2;
+  protocol.next_probe = now + Jitter(kProbePeriod, rng);
+  protocol.next_dead_retry = now + Jitter(kDeadRetryPeriod, rng);
+  std::uniform_int_distribution<std::int64_t> delay(0, kFirstSeedDelay.count());
+  protocol.next_seed_ping = now + milliseconds(delay(rng));
+  protocol.next_exchange = now + Jitter(kJoiningExchangePeriod, rng);
+  protocol.publication_tokens = kPublicationBurst;
+  protocol.publication_tokens_at = now;
+  AddRumor(protocol.rumors, protocol.membership.self, MergeResult::kNormal);
+  return protocol;
+}
+
+std::vector<PeerAction> Tick(PeerProtocol& protocol,
+                             Time now,
+                             std::mt19937_64& rng) {
+  if (now - protocol.last_tick > kPauseLimit) {
+    ResumeAfterPause(protocol, now);
+  }
+  protocol.last_tick = now;
+  if (protocol.membership.replaced) {
+    // A newer incarnation of this daemon runs elsewhere.
+    return {};
+  }
+  RefillSendTokens(protocol, now);
+  for (const std::string& name : ExpireMembers(protocol.membership, now)) {
+    ++protocol.statistics.deaths;
+    AddRumor(protocol.rumors, name, MergeResult::kNormal);
+  }
+  PublishPending(protocol, now);
+
+  std::vector<PeerAction> actions;
+  PushChanges(protocol, rng, actions);
+  for (const std::string& name : protocol.suspects_to_tell) {
+    const MemberRecord* member = FindMember(protocol.membership, name);
+    if (member != nullptr && IsSuspected(*member)) {
+      actions.emplace_back(MakePing(protocol, *member, false, now));
+    }
+  }
+  protocol.suspects_to_tell.clear();
+  const bool may_probe = protocol.membership.live_count > kIntroducedMembers ||
+                         now - protocol.started >= kFirstProbeDelay;
+  if (may_probe && now >= protocol.next_probe) {
+    protocol.next_probe = now + Jitter(kProbePeriod, rng);
+    ProbeNext(protocol, now, rng, actions);
+  }
+  if (now >= protocol.next_dead_retry) {
+    protocol.next_dead_retry = now + Jitter(kDeadRetryPeriod, rng);
+    RetryDead(protocol, now, rng, actions);
+  }
+  if (now >= protocol.next_seed_ping) {
+    PingSeed(protocol, now, rng, actions);
+  }
+  if (now >= protocol.next_exchange) {
+    StartExchange(protocol, now, rng, actions);
+  }
+  if (!protocol.config_pull_address.empty() && now >= protocol.config_pull_at) {
+    PullConfig(protocol, now, actions);
+  }
+  return actions;
+}
+
+PingReply OnPing(PeerProtocol& protocol,
+                 const PingRequest& request,
+                 Time now,
+                 std::mt19937_64& rng) {
+  RefillSendTokens(protocol, now);
+  const bool introduces = std::any_of(
+      request.rumors.begin(), request.rumors.end(),
+      [&](const MemberRecord& r) { return r.name == request.sender; });
+  const std::uint64_t refutations = protocol.statistics.refutations;
+  for (const MemberRecord& record : request.rumors) {
+    Merge(protocol, record, Source::kRumor, now);
+  }
+  NoteConfigAge(protocol, request.config_age, now);
+  NoteConfigDigest(protocol, request.sender, request.config_digest, now);
+
+  PingReply reply;
+  reply.responder = protocol.membership.self;
+  reply.incarnation = Self(protocol.membership).incarnation;
+  reply.config_digest = protocol.config.digest();
+  reply.config_age = ConfigAge(protocol, now);
+  const MemberRecord* sender = FindMember(protocol.membership, request.sender);
+  if (sender != nullptr && HasClaim(*sender) &&
+      sender->incarnation == request.incarnation) {
+    reply.rumors.push_back(*sender);
+    reply.rumors.back().endpoints.clear();
+  }
+  if (introduces || protocol.statistics.refutations != refutations) {
+    reply.rumors.push_back(Self(protocol.membership));
+  }
+  if (sender != nullptr && sender->incarnation < request.incarnation) {
+    HastenExchange(protocol, sender->address, now);
+  }
+  if (introduces) {
+    // A member that knows only the seeds continues with the members in the
+    // reply, so that the seeds are not overloaded.
+    auto live = OtherMembers(protocol, [&](const MemberRecord& record) {
+      return !HasClaim(record) && record.name != request.sender;
+    });
+    std::shuffle(live.begin(), live.end(), rng);
+    live.resize(std::min(live.size(), kIntroductionRecords));
+    for (const MemberRecord* record : live) {
+      reply.rumors.push_back(*record);
+    }
+  }
+  AddRumors(protocol, reply.rumors);
+  Spend(protocol, reply);
+  return reply;
+}
+
+void OnPingReply(PeerProtocol& protocol,
+                 std::uint64_t probe,
+                 const PingReply& reply,
+                 Time now) {
+  protocol.heard_from.insert(reply.responder);
+  for (const MemberRecord& record : reply.rumors) {
+    Merge(protocol, record, Source::kRumor, now);
+  }
+  NoteConfigAge(protocol, reply.config_age, now);
+  NoteConfigDigest(protocol, reply.responder, reply.config_digest, now);
+  const auto found = protocol.probes.find(probe);
+  if (found == protocol.probes.end()) {
+    return;
+  }
+  const Probe answered = found->second;
+  protocol.probes.erase(found);
+  const MemberRecord* responder =
+      FindMember(protocol.membership, reply.responder);
+  if (responder != nullptr && responder->incarnation < reply.incarnation) {
+    HastenExchange(protocol, responder->address, now);
+  }
+  // The address now belongs to another member.
+  if (answered.counts && answered.name != reply.responder) {
+    Suspect(protocol, answered.name, now);
+  }
+}
+
+std::vector<PeerAction> OnPingTimeout(PeerProtocol& protocol,
+                                      std::uint64_t probe,
+                                      Time now,
+                                      std::mt19937_64& rng) {
+  std::vector<PeerAction> actions;
+  const auto found = protocol.probes.find(probe);
+  if (found == protocol.probes.end()) {
+    return actions;
+  }
+  const MemberRecord* target =
+      FindMember(protocol.membership, found->second.name);
+  if (!found->second.counts || target == nullptr || HasClaim(*target)) {
+    protocol.probes.erase(found);
+    return actions;
+  }
+  auto helpers = OtherMembers(protocol, [&](const MemberRecord& record) {
+    return !HasClaim(record) && record.name != target->name;
+  });
+  if (helpers.empty()) {
+    const std::string name = target->name;
+    protocol.probes.erase(found);
+    Suspect(protocol, name, now);
+    return actions;
+  }
+  std::shuffle(helpers.begin(), helpers.end(), rng);
+  helpers.resize(std::min(helpers.size(), kIndirectMembers));
+  found->second.indirect = helpers.size();
+  for (const MemberRecord* helper : helpers) {
+    SendPingThrough through;
+    through.probe = probe;
+    through.address = helper->address;
+    through.request = {protocol.membership.self, target->address};
+    Spend(protocol, through.request);
+    actions.emplace_back(std::move(through));
+  }
+  return actions;
+}
+
+SendPing OnPingThrough(PeerProtocol& protocol,
+                       const PingThroughRequest& request,
+                       Time now) {
+  SendPing ping;
+  ping.probe = protocol.next_probe_id++;
+  ping.address = request.target_address;
+  ping.request = MakePingRequest(protocol, now);
+  Spend(protocol, ping.request);
+  return ping;
+}
+
+void OnPingThroughReply(PeerProtocol& protocol,
+                        std::uint64_t probe,
+                        const PingThroughReply& reply,
+                        Time now) {
+  if (!reply.reached) {
+    OnPingThroughTimeout(protocol, probe, now);
+    return;
+  }
+  OnPingReply(protocol, probe, reply.reply, now);
+}
+
+void OnPingThroughTimeout(PeerProtocol& protocol,
+                          std::uint64_t probe,
+                          Time now) {
+  const auto found = protocol.probes.find(probe);
+  if (found == protocol.probes.end() || --found->second.indirect > 0) {
+    return;
+  }
+  const std::string name = found->second.name;
+  protocol.probes.erase(found);
+  Suspect(protocol, name, now);
+}
+
+ExchangeReply OnExchange(PeerProtocol& protocol,
+                         const ExchangeRequest& request,
+                         Time now,
+                         std::mt19937_64& rng) {
+  RefillSendTokens(protocol, now);
+  ExchangeReply reply;
+  reply.member_digest = protocol.membership.digest;
+  if (request.wants_members) {
+    CompareMembers(protocol, request, rng, reply);
+  }
+  Spend(protocol, reply);
+  if (request.wants_subtrees) {
+    CompareSubtrees(protocol, request, reply);
+  }
+  return reply;
+}
+
+std::vector<PeerAction> OnExchangeReply(PeerProtocol& protocol,
+                                        const std::string& address,
+                                        const ExchangeReply& reply,
+                                        Time now) {
+  RefillSendTokens(protocol, now);
+  std::size_t moved = reply.wanted_members.size();
+  for (const MemberRecord& record : reply.members) {
+    moved += Merge(protocol, record, Source::kExchange, now) ? 1 : 0;
+  }
+  for (const SubtreeValue& subtree : reply.subtrees) {
+    Offer(protocol, subtree);
+  }
+  const std::size_t all_slices =
+      protocol.membership.members.size() / (kSliceMembers - 1) + 1;
+  if (moved >= kProductiveRecords) {
+    protocol.slices_left = all_slices;
+    protocol.next_exchange =
+        std::min(protocol.next_exchange, now + kExchangeRetry);
+  } else if (protocol.compares_digests &&
+             reply.member_digest != protocol.membership.digest) {
+    protocol.slices_left = all_slices;
+    HastenExchange(protocol, address, now);
+  }
+  protocol.compares_digests = false;
+  std::vector<PeerAction> actions;
+  SendPush push;
+  push.address = address;
+  push.request.sender = protocol.membership.self;
+  const std::size_t limit = Allowance(protocol, kMaxExchangeBytes);
+  std::size_t bytes = 0;
+  for (const MemberVersion& wanted : reply.wanted_members) {
+    const MemberRecord* record = FindMember(protocol.membership, wanted.name);
+    if (record != nullptr && bytes + EncodedSize(*record) <= limit) {
+      bytes += EncodedSize(*record);
+      push.request.rumors.push_back(*record);
+    }
+  }
+  if (!push.request.rumors.empty()) {
+    Spend(protocol, push.request);
+  }
+  push.request.subtrees = LookUpSubtrees(protocol, reply.wanted_subtrees);
+  if (!push.request.rumors.empty() || !push.request.subtrees.empty()) {
+    actions.emplace_back(std::move(push));
+  }
+  return actions;
+}
+
+PushReply OnPush(PeerProtocol& protocol, const PushRequest& request, Time now) {
+  for (const MemberRecord& record : request.rumors) {
+    Merge(protocol, record, Source::kRumor, now);
+  }
+  PushReply reply;
+  if (request.subtrees.empty()) {
+    return reply;
+  }
+  const auto ours = VersionsByTeam(protocol.config.versions());
+  for (const SubtreeValue& subtree : request.subtrees) {
+    if (!subtree.value.empty()) {
+      Offer(protocol, subtree);
+      continue;
+    }
+    SubtreeVersion held;
+    held.team = subtree.team;
+    const auto found = ours.find(subtree.team);
+    if (found != ours.end()) {
+      held = found->second;
+    }
+    // Several neighbours announce the same change; one of them sends it.
+    Time& expected = protocol.expected_teams[subtree.team];
+    if (std::tie(held.generation, held.revision) <
+            std::tie(subtree.generation, subtree.revision) &&
+        now >= expected) {
+      expected = now + kExpectedValueTimeout;
+      reply.subtrees.push_back(std::move(held));
+    }
+  }
+  return reply;
+}
+
+std::vector<PeerAction> OnPushReply(PeerProtocol& protocol,
+                                    const std::string& address,
+                                    const PushReply& reply) {
+  std::vector<PeerAction> actions;
+  SendPush push;
+  push.address = address;
+  push.request.sender = protocol.membership.self;
+  push.request.subtrees = LookUpSubtrees(protocol, reply.subtrees);
+  if (!push.request.subtrees.empty()) {
+    actions.emplace_back(std::move(push));
+  }
+  return actions;
+}
+
+void OnLocalStatusChange(PeerProtocol& protocol,
+                         std::vector<EndpointStatus> statuses,
+                         Time now) {
+  const MemberRecord& self = Self(protocol.membership);
+  NormalizeStatuses(statuses, self.address);
+  if (DiffersUrgently(self.endpoints, statuses)) {
+    protocol.pending_statuses.reset();
+    UpdateSelf(protocol.membership, MemberState::kAlive, std::move(statuses),
+               now);
+    PublishAtOnce(protocol);
+    return;
+  }
+  if (!WorthPublishing(self.endpoints, statuses)) {
+    protocol.pending_statuses.reset();
+    return;
+  }
+  protocol.pending_statuses = std::move(statuses);
+  PublishPending(protocol, now);
+}
+
+void OnLocalConfigChange(PeerProtocol& protocol, const std::string& team) {
+  protocol.announced_teams.insert(team);
+}
+
+void OnConfigContact(PeerProtocol& protocol, Time now) {
+  protocol.newest_config_contact =
+      std::max(protocol.newest_config_contact, now);
+}
+
+void BeginLeaving(PeerProtocol& protocol, Time now) {
+  UpdateSelf(protocol.membership, MemberState::kLeaving,
+             Self(protocol.membership).endpoints, now);
+  PublishAtOnce(protocol);
+}
+
+}  // namespace comfrey
--- /dev/null
+++ b/Source/core/reader_selection.cc
@@ -0,0 +1,77 @@
+#include "core/reader_selection.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <tuple>
+#include <utility>
+
+namespace comfrey {
+namespace {
+
+using Time = std::chrono::steady_clock::time_point;
+
+constexpr std::chrono::seconds kDrawPeriod{1};
+
+}  // namespace
+
+// A daemon that has just started sees few members and takes itself for a
+// reader. The random delay spreads these calls when a whole fleet starts.
+ReaderSelection MakeReaderSelection(Time now, std::mt19937_64& rng) {
+  std::uniform_int_distribution<std::int64_t> delay(
+      0, std::chrono::milliseconds(kMaxReadDelay).count());
+  const Time start = now + std::chrono::milliseconds(delay(rng));
+  return {start, start};
+}
+
+std::vector<std::string> SelectReaders(const Membership& membership,
+                                       const std::string& failure_domain) {
+  const std::uint64_t seed =
+      XXH64(failure_domain.data(), failure_domain.size(), 0);
+  // A leaving member is not a reader, unless no other member is left.
+  std::vector<std::tuple<bool, std::uint64_t, std::string>> candidates;
+  for (const auto& [name, entry] : membership.members) {
+    if (entry.record.failure_domain == failure_domain &&
+        !IsDead(entry.record)) {
+      candidates.emplace_back(entry.record.state != MemberState::kLeaving,
+                              XXH64(name.data(), name.size(), seed), name);
+    }
+  }
+  const std::size_t count = std::min(kReadersPerDomain, candidates.size());
+  std::partial_sort(candidates.begin(),
+                    candidates.begin() + static_cast<std::ptrdiff_t>(count),
+                    candidates.end(), std::greater<>());
+  std::vector<std::string> readers;
+  for (std::size_t i = 0; i < count; ++i) {
+    readers.push_back(std::get<2>(candidates[i]));
+  }
+  return readers;
+}
+
+ReadDecision DecideRead(ReaderSelection& selection,
+                        const Membership& membership,
+                        Time newest_contact,
+                        Time now,
+                        std::mt19937_64& rng) {
+  if (now < selection.not_before) {
+    return ReadDecision::kNone;
+  }
+  const std::vector<std::string> readers =
+      SelectReaders(membership, Self(membership).failure_domain);
+  if (std::find(readers.begin(), readers.end(), membership.self) !=
+      readers.end()) {
+    return ReadDecision::kReader;
+  }
+  const bool stale =
+      newest_contact == Time() || now - newest_contact > kStaleConfigAfter;
+  if (!stale || now < selection.next_draw) {
+    return ReadDecision::kNone;
+  }
+  selection.next_draw = now + kDrawPeriod;
+  std::uniform_int_distribution<std::size_t> draw(1, membership.live_count);
+  return draw(rng) == 1 ? ReadDecision::kOnce : ReadDecision::kNone;
+}
+
+}  // namespace comfrey
--- /dev/null
+++ b/Source/core/rumor_buffer.cc
@@ -0,0 +1,80 @@
+#include "core/rumor_buffer.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace comfrey {
+
+// Receipts count as uses as well as sends, so a rumor that most members have
+// stops early. Half of the uses are then sends. A background change may miss
+// some members until the next one or until anti-entropy.
+unsigned RumorLimit(MergeResult urgency, std::size_t members) {
+  unsigned log2 = 1;
+  while ((std::size_t{1} << log2) < members + 1) {
+    ++log2;
+  }
+  switch (urgency) {
+    case MergeResult::kUrgent:
+      return 2 * log2;
+    case MergeResult::kNormal:
+      return log2;
+    default:
+      return (log2 + 1) / 2;
+  }
+}
+
+void AddRumor(RumorBuffer& buffer,
+              const std::string& name,
+              MergeResult urgency) {
+  Rumor& rumor = buffer.rumors[name];
+  // A background change must not slow down an urgent one of the same record.
+  rumor.urgency = std::max(rumor.urgency, urgency);
+  rumor.uses = 0;
+  rumor.order = buffer.next_order++;
+}
+
+void NoteDuplicate(RumorBuffer& buffer, const std::string& name) {
+  const auto found = buffer.rumors.find(name);
+  if (found != buffer.rumors.end()) {
+    ++found->second.uses;
+  }
+}
+
+std::vector<MemberRecord> TakeRumors(RumorBuffer& buffer,
+                                     const Membership& membership,
+                                     std::size_t max_bytes) {
+  using Entry = std::map<std::string, Rumor>::iterator;
+  std::vector<Entry> entries;
+  entries.reserve(buffer.rumors.size());
+  for (auto it = buffer.rumors.begin(); it != buffer.rumors.end();) {
+    if (FindMember(membership, it->first) == nullptr ||
+        it->second.uses >=
+            RumorLimit(it->second.urgency, membership.live_count)) {
+      it = buffer.rumors.erase(it);
+      continue;
+    }
+    entries.push_back(it++);
+  }
+  std::sort(entries.begin(), entries.end(), [](Entry a, Entry b) {
+    return std::make_tuple(-static_cast<int>(a->second.urgency), a->second.uses,
+                           ~a->second.order) <
+           std::make_tuple(-static_cast<int>(b->second.urgency), b->second.uses,
+                           ~b->second.order);
+  });
+  std::vector<MemberRecord> records;
+  std::size_t bytes = 0;
+  for (const Entry& entry : entries) {
+    const MemberRecord& record = *FindMember(membership, entry->first);
+    const std::size_t size = EncodedSize(record);
+    if (bytes + size > max_bytes) {
+      continue;
+    }
+    bytes += size;
+    ++entry->second.uses;
+    records.push_back(record);
+  }
+  return records;
+}
+
+}  // namespace comfrey
