--- a/Source/core/endpoint_health.cc
+++ b/Source/core/endpoint_health.cc
@@ -166,11 +166,11 @@
   const double position = BucketPosition(threshold);
   const auto bucket = static_cast<std::size_t>(position);
   const double within = position - static_cast<double>(bucket);
-  double above = slot.latencies[bucket] * (1 - within);
+  unsigned above = 0;
   for (std::size_t i = bucket + 1; i < kLatencyBuckets; ++i) {
     above += slot.latencies[i];
   }
-  return above;
+  return above + slot.latencies[bucket] * (1 - within);
 }
 
 unsigned LatencySamples(const HealthSlot& slot) {
