Add comfreyctl

Cause: operators need to check configuration before it is published, and to see and operate the daemons.

Change: one source pair per command (check, status, drain and undrain, explain, burn, counters) on a common command line with one set of exit codes. Pages of several daemons are read 16 at a time, so that silent daemons do not add up their timeouts.

Conclusion: commands run against the formats of Source/report only, which the daemon still has to serve.

--- /dev/null
+++ b/Source/ctl/check_command.h
@@ -0,0 +1,35 @@
+#ifndef CTL_CHECK_COMMAND_H_
+#define CTL_CHECK_COMMAND_H_
+
+#include <string>
+#include <vector>
+
+#include "absl/strings/string_view.h"
+#include "config/ini_document.h"
+#include "ctl/command.h"
+#include "ctl/keys_rule.h"
+
+namespace comfrey {
+
+/// \brief The result of checking one file.
+struct FileCheck {
+  std::string file;
+  std::vector<IniError> errors;
+  /// Changes against the older file, if one was given.
+  std::vector<KeysChange> keys_changes;
+  /// The generation is lower than that of the older file, so that daemons
+  /// ignore the value.
+  bool lower_generation = false;
+};
+
+/// \brief Whether the file must not be published as it is.
+bool HasProblem(const FileCheck& check);
+
+std::string RenderChecks(const std::vector<FileCheck>& checks);
+std::string ChecksToJson(const std::vector<FileCheck>& checks);
+
+Command CheckCommand();
+
+}  // namespace comfrey
+
+#endif  // CTL_CHECK_COMMAND_H_
--- /dev/null
+++ b/Source/ctl/daemon_client.cc
@@ -0,0 +1,205 @@
+#include "ctl/daemon_client.h"
+
+#include <httplib.h>
+
+#include <algorithm>
+#include <atomic>
+#include <set>
+#include <thread>
+
+#include "absl/status/status.h"
+#include "absl/strings/ascii.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "base/duration_text.h"
+
+namespace comfrey {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+// Requests at the same time, so that many silent daemons do not add up their
+// timeouts.
+constexpr std::size_t kParallelRequests = 16;
+constexpr int kHttpOk = 200;
+constexpr std::chrono::milliseconds kMinTimeout{10};
+constexpr std::chrono::minutes kMaxTimeout{10};
+
+absl::StatusOr<std::vector<SocketAddress>> ParseDaemons(
+    absl::string_view text) {
+  std::vector<SocketAddress> daemons;
+  std::set<std::string> seen;
+  for (const absl::string_view item : absl::StrSplit(text, ',')) {
+    SocketAddress daemon;
+    const auto problem =
+        ReadSocketAddress(absl::StripAsciiWhitespace(item), daemon);
+    if (problem) {
+      return absl::InvalidArgumentError(absl::StrCat(
+          "--daemon \"", item, "\": ", problem->cause, "; ", problem->remedy));
+    }
+    // A daemon given twice would count twice in a sum.
+    if (!seen.insert(FormatSocketAddress(daemon)).second) {
+      return absl::InvalidArgumentError(
+          absl::StrCat("--daemon: ", FormatSocketAddress(daemon),
+                       " is listed twice; list each daemon once"));
+    }
+    daemons.push_back(std::move(daemon));
+  }
+  return daemons;
+}
+
+absl::StatusOr<std::chrono::microseconds> ReadTimeout(
+    const Arguments& arguments) {
+  if (!HasOption(arguments, "timeout")) {
+    return std::chrono::microseconds(kDefaultTimeout);
+  }
+  auto timeout = ParseDuration(OptionValue(arguments, "timeout"));
+  if (!timeout.ok()) {
+    return absl::InvalidArgumentError(
+        absl::StrCat("--timeout: ", timeout.status().message()));
+  }
+  if (*timeout < kMinTimeout || *timeout > kMaxTimeout) {
+    return absl::InvalidArgumentError(
+        absl::StrCat("--timeout ", OptionValue(arguments, "timeout"),
+                     " is out of range; write 10ms to 10m"));
+  }
+  return timeout;
+}
+
+std::string Origin(absl::string_view step, const SocketAddress& daemon) {
+  return absl::StrCat(step, " from ", FormatSocketAddress(daemon), ": ");
+}
+
+absl::Status Unreachable(const SocketAddress& daemon,
+                         absl::string_view step,
+                         absl::string_view cause) {
+  return absl::UnavailableError(absl::StrCat(
+      Origin(step, daemon), cause,
+      "; check that comfreyd runs there and that --daemon names its HTTP "
+      "port"));
+}
+
+absl::string_view CauseOf(httplib::Error error) {
+  switch (error) {
+    case httplib::Error::Connection:
+      return "the connection was refused";
+    case httplib::Error::ConnectionTimeout:
+      return "the connection was not accepted in time";
+    case httplib::Error::Read:
+      return "no complete response arrived in time";
+    default:
+      return "the connection failed";
+  }
+}
+
+}  // namespace
+
+std::vector<OptionRule> RemoteOptions() {
+  return {{"daemon", OptionKind::kValue},
+          {"timeout", OptionKind::kValue},
+          {"json", OptionKind::kSwitch}};
+}
+
+absl::StatusOr<DaemonTargets> ReadTargets(const Arguments& arguments) {
+  if (!HasOption(arguments, "daemon")) {
+    return absl::InvalidArgumentError(
+        "--daemon is missing; give the IP number and port of a daemon, for "
+        "example --daemon 127.0.1.1:8080");
+  }
+  auto daemons = ParseDaemons(OptionValue(arguments, "daemon"));
+  if (!daemons.ok()) {
+    return daemons.status();
+  }
+  const auto timeout = ReadTimeout(arguments);
+  if (!timeout.ok()) {
+    return timeout.status();
+  }
+  return DaemonTargets{*std::move(daemons), *timeout};
+}
+
+absl::StatusOr<DaemonTargets> ReadSingleTarget(const Arguments& arguments) {
+  auto targets = ReadTargets(arguments);
+  if (targets.ok() && targets->daemons.size() != 1) {
+    return absl::InvalidArgumentError(
+        "--daemon lists several daemons; this command takes one");
+  }
+  return targets;
+}
+
+absl::StatusOr<std::string> FetchPage(const SocketAddress& daemon,
+                                      const PageRequest& request,
+                                      std::chrono::microseconds timeout) {
+  httplib::Client client(daemon.ip, daemon.port);
+  client.set_connection_timeout(timeout);
+  client.set_read_timeout(timeout);
+  client.set_write_timeout(timeout);
+  httplib::Params parameters;
+  for (const auto& [name, value] : request.parameters) {
+    parameters.emplace(name, value);
+  }
+  const std::string target = parameters.empty() ? request.path
+                                                : httplib::append_query_params(
+                                                      request.path, parameters);
+
+  // The timeouts of the client hold for each read, so a daemon that sends
+  // byte by byte is cut off here.
+  const Clock::time_point deadline = Clock::now() + timeout;
+  bool late = false;
+  std::string body;
+  const httplib::Result result =
+      client.Get(target, [&](const char* data, std::size_t size) {
+        late = Clock::now() > deadline;
+        if (late || size > kMaxReplyBytes - body.size()) {
+          return false;
+        }
+        body.append(data, size);
+        return true;
+      });
+  if (!result) {
+    if (result.error() != httplib::Error::Canceled) {
+      return Unreachable(daemon, request.step, CauseOf(result.error()));
+    }
+    if (late) {
+      return Unreachable(daemon, request.step, CauseOf(httplib::Error::Read));
+    }
+    return BadReply(daemon, request.step,
+                    absl::OutOfRangeError("the response is too large"));
+  }
+  if (result->status != kHttpOk) {
+    return BadReply(daemon, request.step,
+                    absl::UnknownError(absl::StrCat(
+                        request.path, " has HTTP status ", result->status)));
+  }
+  return body;
+}
+
+std::vector<absl::StatusOr<std::string>> FetchPages(
+    const DaemonTargets& targets,
+    const PageRequest& request) {
+  const std::size_t count = targets.daemons.size();
+  std::vector<absl::StatusOr<std::string>> pages(count);
+  std::atomic<std::size_t> next{0};
+  std::vector<std::thread> threads;
+  for (std::size_t i = 0; i < std::min(count, kParallelRequests); i++) {
+    threads.emplace_back([&] {
+      for (std::size_t j = next++; j < count; j = next++) {
+        pages[j] = FetchPage(targets.daemons[j], request, targets.timeout);
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  return pages;
+}
+
+absl::Status BadReply(const SocketAddress& daemon,
+                      absl::string_view step,
+                      const absl::Status& cause) {
+  return absl::FailedPreconditionError(absl::StrCat(
+      Origin(step, daemon), cause.message(),
+      "; use a comfreyctl of the same release as the daemon, and its HTTP "
+      "port"));
+}
+
+}  // namespace comfrey
--- /dev/null
+++ b/Source/ctl/explain_command.h
@@ -0,0 +1,22 @@
+#ifndef CTL_EXPLAIN_COMMAND_H_
+#define CTL_EXPLAIN_COMMAND_H_
+
+#include <string>
+
+#include "ctl/command.h"
+#include "report/route_explanation.h"
+
+namespace comfrey {
+
+/// \brief Whether the request would not run: no route matches, no endpoint is
+/// in use, or the home of the key or an endpoint that must release it cannot
+/// be reached.
+bool HasProblem(const RouteExplanation& explanation);
+
+std::string RenderExplanation(const RouteExplanation& explanation);
+
+Command ExplainCommand();
+
+}  // namespace comfrey
+
+#endif  // CTL_EXPLAIN_COMMAND_H_
--- a/Source/report/burn_status.cc
+++ b/Source/report/burn_status.cc
@@ -54,6 +54,7 @@
     }
   }
   std::vector<WeightedBurn> weighted;
+  weighted.reserve(sums.size());
   for (const auto& [length, sum] : sums) {
     weighted.push_back({length, sum.worth > 0 ? sum.burn / sum.worth : 0});
   }
