Add tests of comfreyctl and of the reports

Cause: a field that is lost between daemon and comfreyctl, a change that breaks the keys rule unnoticed, or a wrong exit code would mislead operators and scripts.

Change: Tests/ctl with an in-process daemon (HTTP pages and the Drain call) on loopback addresses.

Conclusion: the daemon itself does not serve these pages yet, so the commands are tested against the stand-in only.

--- /dev/null
+++ b/Tests/ctl/fake_daemon.h
@@ -0,0 +1,65 @@
+#ifndef TESTS_CTL_FAKE_DAEMON_H_
+#define TESTS_CTL_FAKE_DAEMON_H_
+
+#include <grpcpp/grpcpp.h>
+#include <httplib.h>
+
+#include <atomic>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "peer.grpc.pb.h"
+
+namespace comfrey {
+
+/// \brief A page of a fake daemon.
+struct FakePage {
+  std::string body;
+  int status = 200;
+  /// Time before the response.
+  std::chrono::milliseconds delay{0};
+  /// Size of the body, which is then sent in parts of `part` bytes, one every
+  /// 20 ms; 0 to send `body`.
+  std::size_t dripped_bytes = 0;
+  std::size_t part = 1;
+};
+
+/// \brief A daemon that serves fixed pages, and Drain over gRPC, on free ports
+/// of the IP number.
+///
+/// What it received is read after the request has ended.
+class FakeDaemon : private rpc::Peer::Service {
+ public:
+  FakeDaemon(std::string ip, std::map<std::string, FakePage> pages);
+  ~FakeDaemon() override;
+
+  std::string HttpAddress() const;
+  std::string PeerAddress() const;
+
+  /// Query parameters of the last page, in the form name=value.
+  std::vector<std::string> parameters;
+  std::vector<rpc::DrainRequest> drains;
+  grpc::Status drain_status;
+  std::atomic<std::chrono::milliseconds> drain_delay{
+      std::chrono::milliseconds(0)};
+
+ private:
+  grpc::Status Drain(grpc::ServerContext* context,
+                     const rpc::DrainRequest* request,
+                     rpc::DrainReply* reply) override;
+
+  std::string ip;
+  int http_port = 0;
+  int peer_port = 0;
+  httplib::Server http;
+  std::thread http_thread;
+  std::unique_ptr<grpc::Server> peer;
+};
+
+}  // namespace comfrey
+
+#endif  // TESTS_CTL_FAKE_DAEMON_H_
--- /dev/null
+++ b/Tests/ctl/keys_rule_test.cc
@@ -0,0 +1,89 @@
+#include "ctl/keys_rule.h"
+
+#include "catch2/catch.hpp"
+
+namespace comfrey {
+namespace {
+
+using Phase = std::optional<KeysState>;
+
+constexpr Phase kAbsent = std::nullopt;
+constexpr Phase kJoining = KeysState::kJoining;
+constexpr Phase kActive = KeysState::kActive;
+constexpr Phase kLeaving = KeysState::kLeaving;
+
+TeamConfig MakeTeam(const Phase& phase, bool repeat_safe) {
+  TeamConfig team;
+  ServiceConfig service;
+  service.name = "booking";
+  service.endpoints = {{"127.0.1.1:8081", "127.0.1.1", 8081, *kActive}};
+  if (phase) {
+    service.endpoints.push_back({"127.0.1.2:8081", "127.0.1.2", 8081, *phase});
+  }
+  team.services = {service};
+  RouteConfig route;
+  route.service = "booking";
+  route.repeat_safe = repeat_safe;
+  team.routes = {route};
+  return team;
+}
+
+// Guards against a step of an endpoint that the rule forbids and the check
+// accepts, since a key could then run at two endpoints.
+TEST_CASE("each change of an endpoint is judged by the keys rule") {
+  constexpr Phase kPhases[] = {kAbsent, kJoining, kActive, kLeaving};
+  // From the phase of the row to that of the column: B breaks the rule, n is
+  // permitted after the retention time.
+  constexpr const char* kExpected[] = {"--B-",   // absent
+                                       "B-n-",   // joining
+                                       "B---",   // active
+                                       "n-B-"};  // leaving
+  for (int before = 0; before < 4; before++) {
+    for (int after = 0; after < 4; after++) {
+      INFO("phase " << before << " to " << after);
+      const char expected = kExpected[before][after];
+      const auto changes = CompareKeys(MakeTeam(kPhases[before], false),
+                                       MakeTeam(kPhases[after], false));
+      REQUIRE(changes.size() == (expected == '-' ? 0 : 1));
+      if (!changes.empty()) {
+        CHECK(changes[0].service == "booking");
+        CHECK(changes[0].endpoint == "127.0.1.2:8081");
+        CHECK(changes[0].breaks_rule == (expected == 'B'));
+        CHECK_THAT(changes[0].remedy, Catch::Contains("10m"));
+      }
+    }
+  }
+}
+
+// Guards against warnings about services without keys, which would teach
+// operators to ignore them, and against a silent service that has keys in one
+// of the versions only.
+TEST_CASE("only services with non-idempotent routes are compared") {
+  struct Case {
+    bool safe_before;
+    bool safe_after;
+    std::size_t expected;
+  };
+  for (const Case& c : {Case{true, true, 0}, Case{true, false, 1},
+                        Case{false, true, 1}, Case{false, false, 1}}) {
+    INFO(c.safe_before << " " << c.safe_after);
+    CHECK(CompareKeys(MakeTeam(kAbsent, c.safe_before),
+                      MakeTeam(kActive, c.safe_after))
+              .size() == c.expected);
+  }
+  CHECK(CompareKeys(TeamConfig(), MakeTeam(kActive, false)).empty());
+  CHECK(CompareKeys(MakeTeam(kActive, false), TeamConfig()).empty());
+}
+
+// Guards against a remedy that states the shorter one of two retention times.
+TEST_CASE("the longer retention time is stated") {
+  TeamConfig before = MakeTeam(kAbsent, false);
+  TeamConfig after = MakeTeam(kActive, false);
+  before.services[0].key_retention = std::chrono::hours(1);
+  CHECK_THAT(CompareKeys(before, after).at(0).remedy, Catch::Contains("1h"));
+  std::swap(before.services[0].key_retention, after.services[0].key_retention);
+  CHECK_THAT(CompareKeys(before, after).at(0).remedy, Catch::Contains("1h"));
+}
+
+}  // namespace
+}  // namespace comfrey
