--- a/Source/ctl/explain_command.cc
+++ b/Source/ctl/explain_command.cc
@@ -21,10 +21,9 @@
     "Usage: comfreyctl explain --daemon IP:HTTP_PORT METHOD PATH [OPTION]...\n"
     "\n"
     "PATH is the request target with the prefix of the team, for example\n"
-    "/salon/visits. The exit code is 1 if the request would not run: no route\n"
-    "matches, no endpoint is in use, or the home of the key or an endpoint "
-    "that\n"
-    "must release it cannot be reached.\n"
+    "/salon/visits. The exit code is 1 if the request would not run: no\n"
+    "route matches, no endpoint is in use, the home of the key is draining,\n"
+    "or the home or an endpoint that must release the key cannot be reached.\n"
     "\n"
     "Options:\n"
     "  --daemon IP:HTTP_PORT    the daemon that would receive the request\n"
@@ -160,9 +159,10 @@
     return std::none_of(route.endpoints.begin(), route.endpoints.end(),
                         &TakesWork);
   }
-  // An ejected or draining endpoint may still be the home of a key, so only
-  // its reachability is judged.
+  // An ejected endpoint may still be the home of a key, and a draining one may
+  // still release it.
   return !route.key->home || !route.key->home->owner_reachable ||
+         route.key->home->draining ||
          std::any_of(
              route.key->must_release.begin(), route.key->must_release.end(),
              [](const ExplainedEndpoint& e) { return !e.owner_reachable; });
--- a/Source/ctl/explain_command.h
+++ b/Source/ctl/explain_command.h
@@ -9,8 +9,8 @@
 namespace comfrey {
 
 /// \brief Whether the request would not run: no route matches, no endpoint is
-/// in use, or the home of the key or an endpoint that must release it cannot
-/// be reached.
+/// in use, the home of the key is draining, or it or an endpoint that must
+/// release the key cannot be reached.
 bool HasProblem(const RouteExplanation& explanation);
 
 std::string RenderExplanation(const RouteExplanation& explanation);
--- a/Tests/ctl/render_test.cc
+++ b/Tests/ctl/render_test.cc
@@ -151,6 +151,8 @@
       {"no home", keyed, [](ExplainedRoute& r) { r.key->home.reset(); }, true},
       {"home unreachable", keyed,
        [](ExplainedRoute& r) { r.key->home->owner_reachable = false; }, true},
+      {"home draining", keyed,
+       [](ExplainedRoute& r) { r.key->home->draining = true; }, true},
       {"not released", SampleKeyedExplanation(), [](ExplainedRoute&) {}, true},
   };
   for (const Case& c : cases) {
