Join daemons into a fleet and prove leaving, keys and configuration

Each daemon now takes part in membership, spreads configuration and endpoint status, reads the configuration service only while it is selected as a reader, recovers the key records of its endpoints from the journals of all members, probes its backend servers, and tells the daemons of VMs that the platform lists as leaving. Status, burn and explanation pages feed comfreyctl.

Cause: configuration came only from the service, keyed requests were refused since nothing confirmed the placement, and a planned stop was seen by peers only as refusals.

--- a/Source/core/peer_message.cc
+++ b/Source/core/peer_message.cc
@@ -53,7 +53,7 @@
   return EncodedSize(version);
 }
 
-std::size_t Field(const SubtreeVersion& version) {
+std::size_t Field(const AnnouncedVersion& version) {
   return NestedField(TextField(version.team) +
                      VersionField(version.generation, version.revision) +
                      NumberField(version.digest));
--- a/Source/core/peer_message.h
+++ b/Source/core/peer_message.h
@@ -58,7 +58,7 @@
 
 /// \brief Version of a team's configuration; `digest` is the 64-bit xxHash of
 /// the value. Generation 0 stands for no configuration.
-struct SubtreeVersion {
+struct AnnouncedVersion {
   std::string team;
   std::uint64_t generation = 0;
   std::uint64_t revision = 0;
@@ -111,7 +111,7 @@
   std::string sender;
   std::uint64_t member_digest = 0;
   std::vector<MemberVersion> members;
-  std::vector<SubtreeVersion> subtrees;
+  std::vector<AnnouncedVersion> subtrees;
   bool wants_members = false;
   bool wants_subtrees = false;
 };
@@ -121,7 +121,7 @@
   std::vector<MemberRecord> members;
   std::vector<MemberVersion> wanted_members;
   std::vector<SubtreeValue> subtrees;
-  std::vector<SubtreeVersion> wanted_subtrees;
+  std::vector<AnnouncedVersion> wanted_subtrees;
 };
 
 struct PushRequest {
@@ -133,7 +133,7 @@
 /// \brief Versions that the receiver holds of announced subtrees that are
 /// newer at the sender.
 struct PushReply {
-  std::vector<SubtreeVersion> subtrees;
+  std::vector<AnnouncedVersion> subtrees;
 };
 
 /// \brief Bytes that HTTP/2 and gRPC framing are assumed to add per message.
--- a/Source/core/peer_protocol.cc
+++ b/Source/core/peer_protocol.cc
@@ -557,15 +557,15 @@
   return first <= name || name <= last;
 }
 
-bool IsOlder(const SubtreeVersion& a, const SubtreeVersion& b) {
+bool IsOlder(const AnnouncedVersion& a, const AnnouncedVersion& b) {
   return std::tie(a.generation, a.revision, a.digest) <
          std::tie(b.generation, b.revision, b.digest);
 }
 
-std::map<std::string, SubtreeVersion> VersionsByTeam(
-    std::vector<SubtreeVersion> versions) {
-  std::map<std::string, SubtreeVersion> by_team;
-  for (SubtreeVersion& version : versions) {
+std::map<std::string, AnnouncedVersion> VersionsByTeam(
+    std::vector<AnnouncedVersion> versions) {
+  std::map<std::string, AnnouncedVersion> by_team;
+  for (AnnouncedVersion& version : versions) {
     by_team[version.team] = std::move(version);
   }
   return by_team;
@@ -658,10 +658,10 @@
 
 std::vector<SubtreeValue> LookUpSubtrees(
     const PeerProtocol& protocol,
-    const std::vector<SubtreeVersion>& wanted) {
+    const std::vector<AnnouncedVersion>& wanted) {
   std::vector<SubtreeValue> subtrees;
   std::size_t bytes = 0;
-  for (const SubtreeVersion& version : wanted) {
+  for (const AnnouncedVersion& version : wanted) {
     auto subtree = protocol.config.look_up(version.team);
     if (subtree && bytes <= kMaxSubtreeBytes) {
       bytes += subtree->value.size();
@@ -973,7 +973,7 @@
       Offer(protocol, subtree);
       continue;
     }
-    SubtreeVersion held;
+    AnnouncedVersion held;
     held.team = subtree.team;
     const auto found = ours.find(subtree.team);
     if (found != ours.end()) {
--- a/Source/core/peer_protocol.h
+++ b/Source/core/peer_protocol.h
@@ -46,7 +46,7 @@
 /// The functions must not call back into the protocol.
 struct ConfigAccess {
   /// Versions of all teams that this daemon holds.
-  std::function<std::vector<SubtreeVersion>()> versions;
+  std::function<std::vector<AnnouncedVersion>()> versions;
   /// Digest of these versions, the same on daemons with equal versions.
   std::function<std::uint64_t()> digest;
   std::function<std::optional<SubtreeValue>(const std::string& team)> look_up;
--- /dev/null
+++ b/Source/daemon/config_keeper.cc
@@ -0,0 +1,144 @@
+#include "daemon/config_keeper.h"
+
+#include <spdlog/spdlog.h>
+
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+
+namespace comfrey {
+
+ConfigKeeper::ConfigKeeper(std::size_t bootstrap_peers,
+                           std::size_t seeds,
+                           CounterRegistry& counters,
+                           PublishFunction publish)
+    : publish(std::move(publish)),
+      accepted(counters.Counter("comfrey_config_accepted_total")),
+      older(counters.Counter("comfrey_config_older_total")),
+      invalid(counters.Counter("comfrey_config_invalid_total")),
+      conflicts(counters.Counter("comfrey_config_conflicts_total")),
+      gate(MakeBootstrapGate(bootstrap_peers,
+                             seeds,
+                             std::chrono::steady_clock::now())) {}
+
+bool ConfigKeeper::OfferFromService(const std::string& team,
+                                    std::uint64_t revision,
+                                    const std::string& text) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->FinishOffer(team, "the configuration service",
+                           OfferRevision(this->store, team, revision, text));
+}
+
+ConfigAccess ConfigKeeper::Access() {
+  ConfigAccess access;
+  access.versions = [this] {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    std::vector<AnnouncedVersion> versions;
+    for (const SubtreeVersion& version : ListVersions(this->store)) {
+      versions.push_back({version.team, version.version.generation,
+                          version.version.revision, version.content_hash});
+    }
+    return versions;
+  };
+  access.digest = [this] {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    return this->store.digest;
+  };
+  access.look_up =
+      [this](const std::string& team) -> std::optional<SubtreeValue> {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    const auto found = this->store.subtrees.find(team);
+    if (found == this->store.subtrees.end()) {
+      return std::nullopt;
+    }
+    const Subtree& subtree = *found->second;
+    return SubtreeValue{team, subtree.version.generation,
+                        subtree.version.revision, subtree.text};
+  };
+  access.offer = [this](const SubtreeValue& subtree) {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    return this->FinishOffer(
+        subtree.team, "a peer",
+        OfferSubtree(this->store, subtree.team,
+                     {subtree.generation, subtree.revision}, subtree.value));
+  };
+  return access;
+}
+
+bool ConfigKeeper::FinishOffer(const std::string& team,
+                               const std::string& source,
+                               OfferOutcome outcome) {
+  switch (outcome) {
+    case OfferOutcome::kAccepted:
+      this->accepted.Add();
+      break;
+    case OfferOutcome::kOlder:
+      this->older.Add();
+      break;
+    case OfferOutcome::kInvalid:
+      this->invalid.Add();
+      spdlog::warn("configuration of team {} from {} refused:\n{}", team,
+                   source,
+                   FormatIniErrors(this->store.rejected.at(team).errors));
+      break;
+    case OfferOutcome::kConflictKept:
+    case OfferOutcome::kConflictReplaced:
+      this->conflicts.Add();
+      break;
+    case OfferOutcome::kSame:
+      break;
+  }
+  if (!ChangedStore(outcome)) {
+    return false;
+  }
+  const ConfigVersion& version = this->store.subtrees.at(team)->version;
+  auto next = std::make_shared<const ConfigStore>(this->store);
+  this->publish(next);
+  this->holder.Replace(std::move(next));
+  spdlog::info(
+      "configuration of team {} generation {} revision {} in force, "
+      "from {}",
+      team, version.generation, version.revision, source);
+  return true;
+}
+
+// A peer whose digest differs is not recorded: the exchange that follows makes
+// the two equal, unless this daemon refuses what the peer holds.
+bool ConfigKeeper::ComparePeer(const std::string& peer,
+                               bool starting,
+                               std::uint64_t digest) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  if (digest != this->store.digest) {
+    return false;
+  }
+  if (!this->gate.ready) {
+    RecordPeerVersions(this->gate, peer, starting, ListVersions(this->store));
+  }
+  return true;
+}
+
+void ConfigKeeper::Tick(TimePoint now) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  if (this->gate.ready) {
+    return;
+  }
+  this->state = UpdateBootstrap(this->gate, this->store, now);
+  if (this->state == BootstrapState::kReady) {
+    this->ready = true;
+    spdlog::info("ready");
+  }
+}
+
+ConfigStore ConfigKeeper::Snapshot() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->store;
+}
+
+std::string ConfigKeeper::BootstrapReason() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->gate.ready ? "" : std::string(FormatBootstrapState(this->state));
+}
+
+}  // namespace comfrey
--- a/Source/daemon/config_watcher.cc
+++ b/Source/daemon/config_watcher.cc
@@ -9,7 +9,8 @@
 namespace {
 
 constexpr char kPrefix[] = "/comfreywood/";
-// A stop waits for the end of a watch, so a watch is short.
+// A stop waits for the end of a watch, so a watch is short. Two readers a
+// failure domain make 14 calls a second at the target size.
 constexpr std::chrono::milliseconds kWatchTime{1000};
 constexpr std::chrono::milliseconds kRetryDelay{500};
 
@@ -17,11 +18,11 @@
 
 ConfigWatcher::ConfigWatcher(ConfigServiceClient client,
                              CounterRegistry& counters,
-                             ValueCallback on_value)
+                             ConfigWatcherHooks hooks)
     : client(std::move(client)),
       reads(counters.Counter("comfrey_config_reads_total")),
       failed_reads(counters.Counter("comfrey_config_failed_reads_total")),
-      on_value(std::move(on_value)) {}
+      hooks(std::move(hooks)) {}
 
 ConfigWatcher::~ConfigWatcher() {
   this->Stop();
@@ -31,38 +32,71 @@
   this->thread = std::thread([this] { this->Run(); });
 }
 
+void ConfigWatcher::SetDecision(ReadDecision next) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->decision = next;
+  this->changed.notify_all();
+}
+
+bool ConfigWatcher::IsReader() const {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->decision == ReadDecision::kReader;
+}
+
 void ConfigWatcher::Stop() {
-  this->stopping = true;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->stopping = true;
+    this->changed.notify_all();
+  }
   if (this->thread.joinable()) {
     this->thread.join();
   }
 }
 
 void ConfigWatcher::Run() {
-  std::uint64_t revision = 0;
-  bool available = true;
+  std::unique_lock<std::mutex> lock(this->mutex);
   while (!this->stopping) {
-    this->reads.Add();
-    const absl::StatusOr<TreeUpdate> update =
-        this->client.ReadTree(kPrefix, revision, kWatchTime);
-    if (update.ok() != available) {
-      available = update.ok();
-      spdlog::warn(
-          "configuration service {}",
-          available ? "available" : std::string(update.status().message()));
-    }
-    if (!update.ok()) {
-      this->failed_reads.Add();
-      std::this_thread::sleep_for(kRetryDelay);
+    if (this->decision == ReadDecision::kNone) {
+      this->changed.wait(lock);
       continue;
     }
-    for (const ServiceValue& value : update->values) {
-      this->on_value(value);
+    if (this->decision == ReadDecision::kOnce) {
+      this->decision = ReadDecision::kNone;
     }
-    // A lower revision is one of a stale or restored service; reading from it
-    // again shows values that are written there later.
-    revision = update->revision;
+    lock.unlock();
+    const bool ok = this->ReadOnce();
+    lock.lock();
+    if (!ok) {
+      this->changed.wait_for(lock, kRetryDelay,
+                             [this] { return this->stopping; });
+    }
+  }
+}
+
+bool ConfigWatcher::ReadOnce() {
+  this->reads.Add();
+  const auto requested_at = std::chrono::steady_clock::now();
+  const absl::StatusOr<TreeUpdate> update =
+      this->client.ReadTree(kPrefix, this->revision, kWatchTime);
+  if (update.ok() != this->available) {
+    this->available = update.ok();
+    spdlog::warn("configuration service: {}",
+                 this->available ? "available again"
+                                 : std::string(update.status().message()));
+  }
+  if (!update.ok()) {
+    this->failed_reads.Add();
+    return false;
+  }
+  for (const ServiceValue& value : update->values) {
+    this->hooks.on_value(value);
   }
+  // A lower revision is one of a stale or restored service; reading from it
+  // again shows values that are written there later.
+  this->revision = update->revision;
+  this->hooks.on_contact(requested_at);
+  return true;
 }
 
 }  // namespace comfrey
--- a/Source/daemon/config_watcher.h
+++ b/Source/daemon/config_watcher.h
@@ -2,22 +2,33 @@
 #define DAEMON_CONFIG_WATCHER_H_
 
 #include <atomic>
+#include <chrono>
+#include <condition_variable>
 #include <functional>
+#include <mutex>
 #include <thread>
 
 #include "base/counters.h"
+#include "core/reader_selection.h"
 #include "daemon/config_service_client.h"
 
 namespace comfrey {
 
-/// \brief Watches the configuration service on a thread of its own.
+/// \brief Functions that the watcher calls on its thread.
+struct ConfigWatcherHooks {
+  std::function<void(const ServiceValue& value)> on_value;
+  /// After each successful read, with the time before it was sent.
+  std::function<void(std::chrono::steady_clock::time_point requested_at)>
+      on_contact;
+};
+
+/// \brief Watches the configuration service on a thread of its own, while this
+/// daemon is a reader.
 class ConfigWatcher {
  public:
-  using ValueCallback = std::function<void(const ServiceValue& value)>;
-
   ConfigWatcher(ConfigServiceClient client,
                 CounterRegistry& counters,
-                ValueCallback on_value);
+                ConfigWatcherHooks hooks);
   ~ConfigWatcher();
 
   ConfigWatcher(const ConfigWatcher&) = delete;
@@ -25,17 +36,28 @@
 
   void Start();
 
+  /// \brief Says whether to watch, to read once, or to wait.
+  void SetDecision(ReadDecision next);
+
+  bool IsReader() const;
+
   /// \brief Ends the thread; waits for a read in progress.
   void Stop();
 
  private:
   void Run();
+  bool ReadOnce();
 
   ConfigServiceClient client;
   Metric& reads;
   Metric& failed_reads;
-  ValueCallback on_value;
-  std::atomic<bool> stopping{false};
+  ConfigWatcherHooks hooks;
+  mutable std::mutex mutex;
+  std::condition_variable changed;
+  ReadDecision decision = ReadDecision::kNone;
+  bool stopping = false;
+  std::uint64_t revision = 0;
+  bool available = true;
   std::thread thread;
 };
 
--- a/Source/daemon/endpoint_directory.cc
+++ b/Source/daemon/endpoint_directory.cc
@@ -293,23 +293,26 @@
              RetryVerdict::kAllowed;
 }
 
-std::vector<EndpointReport> EndpointDirectory::Report() {
+std::vector<EndpointSnapshot> EndpointDirectory::Report() {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  std::vector<EndpointReport> reports;
+  std::vector<EndpointSnapshot> reports;
   for (auto& [id, service] : this->services) {
     this->UpdatePlan(service);
-    std::set<std::size_t> in_use;
+    const std::size_t first = reports.size();
+    for (const Endpoint& endpoint : service.endpoints) {
+      reports.push_back({id, endpoint.address, endpoint.view, endpoint.reason,
+                         endpoint.latency, false, 0, false});
+    }
     for (const auto* group :
          {&service.plan.same_failure_domain, &service.plan.same_region,
           &service.plan.other_regions}) {
       for (const PlannedEndpoint& planned : *group) {
-        in_use.insert(planned.view);
+        reports[first + planned.view].in_use = true;
+        reports[first + planned.view].share = planned.slot_share;
       }
     }
-    for (std::size_t i = 0; i < service.endpoints.size(); ++i) {
-      const Endpoint& endpoint = service.endpoints[i];
-      reports.push_back({id, endpoint.address, endpoint.view, endpoint.reason,
-                         endpoint.latency, in_use.count(i) > 0});
+    for (const std::uint32_t ejected : service.plan.ejected) {
+      reports[first + ejected].ejection_honoured = true;
     }
   }
   return reports;
--- a/Source/daemon/endpoint_directory.h
+++ b/Source/daemon/endpoint_directory.h
@@ -47,13 +47,16 @@
 }
 
 /// \brief One endpoint as the ingress sees it, for reports.
-struct EndpointReport {
+struct EndpointSnapshot {
   ServiceId service;
   std::string address;
   EndpointView view;
   VerdictReason reason = VerdictReason::kNone;
   std::chrono::microseconds latency{0};
   bool in_use = false;
+  /// Percent of its full share of requests, if in use.
+  unsigned share = 100;
+  bool ejection_honoured = false;
 };
 
 /// \brief What the ingress knows of all endpoints of the fleet; thread-safe.
@@ -97,7 +100,7 @@
                    RepeatPolicy repeat,
                    AttemptEnd previous);
 
-  std::vector<EndpointReport> Report();
+  std::vector<EndpointSnapshot> Report();
 
  private:
   struct Endpoint {
--- a/Source/daemon/http_frontend.cc
+++ b/Source/daemon/http_frontend.cc
@@ -5,9 +5,11 @@
 #include <chrono>
 #include <utility>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
 #include "daemon/connection_pool.h"
 
 namespace comfrey {
@@ -98,6 +100,23 @@
   mutable_request.headers.erase("Accept-Encoding");
 }
 
+ExplainQuery ReadExplainQuery(const httplib::Request& request) {
+  ExplainQuery query;
+  query.method = request.get_param_value("method");
+  query.target = request.get_param_value("target");
+  query.key = request.get_param_value("key");
+  const std::size_t count = request.get_param_value_count("header");
+  for (std::size_t i = 0; i < count; ++i) {
+    const std::string header = request.get_param_value("header", i);
+    const std::pair<absl::string_view, absl::string_view> parts =
+        absl::StrSplit(header, absl::MaxSplits(':', 1));
+    query.headers.push_back(
+        {std::string(absl::StripAsciiWhitespace(parts.first)),
+         std::string(absl::StripAsciiWhitespace(parts.second))});
+  }
+  return query;
+}
+
 void WriteHeaders(const HttpResponse& reply, httplib::Response& response) {
   response.status = reply.status;
   for (const HttpHeader& header : reply.headers) {
@@ -202,6 +221,14 @@
   this->server->Get("/comfrey/status", [this](const auto&, auto& response) {
     response.set_content(this->pages.status(), "application/json");
   });
+  this->server->Get("/comfrey/burn", [this](const auto&, auto& response) {
+    response.set_content(this->pages.burn(), "application/json");
+  });
+  this->server->Get(
+      "/comfrey/explain", [this](const auto& request, auto& response) {
+        response.set_content(this->pages.explain(ReadExplainQuery(request)),
+                             "application/json");
+      });
   this->server->Get("/comfrey/readyz", [this](const auto&, auto& response) {
     const bool ready = this->pages.ready();
     response.status = ready ? 200 : kUnavailable;
--- a/Source/daemon/http_frontend.h
+++ b/Source/daemon/http_frontend.h
@@ -9,6 +9,7 @@
 
 #include "absl/status/status.h"
 #include "base/counters.h"
+#include "daemon/daemon_pages.h"
 #include "daemon/ingress.h"
 
 namespace httplib {
@@ -30,6 +31,8 @@
 struct FrontendPages {
   std::function<bool()> ready;
   std::function<std::string()> status;
+  std::function<std::string()> burn;
+  std::function<std::string(const ExplainQuery&)> explain;
 };
 
 /// \brief HTTP/1.1 server for callers and operators' reads.
--- /dev/null
+++ b/Source/daemon/peer_runner.cc
@@ -0,0 +1,342 @@
+#include "daemon/peer_runner.h"
+
+#include <grpcpp/grpcpp.h>
+
+#include <memory>
+#include <utility>
+#include <variant>
+
+#include "absl/strings/str_cat.h"
+#include "daemon/forward_call.h"
+#include "daemon/peer_message_conversion.h"
+
+namespace comfrey {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+// One asynchronous call; kept alive by its callback.
+template <typename Request, typename Reply>
+struct PeerCall {
+  std::shared_ptr<PeerChannel> channel;
+  grpc::ClientContext context;
+  Request request;
+  Reply reply;
+};
+
+void StartCall(rpc::Peer::StubInterface::async_interface* stub,
+               PeerCall<rpc::PingRequest, rpc::PingReply>& call,
+               std::function<void(grpc::Status)> done) {
+  stub->Ping(&call.context, &call.request, &call.reply, std::move(done));
+}
+
+void StartCall(rpc::Peer::StubInterface::async_interface* stub,
+               PeerCall<rpc::PingThroughRequest, rpc::PingThroughReply>& call,
+               std::function<void(grpc::Status)> done) {
+  stub->PingThrough(&call.context, &call.request, &call.reply, std::move(done));
+}
+
+void StartCall(rpc::Peer::StubInterface::async_interface* stub,
+               PeerCall<rpc::ExchangeRequest, rpc::ExchangeReply>& call,
+               std::function<void(grpc::Status)> done) {
+  stub->Exchange(&call.context, &call.request, &call.reply, std::move(done));
+}
+
+void StartCall(rpc::Peer::StubInterface::async_interface* stub,
+               PeerCall<rpc::PushRequest, rpc::PushReply>& call,
+               std::function<void(grpc::Status)> done) {
+  stub->Push(&call.context, &call.request, &call.reply, std::move(done));
+}
+
+// A published record abbreviates endpoints at the address of its member.
+MemberRecord WithFullAddresses(MemberRecord record) {
+  for (EndpointStatus& status : record.endpoints) {
+    if (!status.endpoint.empty() && status.endpoint.front() == ':') {
+      status.endpoint = record.address + status.endpoint;
+    }
+  }
+  return record;
+}
+
+template <typename Message, typename Core>
+Message Convert(const Core& core) {
+  Message message;
+  ToProto(core, message);
+  return message;
+}
+
+}  // namespace
+
+PeerRunner::PeerRunner(MemberRecord self,
+                       std::vector<std::string> seeds,
+                       int peer_port,
+                       ChannelPool& channels,
+                       CounterRegistry& counters,
+                       PeerRunnerHooks hooks)
+    : peer_port(peer_port),
+      channels(channels),
+      hooks(std::move(hooks)),
+      sent_messages(counters.Counter("comfrey_peer_sent_messages_total")),
+      sent_bytes(counters.Counter("comfrey_peer_sent_bytes_total")),
+      received_messages(
+          counters.Counter("comfrey_peer_received_messages_total")),
+      received_bytes(counters.Counter("comfrey_peer_received_bytes_total")),
+      live_members(counters.Gauge("comfrey_peer_live_members")),
+      rng(std::random_device()()),
+      protocol(MakePeerProtocol(std::move(self),
+                                {std::move(seeds)},
+                                this->hooks.config,
+                                Clock::now(),
+                                this->rng)),
+      readers(MakeReaderSelection(Clock::now(), this->rng)) {}
+
+PeerRunner::~PeerRunner() {
+  std::unique_lock<std::mutex> lock(this->calls_mutex);
+  this->calls_ended.wait(lock, [this] { return this->calls == 0; });
+}
+
+void PeerRunner::Tick(TimePoint now) {
+  std::vector<PeerAction> actions;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    actions = comfrey::Tick(this->protocol, now, this->rng);
+    this->live_members.Set(
+        static_cast<std::int64_t>(this->protocol.membership.live_count));
+  }
+  this->Perform(actions);
+}
+
+void PeerRunner::SetStatuses(std::vector<EndpointStatus> statuses) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  OnLocalStatusChange(this->protocol, std::move(statuses), Clock::now());
+}
+
+void PeerRunner::AnnounceConfig(const std::string& team) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  OnLocalConfigChange(this->protocol, team);
+}
+
+void PeerRunner::NoteConfigContact(TimePoint now) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  OnConfigContact(this->protocol, now);
+}
+
+void PeerRunner::BeginLeaving() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  comfrey::BeginLeaving(this->protocol, Clock::now());
+}
+
+ReadDecision PeerRunner::DecideConfigRead(TimePoint now) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return DecideRead(this->readers, this->protocol.membership,
+                    this->protocol.newest_config_contact, now, this->rng);
+}
+
+std::vector<MemberRecord> PeerRunner::Members() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  std::vector<MemberRecord> members;
+  members.reserve(this->protocol.membership.members.size());
+  for (const auto& [name, entry] : this->protocol.membership.members) {
+    members.push_back(WithFullAddresses(entry.record));
+  }
+  return members;
+}
+
+std::vector<MemberRecord> PeerRunner::TakeChangedMembers() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  std::vector<MemberRecord> changed;
+  for (const auto& [name, entry] : this->protocol.membership.members) {
+    const MemberRecord& record = entry.record;
+    MemberVersion& version = this->taken[name];
+    if (version.incarnation != record.incarnation ||
+        version.sequence != record.sequence) {
+      version = {name, record.incarnation, record.sequence};
+      changed.push_back(WithFullAddresses(record));
+    }
+  }
+  return changed;
+}
+
+void PeerRunner::HandlePing(const rpc::PingRequest& request,
+                            rpc::PingReply& reply) {
+  this->received_messages.Add();
+  this->received_bytes.Add(static_cast<std::int64_t>(request.ByteSizeLong()));
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    ToProto(OnPing(this->protocol, FromProto(request), Clock::now(), this->rng),
+            reply);
+  }
+  reply.set_starting(this->hooks.starting());
+  this->sent_bytes.Add(static_cast<std::int64_t>(reply.ByteSizeLong()));
+}
+
+// Runs on a server thread, which waits for the ping to the target.
+void PeerRunner::HandlePingThrough(const rpc::PingThroughRequest& request,
+                                   rpc::PingThroughReply& reply) {
+  SendPing action;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    action = OnPingThrough(this->protocol, FromProto(request), Clock::now());
+  }
+  const std::shared_ptr<PeerChannel> channel =
+      this->channels.Get(absl::StrCat(action.address, ":", this->peer_port));
+  grpc::ClientContext context;
+  context.set_deadline(ToSystemTime(Clock::now() + action.timeout));
+  const bool reached =
+      channel->stub
+          ->Ping(&context, Convert<rpc::PingRequest>(action.request),
+                 reply.mutable_reply())
+          .ok();
+  reply.set_reached(reached);
+  if (reached) {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    OnPingReply(this->protocol, action.probe, FromProto(reply.reply()),
+                Clock::now());
+  }
+}
+
+void PeerRunner::HandleExchange(const rpc::ExchangeRequest& request,
+                                rpc::ExchangeReply& reply) {
+  this->received_messages.Add();
+  this->received_bytes.Add(static_cast<std::int64_t>(request.ByteSizeLong()));
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    ToProto(
+        OnExchange(this->protocol, FromProto(request), Clock::now(), this->rng),
+        reply);
+  }
+  this->sent_bytes.Add(static_cast<std::int64_t>(reply.ByteSizeLong()));
+}
+
+void PeerRunner::HandlePush(const rpc::PushRequest& request,
+                            rpc::PushReply& reply) {
+  this->received_messages.Add();
+  this->received_bytes.Add(static_cast<std::int64_t>(request.ByteSizeLong()));
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  ToProto(OnPush(this->protocol, FromProto(request), Clock::now()), reply);
+}
+
+void PeerRunner::Perform(const std::vector<PeerAction>& actions) {
+  for (const PeerAction& action : actions) {
+    std::visit([this](const auto& specific) { this->Perform(specific); },
+               action);
+  }
+}
+
+void PeerRunner::Perform(const SendPing& action) {
+  const TimePoint requested_at = Clock::now();
+  const std::uint64_t probe = action.probe;
+  const std::string address = action.address;
+  this->Start<rpc::PingRequest, rpc::PingReply>(
+      address, action.timeout, Convert<rpc::PingRequest>(action.request),
+      [this, probe, address, requested_at](bool ok,
+                                           const rpc::PingReply& reply) {
+        std::vector<PeerAction> next;
+        {
+          const std::lock_guard<std::mutex> lock(this->mutex);
+          if (ok) {
+            OnPingReply(this->protocol, probe, FromProto(reply), Clock::now());
+          } else {
+            next =
+                OnPingTimeout(this->protocol, probe, Clock::now(), this->rng);
+          }
+        }
+        if (ok) {
+          this->Confirm(address, reply, requested_at);
+        }
+        this->Perform(next);
+      });
+}
+
+void PeerRunner::Perform(const SendPingThrough& action) {
+  const std::uint64_t probe = action.probe;
+  this->Start<rpc::PingThroughRequest, rpc::PingThroughReply>(
+      action.address, action.timeout,
+      Convert<rpc::PingThroughRequest>(action.request),
+      [this, probe](bool ok, const rpc::PingThroughReply& reply) {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        if (ok) {
+          OnPingThroughReply(this->protocol, probe, FromProto(reply),
+                             Clock::now());
+        } else {
+          OnPingThroughTimeout(this->protocol, probe, Clock::now());
+        }
+      });
+}
+
+void PeerRunner::Perform(const SendExchange& action) {
+  const std::string address = action.address;
+  this->Start<rpc::ExchangeRequest, rpc::ExchangeReply>(
+      address, action.timeout, Convert<rpc::ExchangeRequest>(action.request),
+      [this, address](bool ok, const rpc::ExchangeReply& reply) {
+        if (!ok) {
+          return;
+        }
+        std::vector<PeerAction> next;
+        {
+          const std::lock_guard<std::mutex> lock(this->mutex);
+          next = OnExchangeReply(this->protocol, address, FromProto(reply),
+                                 Clock::now());
+        }
+        this->Perform(next);
+      });
+}
+
+void PeerRunner::Perform(const SendPush& action) {
+  const std::string address = action.address;
+  this->Start<rpc::PushRequest, rpc::PushReply>(
+      address, action.timeout, Convert<rpc::PushRequest>(action.request),
+      [this, address](bool ok, const rpc::PushReply& reply) {
+        if (!ok) {
+          return;
+        }
+        std::vector<PeerAction> next;
+        {
+          const std::lock_guard<std::mutex> lock(this->mutex);
+          next = OnPushReply(this->protocol, address, FromProto(reply));
+        }
+        this->Perform(next);
+      });
+}
+
+void PeerRunner::Confirm(const std::string& address,
+                         const rpc::PingReply& reply,
+                         TimePoint requested_at) {
+  this->hooks.on_confirmation({address, reply.responder(),
+                               reply.config_digest(),
+                               std::chrono::microseconds(reply.config_age_us()),
+                               reply.starting(), requested_at});
+}
+
+// Starts a call; `done` runs on a thread of gRPC with the result.
+template <typename Request, typename Reply, typename Done>
+void PeerRunner::Start(const std::string& ip,
+                       std::chrono::milliseconds timeout,
+                       const Request& request,
+                       Done done) {
+  {
+    const std::lock_guard<std::mutex> lock(this->calls_mutex);
+    ++this->calls;
+  }
+  this->sent_messages.Add();
+  this->sent_bytes.Add(static_cast<std::int64_t>(request.ByteSizeLong()));
+  auto call = std::make_shared<PeerCall<Request, Reply>>();
+  call->channel = this->channels.Get(absl::StrCat(ip, ":", this->peer_port));
+  call->request = request;
+  call->context.set_deadline(ToSystemTime(Clock::now() + timeout));
+  StartCall(call->channel->stub->async(), *call,
+            [this, call, done](const grpc::Status& status) {
+              this->received_bytes.Add(
+                  static_cast<std::int64_t>(call->reply.ByteSizeLong()));
+              done(status.ok(), call->reply);
+              if (status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED) {
+                // The connection may have gone silent.
+                this->channels.Drop(call->channel);
+              }
+              const std::lock_guard<std::mutex> lock(this->calls_mutex);
+              --this->calls;
+              this->calls_ended.notify_all();
+            });
+}
+
+}  // namespace comfrey
--- /dev/null
+++ b/Source/daemon/peer_runner.h
@@ -0,0 +1,125 @@
+#ifndef DAEMON_PEER_RUNNER_H_
+#define DAEMON_PEER_RUNNER_H_
+
+#include <chrono>
+#include <condition_variable>
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "base/counters.h"
+#include "core/peer_protocol.h"
+#include "core/reader_selection.h"
+#include "daemon/channel_pool.h"
+#include "peer.grpc.pb.h"
+
+namespace comfrey {
+
+/// \brief A ping that another member answered.
+struct PeerConfirmation {
+  /// IP number and name of the member.
+  std::string address;
+  std::string name;
+  std::uint64_t config_digest = 0;
+  /// Age of the newest contact with the configuration service that the member
+  /// knows of; negative if there was none.
+  std::chrono::microseconds config_age{-1};
+  /// Whether the member is not ready yet.
+  bool starting = false;
+  /// Time of this daemon before it sent the ping.
+  std::chrono::steady_clock::time_point requested_at;
+};
+
+/// \brief Functions that the runner calls; none may call the runner.
+struct PeerRunnerHooks {
+  ConfigAccess config;
+  /// Whether this daemon is not ready yet.
+  std::function<bool()> starting;
+  std::function<void(const PeerConfirmation&)> on_confirmation;
+};
+
+/// \brief Performs the actions of the peer protocol over gRPC; thread-safe.
+class PeerRunner {
+ public:
+  using TimePoint = std::chrono::steady_clock::time_point;
+
+  PeerRunner(MemberRecord self,
+             std::vector<std::string> seeds,
+             int peer_port,
+             ChannelPool& channels,
+             CounterRegistry& counters,
+             PeerRunnerHooks hooks);
+
+  /// \brief Waits for the calls in progress.
+  ~PeerRunner();
+
+  PeerRunner(const PeerRunner&) = delete;
+  PeerRunner& operator=(const PeerRunner&) = delete;
+
+  /// \brief Advances the protocol; called by a timer each 100 ms.
+  void Tick(TimePoint now);
+
+  void SetStatuses(std::vector<EndpointStatus> statuses);
+  void AnnounceConfig(const std::string& team);
+  void NoteConfigContact(TimePoint now);
+  void BeginLeaving();
+
+  /// \brief Decides whether this daemon reads the configuration service;
+  /// called each second.
+  ReadDecision DecideConfigRead(TimePoint now);
+
+  /// \brief All members, dead ones included.
+  std::vector<MemberRecord> Members();
+
+  /// \brief The members that changed since the last call.
+  std::vector<MemberRecord> TakeChangedMembers();
+
+  void HandlePing(const rpc::PingRequest& request, rpc::PingReply& reply);
+  void HandlePingThrough(const rpc::PingThroughRequest& request,
+                         rpc::PingThroughReply& reply);
+  void HandleExchange(const rpc::ExchangeRequest& request,
+                      rpc::ExchangeReply& reply);
+  void HandlePush(const rpc::PushRequest& request, rpc::PushReply& reply);
+
+ private:
+  void Perform(const std::vector<PeerAction>& actions);
+  void Perform(const SendPing& action);
+  void Perform(const SendPingThrough& action);
+  void Perform(const SendExchange& action);
+  void Perform(const SendPush& action);
+  void Confirm(const std::string& address,
+               const rpc::PingReply& reply,
+               TimePoint requested_at);
+
+  template <typename Request, typename Reply, typename Done>
+  void Start(const std::string& ip,
+             std::chrono::milliseconds timeout,
+             const Request& request,
+             Done done);
+
+  int peer_port;
+  ChannelPool& channels;
+  PeerRunnerHooks hooks;
+  Metric& sent_messages;
+  Metric& sent_bytes;
+  Metric& received_messages;
+  Metric& received_bytes;
+  Metric& live_members;
+  std::mutex mutex;
+  std::mt19937_64 rng;
+  PeerProtocol protocol;
+  ReaderSelection readers;
+  std::map<std::string, MemberVersion> taken;
+
+  std::mutex calls_mutex;
+  std::condition_variable calls_ended;
+  std::size_t calls = 0;
+};
+
+}  // namespace comfrey
+
+#endif  // DAEMON_PEER_RUNNER_H_
--- a/Source/daemon/peer_server.cc
+++ b/Source/daemon/peer_server.cc
@@ -13,8 +13,10 @@
 
 }  // namespace
 
-PeerServer::PeerServer(OwnerService& owner, KeyJournal& journal)
-    : owner(owner), journal(journal) {}
+PeerServer::PeerServer(OwnerService& owner,
+                       KeyJournal& journal,
+                       PeerRunner& runner)
+    : owner(owner), journal(journal), runner(runner) {}
 
 absl::Status PeerServer::Start(const std::string& address) {
   grpc::ServerBuilder builder;
@@ -86,6 +88,34 @@
   return grpc::Status::OK;
 }
 
+grpc::Status PeerServer::Ping(grpc::ServerContext*,
+                              const rpc::PingRequest* request,
+                              rpc::PingReply* reply) {
+  this->runner.HandlePing(*request, *reply);
+  return grpc::Status::OK;
+}
+
+grpc::Status PeerServer::PingThrough(grpc::ServerContext*,
+                                     const rpc::PingThroughRequest* request,
+                                     rpc::PingThroughReply* reply) {
+  this->runner.HandlePingThrough(*request, *reply);
+  return grpc::Status::OK;
+}
+
+grpc::Status PeerServer::Exchange(grpc::ServerContext*,
+                                  const rpc::ExchangeRequest* request,
+                                  rpc::ExchangeReply* reply) {
+  this->runner.HandleExchange(*request, *reply);
+  return grpc::Status::OK;
+}
+
+grpc::Status PeerServer::Push(grpc::ServerContext*,
+                              const rpc::PushRequest* request,
+                              rpc::PushReply* reply) {
+  this->runner.HandlePush(*request, *reply);
+  return grpc::Status::OK;
+}
+
 grpc::Status PeerServer::Drain(grpc::ServerContext*,
                                const rpc::DrainRequest* request,
                                rpc::DrainReply* reply) {
--- a/Source/daemon/peer_server.h
+++ b/Source/daemon/peer_server.h
@@ -11,6 +11,7 @@
 #include "absl/status/status.h"
 #include "daemon/key_journal.h"
 #include "daemon/owner_service.h"
+#include "daemon/peer_runner.h"
 #include "peer.grpc.pb.h"
 
 namespace comfrey {
@@ -18,7 +19,7 @@
 /// \brief gRPC server for other daemons and comfreyctl.
 class PeerServer : public rpc::Peer::Service {
  public:
-  PeerServer(OwnerService& owner, KeyJournal& journal);
+  PeerServer(OwnerService& owner, KeyJournal& journal, PeerRunner& runner);
 
   /// \brief Starts to listen on "ip:port".
   absl::Status Start(const std::string& address);
@@ -41,6 +42,18 @@
   grpc::Status RecoverKeys(grpc::ServerContext* context,
                            const rpc::RecoverKeysRequest* request,
                            rpc::RecoverKeysReply* reply) override;
+  grpc::Status Ping(grpc::ServerContext* context,
+                    const rpc::PingRequest* request,
+                    rpc::PingReply* reply) override;
+  grpc::Status PingThrough(grpc::ServerContext* context,
+                           const rpc::PingThroughRequest* request,
+                           rpc::PingThroughReply* reply) override;
+  grpc::Status Exchange(grpc::ServerContext* context,
+                        const rpc::ExchangeRequest* request,
+                        rpc::ExchangeReply* reply) override;
+  grpc::Status Push(grpc::ServerContext* context,
+                    const rpc::PushRequest* request,
+                    rpc::PushReply* reply) override;
   grpc::Status Drain(grpc::ServerContext* context,
                      const rpc::DrainRequest* request,
                      rpc::DrainReply* reply) override;
@@ -48,6 +61,7 @@
  private:
   OwnerService& owner;
   KeyJournal& journal;
+  PeerRunner& runner;
   std::unique_ptr<grpc::Server> server;
 };
 
--- /dev/null
+++ b/Source/daemon/vm_list_reader.cc
@@ -0,0 +1,73 @@
+#include "daemon/vm_list_reader.h"
+
+#include <grpcpp/grpcpp.h>
+
+#include <memory>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "daemon/forward_call.h"
+
+namespace comfrey {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr std::chrono::milliseconds kCallTimeout{500};
+// A daemon that restarted in the meantime has to be told again.
+constexpr std::chrono::seconds kRepeatTime{10};
+
+}  // namespace
+
+VmListReader::VmListReader(ConfigServiceClient client,
+                           ChannelPool& channels,
+                           int peer_port,
+                           CounterRegistry& counters,
+                           std::function<bool()> is_reader)
+    : client(std::move(client)),
+      channels(channels),
+      peer_port(peer_port),
+      is_reader(std::move(is_reader)),
+      reads(counters.Counter("comfrey_vm_list_reads_total")) {}
+
+void VmListReader::Advance() {
+  if (!this->is_reader()) {
+    return;
+  }
+  this->reads.Add();
+  const absl::StatusOr<std::vector<VmEntry>> vms = this->client.ReadVmList();
+  if (!vms.ok()) {
+    return;
+  }
+  for (const VmEntry& vm : *vms) {
+    const auto told = this->told.find(vm.address);
+    const bool known = told != this->told.end();
+    const bool due = vm.leaving
+                         ? !known || Clock::now() - told->second >= kRepeatTime
+                         : known;
+    if (due) {
+      this->Tell(vm);
+    }
+  }
+}
+
+void VmListReader::Tell(const VmEntry& vm) {
+  const std::shared_ptr<PeerChannel> channel =
+      this->channels.Get(absl::StrCat(vm.address, ":", this->peer_port));
+  grpc::ClientContext context;
+  context.set_deadline(ToSystemTime(Clock::now() + kCallTimeout));
+  rpc::DrainRequest request;
+  request.set_draining(vm.leaving);
+  request.set_from_vm_list(true);
+  rpc::DrainReply reply;
+  if (!channel->stub->Drain(&context, request, &reply).ok()) {
+    return;
+  }
+  if (vm.leaving) {
+    this->told[vm.address] = Clock::now();
+  } else {
+    this->told.erase(vm.address);
+  }
+}
+
+}  // namespace comfrey
--- a/Tests/core/simulated_fleet.h
+++ b/Tests/core/simulated_fleet.h
@@ -255,7 +255,7 @@
   ConfigAccess Access(std::size_t i) {
     ConfigAccess access;
     access.versions = [this, i] {
-      std::vector<SubtreeVersion> versions;
+      std::vector<AnnouncedVersion> versions;
       for (const auto& [team, value] : this->nodes[i].config) {
         versions.push_back({team, value.subtree.generation,
                             value.subtree.revision, value.digest});
--- a/Tests/system/fleet.cc
+++ b/Tests/system/fleet.cc
@@ -3,7 +3,9 @@
 #include <httplib.h>
 #include <unistd.h>
 
+#include <array>
 #include <cstdlib>
+#include <ctime>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -57,6 +59,18 @@
   return result && result->status == kOk;
 }
 
+// Runs by request id, as the backend server counts them.
+std::map<std::string, int> RunsAt(const std::string& ip) {
+  std::istringstream lines(Call(ip, kBackendPort, "GET", "/control/runs", ""));
+  std::map<std::string, int> counts;
+  std::string line;
+  while (std::getline(lines, line)) {
+    const std::size_t space = line.rfind(' ');
+    counts[line.substr(0, space)] = std::stoi(line.substr(space + 1));
+  }
+  return counts;
+}
+
 }  // namespace
 
 Fleet::Fleet(int vm_count)
@@ -154,16 +168,17 @@
 }
 
 int Fleet::Runs(int vm, const std::string& id) const {
-  std::istringstream lines(
-      Call(this->Address(vm), kBackendPort, "GET", "/control/runs", ""));
-  std::string name;
-  int runs = 0;
-  while (lines >> name >> runs) {
-    if (name == id) {
-      return runs;
-    }
+  const std::map<std::string, int> runs = RunsAt(this->Address(vm));
+  const auto found = runs.find(id);
+  return found == runs.end() ? 0 : found->second;
+}
+
+int Fleet::AllRuns(int vm) const {
+  int total = 0;
+  for (const auto& [id, runs] : RunsAt(this->Address(vm))) {
+    total += runs;
   }
-  return 0;
+  return total;
 }
 
 int Fleet::TotalRuns(const std::string& id) const {
@@ -193,6 +208,17 @@
           result->body};
 }
 
+std::string Fleet::SoonUtc() {
+  constexpr std::chrono::seconds kAhead{5};
+  const std::time_t time = std::chrono::system_clock::to_time_t(
+      std::chrono::system_clock::now() + kAhead);
+  std::tm utc{};
+  gmtime_r(&time, &utc);
+  std::array<char, 32> text{};
+  std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%SZ", &utc);
+  return text.data();
+}
+
 bool Fleet::WaitReady() const {
   return WaitFor(
       [this] {
--- a/Tests/system/fleet.h
+++ b/Tests/system/fleet.h
@@ -64,12 +64,18 @@
   /// \brief Runs of a request id at a backend server.
   int Runs(int vm, const std::string& id) const;
 
+  /// \brief Runs of all requests at a backend server.
+  int AllRuns(int vm) const;
+
   /// \brief Runs of a request id at all backend servers that answer.
   int TotalRuns(const std::string& id) const;
 
   /// \brief Sends a caller's request to the daemon of a VM.
   TestResponse Send(int vm, const TestRequest& request) const;
 
+  /// \brief A time a few seconds ahead, as `keys_since` takes it.
+  static std::string SoonUtc();
+
   /// \brief Waits until all daemons are ready.
   bool WaitReady() const;
 
--- /dev/null
+++ b/Tests/system/leaving_test.cc
@@ -0,0 +1,156 @@
+#include <atomic>
+#include <csignal>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "catch2/catch.hpp"
+#include "system/fleet.h"
+
+namespace comfrey {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Sends requests from several callers until told to stop, and counts those
+// that were not answered by a backend server.
+struct LoadResult {
+  std::atomic<int> sent{0};
+  std::atomic<int> answered{0};
+  std::atomic<int> refused{0};
+  std::atomic<int> unknown{0};
+  std::atomic<int> cut{0};
+};
+
+class Load {
+ public:
+  Load(const Fleet& fleet, int vm, const std::string& path) {
+    constexpr int kCallers = 4;
+    for (int caller = 0; caller < kCallers; ++caller) {
+      this->threads.emplace_back([this, &fleet, vm, path, caller] {
+        int n = 0;
+        while (!this->stopping) {
+          const std::string id =
+              std::to_string(caller) + "-" + std::to_string(n++);
+          const TestResponse response =
+              fleet.Send(vm, {"POST", path, id, "", "x"});
+          ++this->result.sent;
+          if (response.status == 200) {
+            ++this->result.answered;
+          } else if (response.outcome == "not-run") {
+            ++this->result.refused;
+          } else if (response.outcome == "unknown") {
+            ++this->result.unknown;
+          } else {
+            ++this->result.cut;
+          }
+        }
+      });
+    }
+  }
+
+  void Stop() {
+    this->stopping = true;
+    for (std::thread& thread : this->threads) {
+      thread.join();
+    }
+    this->threads.clear();
+  }
+
+  ~Load() { this->Stop(); }
+
+  LoadResult result;
+
+ private:
+  std::atomic<bool> stopping{false};
+  std::vector<std::thread> threads;
+};
+
+// Guards against requests that are cut or refused when the daemon that owns
+// the endpoint is stopped as planned.
+TEST_CASE("a planned stop of an owner daemon cuts no request") {
+  const std::string path = GENERATE("/demo/slots", "/demo/visits");
+  Fleet fleet(3);
+  fleet.Publish("demo", BookingConfig(3));
+  REQUIRE(fleet.WaitReady());
+  for (int vm = 1; vm <= 3; ++vm) {
+    fleet.SetFault(vm, "delay_ms=50");
+  }
+  Load load(fleet, 1, path);
+  REQUIRE(WaitFor([&] { return load.result.answered > 20; }, seconds(10)));
+  fleet.DaemonOf(2).Signal(SIGTERM);
+  CHECK(fleet.DaemonOf(2).Wait(seconds(30)) == 0);
+  const int before = load.result.answered;
+  REQUIRE(
+      WaitFor([&] { return load.result.answered > before + 20; }, seconds(10)));
+  load.Stop();
+  CHECK(load.result.unknown == 0);
+  CHECK(load.result.cut == 0);
+  CHECK(load.result.refused == 0);
+}
+
+// Guards against callers' requests that are cut when the daemon that they use
+// is stopped as planned.
+TEST_CASE("a planned stop of an ingress daemon answers what it has accepted") {
+  Fleet fleet(2);
+  fleet.Publish("demo", BookingConfig(2));
+  REQUIRE(fleet.WaitReady());
+  fleet.SetFault(1, "delay_ms=800");
+  fleet.SetFault(2, "delay_ms=800");
+  std::vector<TestResponse> responses(4);
+  std::vector<std::thread> callers;
+  for (std::size_t i = 0; i < responses.size(); ++i) {
+    callers.emplace_back([&, i] {
+      responses[i] = fleet.Send(
+          1, {"POST", "/demo/visits", "r" + std::to_string(i), "", "x"});
+    });
+  }
+  REQUIRE(WaitFor(
+      [&] {
+        return fleet.TotalRuns("r0") + fleet.TotalRuns("r1") +
+                   fleet.TotalRuns("r2") + fleet.TotalRuns("r3") ==
+               4;
+      },
+      seconds(10)));
+  fleet.DaemonOf(1).Signal(SIGTERM);
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  for (const TestResponse& response : responses) {
+    CHECK(response.status == 200);
+  }
+  CHECK(fleet.DaemonOf(1).Wait(seconds(30)) == 0);
+}
+
+// Guards against new work at a backend server that announced that it leaves,
+// by whichever sign comes first.
+TEST_CASE("a backend server that is leaving gets no new work") {
+  const std::string sign = GENERATE("health endpoint", "VM list");
+  INFO(sign);
+  Fleet fleet(3);
+  fleet.Publish("demo", BookingConfig(3));
+  REQUIRE(fleet.WaitReady());
+  Load load(fleet, 1, "/demo/slots");
+  REQUIRE(WaitFor([&] { return load.result.answered > 50; }, seconds(10)));
+  if (sign == "health endpoint") {
+    fleet.SetFault(2, "mode=draining");
+  } else {
+    fleet.ControlConfig(
+        "PUT", "/control/vms",
+        "vm-2 " + fleet.Address(2) + " region-0 domain-0 leaving\n");
+  }
+  // "A few seconds" of the requirement, taken as 4.
+  std::this_thread::sleep_for(seconds(4));
+  const int runs = fleet.AllRuns(2);
+  const int answered = load.result.answered;
+  REQUIRE(WaitFor([&] { return load.result.answered > answered + 100; },
+                  seconds(20)));
+  CHECK(fleet.AllRuns(2) == runs);
+  load.Stop();
+  CHECK(load.result.unknown == 0);
+  CHECK(load.result.cut == 0);
+}
+
+}  // namespace
+}  // namespace comfrey
