Close gaps in the tests of the configuration

Cause: three trials with broken variants passed the tests: texts of errors not shortened, an invalid generation taken as generation 1, and times in another form than the documented one.

Change: test cases for the three.

--- a/Source/config/team_config.cc
+++ b/Source/config/team_config.cc
@@ -55,7 +55,7 @@
   const absl::TimeZone utc = absl::UTCTimeZone();
   absl::Time time;
   // Formatting again refuses what absl::ParseTime takes beyond the format, such
-  // as surrounding spaces. The range refuses "infinite-past".
+  // as a leap second or single digits. The range refuses "infinite-past".
   if (!absl::ParseTime(kFormat, text, &time, nullptr) ||
       absl::FormatTime(kFormat, time, utc) != text) {
     return FieldProblem{"the value is not a time in UTC",
--- a/Tests/config/config_store_test.cc
+++ b/Tests/config/config_store_test.cc
@@ -81,6 +81,8 @@
       {"removed", 4, Removed(2), OfferOutcome::kAccepted, 0},
       {"older than the removal", 3, high, OfferOutcome::kOlder, 0},
       {"restored by an operator", 5, Value(2, 8), OfferOutcome::kAccepted, 8},
+      {"invalid generation, greater one in force", 6,
+       "[team]\ngeneration = x\n", OfferOutcome::kInvalid, 8},
   };
   ConfigStore store;
   for (const Case& c : cases) {
@@ -95,7 +97,7 @@
   CHECK(store.counts.accepted == 5);
   CHECK(store.counts.older == 4);
   CHECK(store.counts.same == 1);
-  CHECK(store.counts.invalid == 5);
+  CHECK(store.counts.invalid == 6);
   CHECK(store.counts.conflicts_kept == 1);
   CHECK(store.counts.conflicts_replaced == 1);
 }
--- a/Tests/config/team_config_test.cc
+++ b/Tests/config/team_config_test.cc
@@ -131,6 +131,9 @@
        "2026-12-"},
       {"2026-12-04T10:00:00Z", "1999-12-04T10:00:00Z", "out of range",
        "2000 to 2199"},
+      {"2026-12-04T10:00:00Z", "2026-12-04T10:00:60Z", "not a time",
+       "2026-12-"},
+      {"2026-12-04T10:00:00Z", "2026-12-4T1:00:00Z", "not a time", "2026-12-"},
       {"queue_limit = 64", "queue_limit = -1", "not a whole number",
        "from 0 to 100000"},
       {"balanced", "quick", "detection = quick: the value is not one of",
@@ -212,7 +215,11 @@
   CHECK(errors.size() == 4);
   std::string damaged = "[service a]\nendpoints = x\n";
   for (int i = 0; i < 9'000; ++i) {
-    damaged += "  ,a.b.c.d:1\nunknown" + std::to_string(i) + " = 1\n";
+    damaged += "  ,a.b.c.d:1\n";
+  }
+  damaged += "[service b]\n";
+  for (int i = 0; i < 9'000; ++i) {
+    damaged += "unknown" + std::to_string(i) + " = 1\n";
   }
   errors.clear();
   ParseTeamConfig("salon", "t.ini", damaged, errors);
