Do not request configuration values that were refused

Cause: a value that peers hold in force and that this program refuses, as with mixed program versions, stays a difference in anti-entropy and would be fetched in each exchange, up to 1 MiB against a budget of 7 KB/s.

Change: VersionsNewerThan leaves out refused values.

Conclusion: a refused value is fetched once per version and content.

--- a/Source/config/config_store.cc
+++ b/Source/config/config_store.cc
@@ -245,6 +245,10 @@
     const ConfigStore& store) {
   std::vector<SubtreeVersion> newer;
   for (const SubtreeVersion& version : versions) {
+    if (WasRejected(store, version.team, version.version,
+                    version.content_hash)) {
+      continue;
+    }
     const auto held = store.subtrees.find(version.team);
     if (held == store.subtrees.end() ||
         IsNewer(version.version, version.content_hash, held->second->version,
--- a/Source/config/config_store.h
+++ b/Source/config/config_store.h
@@ -119,6 +119,8 @@
     const std::vector<SubtreeVersion>& versions);
 
 /// \brief Returns those of `versions` that the store lacks, by the same rule.
+/// Values that the store has refused are left out, so that a value which only
+/// peers with another program version accept is not fetched again and again.
 std::vector<SubtreeVersion> VersionsNewerThan(
     const std::vector<SubtreeVersion>& versions,
     const ConfigStore& store);
--- a/Tests/config/config_store_test.cc
+++ b/Tests/config/config_store_test.cc
@@ -117,6 +117,10 @@
         OfferOutcome::kInvalid);
   // The refusal of the greater version is the one that matters.
   CHECK(store.rejected.at("salon").version == ConfigVersion{3, 1});
+  const std::uint64_t refused = Hash(Value(2, 1));
+  CHECK(VersionsNewerThan({{"salon", {3, 1}, refused}}, store).empty());
+  CHECK(VersionsNewerThan({{"salon", {3, 1}, refused + 1}}, store).size() == 1);
+  CHECK(VersionsNewerThan({{"salon", {3, 2}, refused}}, store).size() == 1);
   CHECK(OfferRevision(store, "a b", 1, Value(1, 1)) == OfferOutcome::kInvalid);
   CHECK(store.rejected.count("a b") == 1);
   CHECK(ListVersions(store).size() == 1);
