--- a/Tests/config/config_store_test.cc
+++ b/Tests/config/config_store_test.cc
@@ -81,6 +81,8 @@
       {"removed", 4, Removed(2), OfferOutcome::kAccepted, 0},
       {"older than the removal", 3, high, OfferOutcome::kOlder, 0},
       {"restored by an operator", 5, Value(2, 8), OfferOutcome::kAccepted, 8},
+      {"invalid generation, greater one in force", 6,
+       "[team]\ngeneration = x\n", OfferOutcome::kInvalid, 8},
   };
   ConfigStore store;
   for (const Case& c : cases) {
@@ -95,7 +97,7 @@
   CHECK(store.counts.accepted == 5);
   CHECK(store.counts.older == 4);
   CHECK(store.counts.same == 1);
-  CHECK(store.counts.invalid == 5);
+  CHECK(store.counts.invalid == 6);
   CHECK(store.counts.conflicts_kept == 1);
   CHECK(store.counts.conflicts_replaced == 1);
 }
@@ -115,6 +117,10 @@
         OfferOutcome::kInvalid);
   // The refusal of the greater version is the one that matters.
   CHECK(store.rejected.at("salon").version == ConfigVersion{3, 1});
+  const std::uint64_t refused = Hash(Value(2, 1));
+  CHECK(VersionsNewerThan({{"salon", {3, 1}, refused}}, store).empty());
+  CHECK(VersionsNewerThan({{"salon", {3, 1}, refused + 1}}, store).size() == 1);
+  CHECK(VersionsNewerThan({{"salon", {3, 2}, refused}}, store).size() == 1);
   CHECK(OfferRevision(store, "a b", 1, Value(1, 1)) == OfferOutcome::kInvalid);
   CHECK(store.rejected.count("a b") == 1);
   CHECK(ListVersions(store).size() == 1);
