Pass the pages of the fake daemon by reference

Cause: clang-tidy reports a parameter that is copied and only read.

Change: the constructor of FakeDaemon takes a const reference.

Conclusion: no change in behaviour.

--- a/Tests/ctl/fake_daemon.cc
+++ b/Tests/ctl/fake_daemon.cc
@@ -28,7 +28,8 @@
 
 }  // namespace
 
-FakeDaemon::FakeDaemon(std::string ip, std::map<std::string, FakePage> pages)
+FakeDaemon::FakeDaemon(std::string ip,
+                       const std::map<std::string, FakePage>& pages)
     : ip(std::move(ip)) {
   for (const auto& [path, page] : pages) {
     this->http.Get(path, [this, page = page](const httplib::Request& request,
--- a/Tests/ctl/fake_daemon.h
+++ b/Tests/ctl/fake_daemon.h
@@ -34,7 +34,7 @@
 /// What it received is read after the request has ended.
 class FakeDaemon : private rpc::Peer::Service {
  public:
-  FakeDaemon(std::string ip, std::map<std::string, FakePage> pages);
+  FakeDaemon(std::string ip, const std::map<std::string, FakePage>& pages);
   ~FakeDaemon() override;
 
   std::string HttpAddress() const;
