Strengthen tests that a broken variant passed

Each test was run against a deliberately broken variant of the code. Four did not fail: a counter overflow hid in equal numbers of successes and failures, two failures were diluted by a success, and the severities were compared for failures in a row only.

--- a/Tests/core/endpoint_health_test.cc
+++ b/Tests/core/endpoint_health_test.cc
@@ -99,13 +99,13 @@
   TimePoint now = kStart;
   for (int i = 0; i < 5000; ++i) {
     now += microseconds(20);
-    RecordOutcome(health, i % 2 == 0 ? Outcome::kOk : Outcome::kFailed,
+    RecordOutcome(health, i % 10 == 0 ? Outcome::kFailed : Outcome::kOk,
                   microseconds(5), now);
   }
   const auto summary = SummarizeEndpoint(health, now);
   REQUIRE(summary);
-  CHECK(summary->failed_permille >= 450);
-  CHECK(summary->failed_permille <= 550);
+  CHECK(summary->failed_permille >= 80);
+  CHECK(summary->failed_permille <= 120);
 }
 
 // Guards against latencies that include a pause of the process, and outcomes
--- a/Tests/core/outlier_verdict_test.cc
+++ b/Tests/core/outlier_verdict_test.cc
@@ -39,9 +39,9 @@
         JudgeEndpoint(this->health, this->baseline, this->policy, this->now);
   }
 
-  // Runs for `time`, at 20 requests/s divided by `every`. The first
-  // `failed_in_ten` of ten requests end with `failure`. Stops at a change of
-  // state.
+  // Runs for `time`, at 20 requests/s divided by `every`. Of ten
+  // requests, `failed_in_ten` end with `failure`, evenly spread. Stops at a
+  // change of state.
   void Run(seconds time,
            milliseconds latency,
            int failed_in_ten = 0,
@@ -53,7 +53,7 @@
     for (int i = 0; this->now < end && this->verdict.state == before; ++i) {
       this->now += kTick;
       if (i % every == 0) {
-        const bool fails = i / every % 10 < failed_in_ten;
+        const bool fails = i / every * failed_in_ten % 10 < failed_in_ten;
         RecordOutcome(this->health, fails ? failure : Outcome::kOk, latency,
                       this->now);
       }
@@ -130,14 +130,20 @@
   }
 }
 
-// Guards against an ejection on few requests.
+// Guards against an ejection on few requests, when all other conditions hold.
 TEST_CASE("two failures are not evidence") {
   Bench bench;
-  RecordOutcome(bench.health, Outcome::kFailed, milliseconds(2),
-                bench.now += kTick);
-  RecordOutcome(bench.health, Outcome::kFailed, milliseconds(2),
-                bench.now += kTick);
-  bench.Run(seconds(2), milliseconds(40), 0, Outcome::kOk, 100);
+  bench.sibling_age = milliseconds(100);
+  bench.Judge();
+  for (int i = 0; i < 2; ++i) {
+    bench.now += milliseconds(600);
+    RecordOutcome(bench.health, Outcome::kFailed, milliseconds(2), bench.now);
+    bench.Judge();
+  }
+  for (int i = 0; i < 20; ++i) {
+    bench.now += kTick;
+    bench.Judge();
+  }
   CHECK(bench.verdict.state == EndpointState::kHealthy);
 }
 
--- a/Utilities/measure_ejection.cc
+++ b/Utilities/measure_ejection.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <cstdio>
 #include <string>
 #include <thread>
@@ -67,6 +68,7 @@
                                        int seeds) {
   std::vector<SimulationResult> results(static_cast<std::size_t>(seeds));
   std::vector<std::thread> threads;
+  threads.reserve(static_cast<std::size_t>(FLAGS_threads));
   for (int t = 0; t < FLAGS_threads; ++t) {
     threads.emplace_back([&, t] {
       for (int i = t; i < seeds; i += FLAGS_threads) {
@@ -86,12 +88,13 @@
 std::string Percentile(const std::vector<SimulationResult>& results,
                        double share) {
   std::vector<milliseconds> times;
+  times.reserve(results.size());
   for (const SimulationResult& result : results) {
     times.push_back(result.detection.value_or(milliseconds::max()));
   }
   std::sort(times.begin(), times.end());
   const auto rank = static_cast<std::size_t>(
-      share * static_cast<double>(times.size() - 1) + 0.5);
+      std::lround(share * static_cast<double>(times.size() - 1)));
   if (times[rank] == milliseconds::max()) {
     return "-";
   }
