Ask suspects directly before they are declared dead

At 10% message loss, one of 100 healthy members was held as dead by another one that missed the refutation.

--- a/Source/core/membership.cc
+++ b/Source/core/membership.cc
@@ -58,6 +58,7 @@
                     record.state == MemberState::kLeaving;
   entry.record = std::move(record);
   entry.changed = now;
+  entry.checks = 0;
   membership.digest ^= VersionHash(entry.record);
   const bool live = IsLive(&entry.record);
   if (live != was_live || moved || left) {
@@ -219,6 +220,23 @@
   return true;
 }
 
+// Every member that holds a suspicion asks the suspect itself, so that it does
+// not depend on rumors whether a refutation arrives in time. Without this, at
+// 10% message loss, some members missed a refutation.
+std::vector<std::string> TakeSuspectsToCheck(Membership& membership, Time now) {
+  constexpr unsigned kChecks = 2;
+  constexpr auto kCheckPeriod = kSuspicionTimeout / (kChecks + 1);
+  std::vector<std::string> suspects;
+  for (auto& [name, entry] : membership.members) {
+    if (IsSuspected(entry.record) && entry.checks < kChecks &&
+        now - entry.changed >= (entry.checks + 1) * kCheckPeriod) {
+      ++entry.checks;
+      suspects.push_back(name);
+    }
+  }
+  return suspects;
+}
+
 std::vector<std::string> ExpireMembers(Membership& membership, Time now) {
   std::vector<std::string> died;
   for (auto it = membership.members.begin(); it != membership.members.end();) {
--- a/Source/core/membership.h
+++ b/Source/core/membership.h
@@ -23,6 +23,8 @@
   MemberRecord record;
   /// Time of the last change of `record`, by the local clock.
   std::chrono::steady_clock::time_point changed;
+  /// Number of checks since the last change, by `TakeSuspectsToCheck`.
+  unsigned checks = 0;
 };
 
 /// \brief A member's view of the fleet, itself included.
@@ -80,6 +82,12 @@
                    const std::string& name,
                    std::chrono::steady_clock::time_point now);
 
+/// \brief Returns the suspects to ping now; each is returned twice before its
+/// suspicion times out.
+std::vector<std::string> TakeSuspectsToCheck(
+    Membership& membership,
+    std::chrono::steady_clock::time_point now);
+
 /// \brief Declares members dead whose suspicion has lasted for
 /// `kSuspicionTimeout`, and returns their names; forgets dead members after
 /// `kDeadRetention`.
--- a/Source/core/peer_protocol.cc
+++ b/Source/core/peer_protocol.cc
@@ -725,6 +725,9 @@
       ++protocol.statistics.deaths;
       AddRumor(protocol.rumors, name, MergeResult::kNormal);
     }
+    for (std::string& name : TakeSuspectsToCheck(protocol.membership, now)) {
+      protocol.suspects_to_tell.push_back(std::move(name));
+    }
   }
   PublishPending(protocol, now);
 
