Send addresses first when many members are unknown

When 440 daemons started at once, records with statuses used the budget before all members were known. Exchanges now send abridged records first and a new daemon probes once it can spread the load; it also collects confirmations of its configuration versions.

--- a/Source/core/peer_protocol.cc
+++ b/Source/core/peer_protocol.cc
@@ -37,14 +37,16 @@
 // A new daemon's view is incomplete, and its partners may be short of budget.
 constexpr milliseconds kJoiningTime{60'000};
 constexpr milliseconds kJoiningExchangePeriod{2000};
-// Fewer known members than this, and a new daemon keeps asking the seeds and
-// does not probe yet. When a whole fleet started, probes by daemons that knew
-// only the seeds used up the seeds' send budget for over a minute.
-constexpr std::size_t kIntroducedMembers = 5;
-constexpr milliseconds kFirstProbeDelay{5000};
+// A new daemon asks the seeds until it knows this many members, and does not
+// probe for a while unless it knows enough members to spread the load. When a
+// whole fleet started, probes by daemons that knew only the seeds used up the
+// seeds' send budget for over a minute.
+constexpr std::size_t kIntroducedMembers = 3;
+constexpr std::size_t kProbedMembers = 30;
+constexpr milliseconds kFirstProbeDelay{3000};
 // Abridged records, of about 65 bytes each, that an answer to an introduction
 // holds regardless of the budget.
-constexpr std::size_t kIntroductionRecords = 6;
+constexpr std::size_t kIntroductionRecords = 4;
 constexpr milliseconds kExpiryPeriod{500};
 
 // Three random neighbours per member reach about 95% of the fleet; pings reach
@@ -73,6 +75,9 @@
 constexpr milliseconds kConfigPullBackoff{1000};
 constexpr milliseconds kMaxConfigPullBackoff{30'000};
 constexpr milliseconds kExpectedValueTimeout{1000};
+// A new daemon asks members for configuration until this many have confirmed
+// that it has all their versions.
+constexpr std::size_t kConfirmingPeers = 4;
 // At least one value is sent, whatever its size.
 constexpr std::size_t kMaxSubtreeBytes = 65'536;
 
@@ -420,6 +425,10 @@
     }
   }
   Spend(protocol, exchange.request);
+  if (joining && protocol.config_confirmed_by.size() < kConfirmingPeers) {
+    exchange.request.wants_subtrees = true;
+    exchange.request.subtrees = protocol.config.versions();
+  }
   actions.emplace_back(std::move(exchange));
 }
 
@@ -617,14 +626,36 @@
   // The order is random, so that several partners of a joining member together
   // give it all records.
   std::shuffle(newer.begin(), newer.end(), rng);
+  // If not all records fit, the addresses of unknown members go first; four of
+  // them fit in the place of one record with statuses.
   const std::size_t limit = Allowance(protocol, kMaxExchangeBytes);
-  std::size_t bytes = 0;
+  std::size_t total = 0;
   for (const MemberRecord* record : newer) {
-    bytes += EncodedSize(*record);
-    if (bytes > limit) {
-      break;
+    total += EncodedSize(*record);
+  }
+  std::size_t bytes = 0;
+  const auto add = [&](const MemberRecord& record) {
+    bytes += EncodedSize(record);
+    if (bytes <= limit) {
+      reply.members.push_back(record);
+    }
+  };
+  const auto is_unknown = [&](const MemberRecord* record) {
+    return record->state == MemberState::kAlive &&
+           listed.count(record->name) == 0;
+  };
+  if (total <= limit) {
+    for (const MemberRecord* record : newer) {
+      add(*record);
+    }
+  } else {
+    const auto known = std::partition(newer.begin(), newer.end(), is_unknown);
+    for (auto it = newer.begin(); it != known; ++it) {
+      add(Abridged(**it));
+    }
+    for (auto it = known; it != newer.end(); ++it) {
+      add(**it);
     }
-    reply.members.push_back(*record);
   }
   for (const auto& [name, version] : listed) {
     const MemberRecord* held = FindMember(protocol.membership, name);
@@ -740,7 +771,7 @@
     }
   }
   protocol.suspects_to_tell.clear();
-  const bool may_probe = protocol.membership.live_count > kIntroducedMembers ||
+  const bool may_probe = protocol.membership.live_count > kProbedMembers ||
                          now - protocol.started >= kFirstProbeDelay;
   if (may_probe && now >= protocol.next_probe) {
     protocol.next_probe = now + Jitter(kProbePeriod, rng);
@@ -818,7 +849,6 @@
                  std::uint64_t probe,
                  const PingReply& reply,
                  Time now) {
-  protocol.heard_from.insert(reply.responder);
   for (const MemberRecord& record : reply.rumors) {
     Merge(protocol, record, Source::kRumor, now);
   }
@@ -830,6 +860,9 @@
   }
   const Probe answered = found->second;
   protocol.probes.erase(found);
+  if (reply.config_digest == protocol.config.digest()) {
+    protocol.config_confirmed_by.insert(reply.responder);
+  }
   const MemberRecord* responder =
       FindMember(protocol.membership, reply.responder);
   if (responder != nullptr && responder->incarnation < reply.incarnation) {
--- a/Source/core/peer_protocol.h
+++ b/Source/core/peer_protocol.h
@@ -122,8 +122,9 @@
   Membership membership;
   RumorBuffer rumors;
   PeerStatistics statistics;
-  /// Members that answered this daemon since its start.
-  std::set<std::string> heard_from;
+  /// Members that reported the same configuration versions as this daemon has,
+  /// since its start. A daemon is not ready before enough of them did.
+  std::set<std::string> config_confirmed_by;
   /// Newest known contact of any daemon with the configuration service; a
   /// default value means none.
   Time newest_config_contact;
