--- a/Source/core/membership.h
+++ b/Source/core/membership.h
@@ -23,6 +23,8 @@
   MemberRecord record;
   /// Time of the last change of `record`, by the local clock.
   std::chrono::steady_clock::time_point changed;
+  /// Number of checks since the last change, by `TakeSuspectsToCheck`.
+  unsigned checks = 0;
 };
 
 /// \brief A member's view of the fleet, itself included.
@@ -80,6 +82,12 @@
                    const std::string& name,
                    std::chrono::steady_clock::time_point now);
 
+/// \brief Returns the suspects to ping now; each is returned twice before its
+/// suspicion times out.
+std::vector<std::string> TakeSuspectsToCheck(
+    Membership& membership,
+    std::chrono::steady_clock::time_point now);
+
 /// \brief Declares members dead whose suspicion has lasted for
 /// `kSuspicionTimeout`, and returns their names; forgets dead members after
 /// `kDeadRetention`.
@@ -99,6 +107,11 @@
 bool IsSuspected(const MemberRecord& record);
 bool IsDead(const MemberRecord& record);
 
+/// \brief Returns a record without statuses that is older than any published
+/// one of its incarnation; it tells a new member an address.
+MemberRecord Abridged(const MemberRecord& record);
+bool IsAbridged(const MemberRecord& record);
+
 /// \brief Returns the status of an endpoint, or null if none is published.
 const EndpointStatus* FindStatus(const MemberRecord& record,
                                  std::string_view endpoint);
--- a/Source/core/peer_protocol.cc
+++ b/Source/core/peer_protocol.cc
@@ -20,6 +20,10 @@
 // Allows a joining daemon to answer and to send a few full messages at once;
 // over a minute it adds 200 B/s.
 constexpr double kSendBurstBytes = 12'000;
+// Below this, only urgent rumors are sent on pings. An exchange moves each
+// record once, a rumor several times; when a whole fleet starts, rumors would
+// otherwise leave no budget for exchanges.
+constexpr double kExchangeReserve = 6000;
 constexpr std::size_t kMaxPingRumorBytes = 1000;
 constexpr std::size_t kMaxPushRumorBytes = 2000;
 constexpr std::size_t kMaxExchangeBytes = 6000;
@@ -33,13 +37,17 @@
 // A new daemon's view is incomplete, and its partners may be short of budget.
 constexpr milliseconds kJoiningTime{60'000};
 constexpr milliseconds kJoiningExchangePeriod{2000};
-// Fewer known members than this, and a new daemon keeps asking the seeds and
-// does not probe yet. When a whole fleet started, probes by daemons that knew
-// only the seeds used up the seeds' send budget for over a minute.
-constexpr std::size_t kIntroducedMembers = 6;
-constexpr milliseconds kFirstProbeDelay{5000};
-// Records that an answer to an introduction holds regardless of the budget.
-constexpr std::size_t kIntroductionRecords = 3;
+// A new daemon asks the seeds until it knows this many members, and does not
+// probe for a while unless it knows enough members to spread the load. When a
+// whole fleet started, probes by daemons that knew only the seeds used up the
+// seeds' send budget for over a minute.
+constexpr std::size_t kIntroducedMembers = 3;
+constexpr std::size_t kProbedMembers = 30;
+constexpr milliseconds kFirstProbeDelay{3000};
+// Abridged records, of about 65 bytes each, that an answer to an introduction
+// holds regardless of the budget.
+constexpr std::size_t kIntroductionRecords = 4;
+constexpr milliseconds kExpiryPeriod{500};
 
 // Three random neighbours per member reach about 95% of the fleet; pings reach
 // the rest. Pushing a record to all 8 costs almost three times the bytes.
@@ -67,8 +75,11 @@
 constexpr milliseconds kConfigPullBackoff{1000};
 constexpr milliseconds kMaxConfigPullBackoff{30'000};
 constexpr milliseconds kExpectedValueTimeout{1000};
+// A new daemon asks members for configuration until this many have confirmed
+// that it has all their versions.
+constexpr std::size_t kConfirmingPeers = 4;
 // At least one value is sent, whatever its size.
-constexpr std::size_t kMaxSubtreeBytes = 64 * 1024;
+constexpr std::size_t kMaxSubtreeBytes = 65'536;
 
 // The age in a message does not include its own transit time.
 constexpr microseconds kTransitAllowance{50'000};
@@ -159,8 +170,9 @@
     ++protocol.statistics.refutations;
   }
   // The other members learn by anti-entropy what this one learned by it,
-  // unless it is urgent.
-  if (source == Source::kRumor || result == MergeResult::kUrgent) {
+  // unless it is urgent. An abridged record serves only its receiver.
+  if ((source == Source::kRumor || result == MergeResult::kUrgent) &&
+      !IsAbridged(record)) {
     AddRumor(protocol.rumors, record.name, result);
   }
   if (result == MergeResult::kUrgent) {
@@ -217,9 +229,11 @@
 }
 
 void AddRumors(PeerProtocol& protocol, std::vector<MemberRecord>& rumors) {
-  std::vector<MemberRecord> taken =
-      TakeRumors(protocol.rumors, protocol.membership,
-                 Allowance(protocol, kMaxPingRumorBytes));
+  std::vector<MemberRecord> taken = TakeRumors(
+      protocol.rumors, protocol.membership,
+      protocol.send_tokens < kExchangeReserve ? MergeResult::kUrgent
+                                              : MergeResult::kBackground,
+      Allowance(protocol, kMaxPingRumorBytes));
   for (MemberRecord& record : taken) {
     const bool present = std::any_of(
         rumors.begin(), rumors.end(),
@@ -342,7 +356,7 @@
   ping.probe = protocol.next_probe_id++;
   ping.address = Pick(missing, rng);
   ping.request = MakePingRequest(protocol, now);
-  ping.request.rumors.push_back(Self(protocol.membership));
+  ping.request.rumors.push_back(Abridged(Self(protocol.membership)));
   protocol.probes[ping.probe] = Probe{"", 0, false};
   Spend(protocol, ping.request);
   actions.emplace_back(std::move(ping));
@@ -411,6 +425,10 @@
     }
   }
   Spend(protocol, exchange.request);
+  if (joining && protocol.config_confirmed_by.size() < kConfirmingPeers) {
+    exchange.request.wants_subtrees = true;
+    exchange.request.subtrees = protocol.config.versions();
+  }
   actions.emplace_back(std::move(exchange));
 }
 
@@ -608,14 +626,36 @@
   // The order is random, so that several partners of a joining member together
   // give it all records.
   std::shuffle(newer.begin(), newer.end(), rng);
+  // If not all records fit, the addresses of unknown members go first; four of
+  // them fit in the place of one record with statuses.
   const std::size_t limit = Allowance(protocol, kMaxExchangeBytes);
-  std::size_t bytes = 0;
+  std::size_t total = 0;
   for (const MemberRecord* record : newer) {
-    bytes += EncodedSize(*record);
-    if (bytes > limit) {
-      break;
+    total += EncodedSize(*record);
+  }
+  std::size_t bytes = 0;
+  const auto add = [&](const MemberRecord& record) {
+    bytes += EncodedSize(record);
+    if (bytes <= limit) {
+      reply.members.push_back(record);
+    }
+  };
+  const auto is_unknown = [&](const MemberRecord* record) {
+    return record->state == MemberState::kAlive &&
+           listed.count(record->name) == 0;
+  };
+  if (total <= limit) {
+    for (const MemberRecord* record : newer) {
+      add(*record);
+    }
+  } else {
+    const auto known = std::partition(newer.begin(), newer.end(), is_unknown);
+    for (auto it = newer.begin(); it != known; ++it) {
+      add(Abridged(**it));
+    }
+    for (auto it = known; it != newer.end(); ++it) {
+      add(**it);
     }
-    reply.members.push_back(*record);
   }
   for (const auto& [name, version] : listed) {
     const MemberRecord* held = FindMember(protocol.membership, name);
@@ -710,9 +750,15 @@
     return {};
   }
   RefillSendTokens(protocol, now);
-  for (const std::string& name : ExpireMembers(protocol.membership, now)) {
-    ++protocol.statistics.deaths;
-    AddRumor(protocol.rumors, name, MergeResult::kNormal);
+  if (now >= protocol.next_expiry) {
+    protocol.next_expiry = now + kExpiryPeriod;
+    for (const std::string& name : ExpireMembers(protocol.membership, now)) {
+      ++protocol.statistics.deaths;
+      AddRumor(protocol.rumors, name, MergeResult::kNormal);
+    }
+    for (std::string& name : TakeSuspectsToCheck(protocol.membership, now)) {
+      protocol.suspects_to_tell.push_back(std::move(name));
+    }
   }
   PublishPending(protocol, now);
 
@@ -725,7 +771,7 @@
     }
   }
   protocol.suspects_to_tell.clear();
-  const bool may_probe = protocol.membership.live_count > kIntroducedMembers ||
+  const bool may_probe = protocol.membership.live_count > kProbedMembers ||
                          now - protocol.started >= kFirstProbeDelay;
   if (may_probe && now >= protocol.next_probe) {
     protocol.next_probe = now + Jitter(kProbePeriod, rng);
@@ -753,8 +799,9 @@
                  std::mt19937_64& rng) {
   RefillSendTokens(protocol, now);
   const bool introduces = std::any_of(
-      request.rumors.begin(), request.rumors.end(),
-      [&](const MemberRecord& r) { return r.name == request.sender; });
+      request.rumors.begin(), request.rumors.end(), [&](const MemberRecord& r) {
+        return r.name == request.sender && IsAbridged(r);
+      });
   const std::uint64_t refutations = protocol.statistics.refutations;
   for (const MemberRecord& record : request.rumors) {
     Merge(protocol, record, Source::kRumor, now);
@@ -773,7 +820,7 @@
     reply.rumors.push_back(*sender);
     reply.rumors.back().endpoints.clear();
   }
-  if (introduces || protocol.statistics.refutations != refutations) {
+  if (protocol.statistics.refutations != refutations) {
     reply.rumors.push_back(Self(protocol.membership));
   }
   if (sender != nullptr && sender->incarnation < request.incarnation) {
@@ -783,13 +830,15 @@
     // A member that knows only the seeds continues with the members in the
     // reply, so that the seeds are not overloaded.
     auto live = OtherMembers(protocol, [&](const MemberRecord& record) {
-      return !HasClaim(record) && record.name != request.sender;
+      return record.state == MemberState::kAlive &&
+             record.name != request.sender;
     });
     std::shuffle(live.begin(), live.end(), rng);
     live.resize(std::min(live.size(), kIntroductionRecords));
     for (const MemberRecord* record : live) {
-      reply.rumors.push_back(*record);
+      reply.rumors.push_back(Abridged(*record));
     }
+    reply.rumors.push_back(Abridged(Self(protocol.membership)));
   }
   AddRumors(protocol, reply.rumors);
   Spend(protocol, reply);
@@ -800,7 +849,6 @@
                  std::uint64_t probe,
                  const PingReply& reply,
                  Time now) {
-  protocol.heard_from.insert(reply.responder);
   for (const MemberRecord& record : reply.rumors) {
     Merge(protocol, record, Source::kRumor, now);
   }
@@ -812,6 +860,9 @@
   }
   const Probe answered = found->second;
   protocol.probes.erase(found);
+  if (reply.config_digest == protocol.config.digest()) {
+    protocol.config_confirmed_by.insert(reply.responder);
+  }
   const MemberRecord* responder =
       FindMember(protocol.membership, reply.responder);
   if (responder != nullptr && responder->incarnation < reply.incarnation) {
