--- a/Source/config/team_config.cc
+++ b/Source/config/team_config.cc
@@ -35,8 +35,8 @@
 constexpr std::size_t kMaxPathLength = 128;
 constexpr std::size_t kMaxHeaderLength = 128;
 constexpr std::size_t kMaxMethodLength = 32;
-constexpr std::array<absl::string_view, 5> kReservedTeamNames = {
-    "healthz", "livez", "metrics", "readyz", "status"};
+constexpr std::array<absl::string_view, 6> kReservedTeamNames = {
+    "comfrey", "healthz", "livez", "metrics", "readyz", "status"};
 
 using Problem = std::optional<FieldProblem>;
 
--- a/Source/config/team_config.h
+++ b/Source/config/team_config.h
@@ -16,7 +16,6 @@
 /// \brief Whether an endpoint may be the home of idempotency keys.
 enum class KeysState { kJoining, kActive, kLeaving };
 
-
 /// \brief One backend server of a service.
 ///
 /// Both forms are canonical, so equal addresses are equal strings.
