Prove path faults, silent connections, ejection and floor with processes

A relay before one owner drops one or both directions, or silences the connections that are open. New setting peer_listen_port, since a relay or a port mapping lies before the daemon. Ejection of a failing backend server, its return, and the floor are observed on the status pages of real daemons.

Cause: these points had only core tests.

--- a/Source/config/daemon_settings.cc
+++ b/Source/config/daemon_settings.cc
@@ -68,6 +68,8 @@
          [&](absl::string_view v) { return ReadIp(v, settings.address); },
          Presence::kRequired},
         {"peer_port", IntegerField(settings.peer_port, 1, kMaxPort)},
+        {"peer_listen_port",
+         IntegerField(settings.peer_listen_port, 1, kMaxPort)},
         {"http_port", IntegerField(settings.http_port, 1, kMaxPort)},
         {"region", NameField(settings.region), Presence::kRequired},
         {"failure_domain", NameField(settings.failure_domain),
--- a/Source/config/daemon_settings.h
+++ b/Source/config/daemon_settings.h
@@ -18,6 +18,9 @@
   std::string address;
   /// Port for peers, the same in the whole fleet; 1 to 65535.
   int peer_port = 7400;
+  /// Port on which this daemon listens for peers, where a port mapping lies
+  /// before it; 1 to 65535, 0 for `peer_port`.
+  int peer_listen_port = 0;
   /// Port for callers; 1 to 65535, other than `peer_port`.
   int http_port = 8080;
   /// Names as of IsValidName; required.
--- a/Source/daemon/daemon.cc
+++ b/Source/daemon/daemon.cc
@@ -138,8 +138,11 @@
 }
 
 absl::Status Daemon::Start() {
+  const int peer_port = this->settings.peer_listen_port != 0
+                            ? this->settings.peer_listen_port
+                            : this->settings.peer_port;
   absl::Status peer = this->peer_server.Start(
-      absl::StrCat(this->settings.address, ":", this->settings.peer_port));
+      absl::StrCat(this->settings.address, ":", peer_port));
   if (!peer.ok()) {
     return peer;
   }
--- /dev/null
+++ b/Tests/system/ejection_test.cc
@@ -0,0 +1,97 @@
+#include <algorithm>
+#include <atomic>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "catch2/catch.hpp"
+#include "system/fleet.h"
+
+namespace comfrey {
+namespace {
+
+using std::chrono::seconds;
+
+// Callers that send idempotent requests until destroyed.
+class Callers {
+ public:
+  Callers(const Fleet& fleet, int count) {
+    for (int i = 0; i < count; ++i) {
+      this->threads.emplace_back([this, &fleet, i] {
+        while (!this->stopping) {
+          fleet.Send(1 + i % 2, {"GET", "/demo/slots", "load", "", ""});
+        }
+      });
+    }
+  }
+
+  ~Callers() {
+    this->stopping = true;
+    for (std::thread& thread : this->threads) {
+      thread.join();
+    }
+  }
+
+ private:
+  std::atomic<bool> stopping{false};
+  std::vector<std::thread> threads;
+};
+
+int CountUse(const Fleet& fleet, int observer, ReportedUse use) {
+  const absl::StatusOr<StatusReport> status = fleet.Status(observer);
+  return !status.ok()
+             ? 0
+             : static_cast<int>(std::count_if(
+                   status->endpoints.begin(), status->endpoints.end(),
+                   [&](const EndpointReport& e) { return e.use == use; }));
+}
+
+// Guards against a gray failure that goes on receiving work, and against an
+// ejection that never ends.
+TEST_CASE("a backend server that fails is ejected and returns") {
+  Fleet fleet(4);
+  fleet.Publish("demo", BookingConfig(4, "warmup = 1s\n"));
+  REQUIRE(fleet.WaitReady());
+  const Callers callers(fleet, 6);
+  REQUIRE(WaitFor([&] { return fleet.AllRuns(2) > 100; }, seconds(20)));
+  fleet.SetFault(2, "mode=wrong");
+  CHECK(WaitFor(
+      [&] {
+        return CountUse(fleet, 1, ReportedUse::kEjectionHonoured) == 1 &&
+               CountUse(fleet, 2, ReportedUse::kEjectionHonoured) == 1;
+      },
+      seconds(20)));
+  fleet.SetFault(2, "mode=ok");
+  CHECK(WaitFor([&] { return CountUse(fleet, 1, ReportedUse::kInUse) == 4; },
+                seconds(90)));
+}
+
+// Guards against ejections that take a service below its floor: 70% of 6
+// endpoints are 5, so of two ejected endpoints only one may go without work.
+TEST_CASE("ejections stop at the floor of the service") {
+  constexpr int kVms = 6;
+  Fleet fleet(kVms);
+  fleet.Publish("demo", BookingConfig(kVms, "floor = 70%\nwarmup = 1s\n"));
+  REQUIRE(fleet.WaitReady());
+  const Callers callers(fleet, 6);
+  REQUIRE(WaitFor([&] { return fleet.AllRuns(2) > 50; }, seconds(20)));
+  fleet.SetFault(2, "mode=wrong");
+  fleet.SetFault(3, "mode=wrong");
+  int most = 0;
+  const auto observe = [&] {
+    bool floor_held = true;
+    for (int observer = 1; observer <= kVms; ++observer) {
+      most = std::max(
+          most, CountUse(fleet, observer, ReportedUse::kEjectionHonoured));
+      floor_held =
+          floor_held &&
+          CountUse(fleet, observer, ReportedUse::kEjectionNotHonoured) == 1;
+    }
+    return floor_held;
+  };
+  CHECK(WaitFor(observe, seconds(30)));
+  CHECK(most == 1);
+}
+
+}  // namespace
+}  // namespace comfrey
--- a/Tests/system/fleet.cc
+++ b/Tests/system/fleet.cc
@@ -21,6 +21,8 @@
 constexpr int kConfigVm = 250;
 constexpr int kConfigPort = 7300;
 constexpr int kPeerPort = 7400;
+// The daemon behind the relay listens on this port.
+constexpr int kRelayedPeerPort = 7401;
 constexpr int kHttpPort = 8080;
 constexpr int kBackendPort = 8081;
 constexpr std::chrono::seconds kCallTimeout{20};
@@ -73,11 +75,21 @@
 
 }  // namespace
 
-Fleet::Fleet(int vm_count)
+Fleet::Fleet(int vm_count, int relayed_vm)
     : vm_count(vm_count),
+      relayed_vm(relayed_vm),
       prefix(NetworkOfProcess()),
       directory(MakeDirectory()) {
   this->StartConfigService();
+  if (relayed_vm != 0) {
+    this->relay = std::make_unique<Process>(
+        "Tests/stand_ins/fault_relay",
+        std::vector<std::string>{
+            absl::StrCat("--address=", this->Address(relayed_vm)),
+            absl::StrCat("--port=", kPeerPort),
+            absl::StrCat("--target_address=", this->Address(relayed_vm)),
+            absl::StrCat("--target_port=", kRelayedPeerPort)});
+  }
   for (int vm = 1; vm <= vm_count; ++vm) {
     this->StartBackend(vm);
     this->StartDaemon(vm);
@@ -88,6 +100,15 @@
   std::filesystem::remove_all(this->directory);
 }
 
+void Fleet::SetRelay(const std::string& mode) const {
+  this->relay->WriteLine(mode);
+}
+
+absl::StatusOr<StatusReport> Fleet::Status(int vm) const {
+  return StatusFromJson(
+      Call(this->Address(vm), kHttpPort, "GET", "/comfrey/status", ""));
+}
+
 std::string Fleet::Address(int vm) const {
   return absl::StrCat(this->prefix, vm);
 }
@@ -125,9 +146,11 @@
   constexpr int kVmsPerRegion = 4;
   return absl::StrCat(
       "[daemon]\nname = vm-", vm, "\naddress = ", this->Address(vm),
-      "\npeer_port = ", kPeerPort, "\nhttp_port = ", kHttpPort,
-      "\nregion = region-", (vm - 1) / kVmsPerRegion,
-      "\nfailure_domain = domain-", (vm - 1) / kVmsPerDomain,
+      "\npeer_port = ", kPeerPort, "\npeer_listen_port = ",
+      vm == this->relayed_vm ? kRelayedPeerPort : kPeerPort,
+      "\nhttp_port = ", kHttpPort, "\nregion = region-",
+      (vm - 1) / kVmsPerRegion, "\nfailure_domain = domain-",
+      (vm - 1) / kVmsPerDomain,
       seeds.empty() ? "" : "\n[peers]\nseeds = ", seeds,
       "\n[config_service]\naddress = ", this->Address(kConfigVm), ":",
       kConfigPort, "\n");
--- a/Tests/system/fleet.h
+++ b/Tests/system/fleet.h
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "absl/status/statusor.h"
+#include "report/status_report.h"
 #include "system/process.h"
 
 namespace comfrey {
@@ -32,7 +34,9 @@
 /// the configuration service, and per VM a backend server and a daemon.
 class Fleet {
  public:
-  explicit Fleet(int vm_count);
+  /// \brief Starts the fleet. Peers reach the daemon of `relayed_vm`, if any,
+  /// only through a relay.
+  explicit Fleet(int vm_count, int relayed_vm = 0);
   ~Fleet();
 
   Fleet(const Fleet&) = delete;
@@ -47,6 +51,12 @@
   Process& DaemonOf(int vm) { return *this->daemons.at(vm); }
   Process& BackendOf(int vm) { return *this->backends.at(vm); }
 
+  /// \brief Sets the mode of the relay, see Tests/stand_ins/fault_relay.cc.
+  void SetRelay(const std::string& mode) const;
+
+  /// \brief Reads the status page of a daemon.
+  absl::StatusOr<StatusReport> Status(int vm) const;
+
   /// \brief IP number of a VM; VMs count from 1.
   std::string Address(int vm) const;
 
@@ -83,9 +93,11 @@
   std::string Settings(int vm) const;
 
   int vm_count;
+  int relayed_vm;
   std::string prefix;
   std::string directory;
   std::unique_ptr<Process> config_service;
+  std::unique_ptr<Process> relay;
   std::map<int, std::unique_ptr<Process>> daemons;
   std::map<int, std::unique_ptr<Process>> backends;
 };
--- /dev/null
+++ b/Tests/system/path_fault_test.cc
@@ -0,0 +1,112 @@
+#include <algorithm>
+#include <string>
+#include <thread>
+
+#include "catch2/catch.hpp"
+#include "system/fleet.h"
+
+namespace comfrey {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+bool IsEjected(const Fleet& fleet, int observer, int vm) {
+  const absl::StatusOr<StatusReport> status = fleet.Status(observer);
+  return status.ok() &&
+         std::any_of(status->endpoints.begin(), status->endpoints.end(),
+                     [&](const EndpointReport& e) {
+                       return e.endpoint.rfind(fleet.Address(vm) + ":", 0) ==
+                                  0 &&
+                              e.state == ReportedEndpointState::kEjected;
+                     });
+}
+
+void WarmUp(const Fleet& fleet) {
+  for (int i = 0; i < 30; ++i) {
+    fleet.Send(1, {"POST", "/demo/slots", "warm", "", "x"});
+    fleet.Send(1, {"POST", "/demo/visits", "warm", "", "x"});
+  }
+}
+
+struct Counts {
+  int answered = 0;
+  int not_run = 0;
+  int unknown = 0;
+};
+
+// Sends requests one after another and checks what each caller was told.
+Counts SendAndCheck(const Fleet& fleet,
+                    const std::string& path,
+                    const std::string& prefix,
+                    int count) {
+  Counts counts;
+  for (int i = 0; i < count; ++i) {
+    const std::string id = prefix + std::to_string(i);
+    const TestResponse response =
+        fleet.Send(1, {"POST", path, id, "", "body of " + id});
+    INFO(id << " status " << response.status << " " << response.outcome << " "
+            << response.body);
+    const int runs = fleet.TotalRuns(id);
+    if (response.status == 200) {
+      ++counts.answered;
+      CHECK(response.body.find(id + "\nbody of " + id) != std::string::npos);
+      CHECK(runs >= 1);
+    } else if (response.outcome == "not-run") {
+      ++counts.not_run;
+      CHECK(runs == 0);
+    } else {
+      CHECK(response.outcome == "unknown");
+      ++counts.unknown;
+    }
+    if (path == "/demo/visits") {
+      CHECK(runs <= 1);
+    }
+  }
+  return counts;
+}
+
+// Guards against a path fault that is taken for a fault of the backend server,
+// that makes requests run twice, or that goes on costing requests after the
+// ingress could have moved its traffic.
+TEST_CASE("a one-way cut to an owner moves traffic and ejects nobody") {
+  const std::string mode = GENERATE("drop-forward", "drop-back", "drop-both");
+  INFO(mode);
+  Fleet fleet(3, 2);
+  fleet.Publish("demo", BookingConfig(3));
+  REQUIRE(fleet.WaitReady());
+  WarmUp(fleet);
+  fleet.SetRelay(mode);
+  const Counts visits = SendAndCheck(fleet, "/demo/visits", "v", 15);
+  CHECK(visits.answered >= 12);
+  const Counts slots = SendAndCheck(fleet, "/demo/slots", "s", 30);
+  CHECK(slots.answered == 30);
+  CHECK_FALSE(IsEjected(fleet, 1, 2));
+  CHECK_FALSE(IsEjected(fleet, 3, 2));
+  // The path is tried again and used once it works.
+  fleet.SetRelay("pass");
+  const int runs = fleet.AllRuns(2);
+  CHECK(WaitFor(
+      [&] {
+        fleet.Send(1, {"POST", "/demo/slots", "again", "", "x"});
+        return fleet.AllRuns(2) > runs;
+      },
+      seconds(60)));
+}
+
+// Guards against a caller that waits in vain, or whose request runs twice,
+// because an open connection went silent while new ones work.
+TEST_CASE("a connection that went silent is replaced within the deadline") {
+  Fleet fleet(3, 2);
+  fleet.Publish("demo", BookingConfig(3));
+  REQUIRE(fleet.WaitReady());
+  WarmUp(fleet);
+  fleet.SetRelay("silent-old");
+  const Counts visits = SendAndCheck(fleet, "/demo/visits", "v", 15);
+  CHECK(visits.answered == 15);
+  const Counts slots = SendAndCheck(fleet, "/demo/slots", "s", 15);
+  CHECK(slots.answered == 15);
+}
+
+}  // namespace
+}  // namespace comfrey
