Remember unused shares for 1 s and measure bursts

With a window of 250 ms, a rank that offers little more than its share lost credit while its queue was empty. The p99 wait of urgent lookups in a 10x flood of reports falls from 74 ms to 47 ms.

The measurement now includes bursts of 2 s of the less urgent ranks.

--- a/Source/core/admission_queue.cc
+++ b/Source/core/admission_queue.cc
@@ -74,6 +74,10 @@
 // an exponentially decaying average because the latter is biased: with shares
 // of 100% in total, ranks that exceed theirs by a part of an item would take
 // that from the last rank.
+//
+// The window is 1 s. With 250 ms, a rank that offered 12% received 9.8% of
+// its 10% in a 10x urgent flood, as it lost credit while its queue was empty,
+// and the p99 wait of urgent work in 10x cheap work was 74 ms against 47 ms.
 TimePoint Update(AdmissionQueue& queue, TimePoint now) {
   now = std::max(now, queue.last_update);
   const double elapsed = ToSeconds(now - queue.last_update);
--- a/Source/core/admission_queue.h
+++ b/Source/core/admission_queue.h
@@ -35,7 +35,7 @@
   /// Service time assumed until some have been measured (`expected_latency`).
   std::chrono::microseconds expected_service = std::chrono::milliseconds(40);
   /// Time over which unused or exceeded shares are remembered.
-  std::chrono::microseconds share_window = std::chrono::milliseconds(250);
+  std::chrono::microseconds share_window = std::chrono::seconds(1);
 };
 
 /// \brief One request; `id` is unique among the items queued or running.
--- a/Utilities/measure_admission.cc
+++ b/Utilities/measure_admission.cc
@@ -35,6 +35,7 @@
 constexpr double kMeanServiceSeconds = 0.040;
 constexpr double kServiceSigma = 0.5;  // p99 is about 2.8 times the mean.
 constexpr auto kWarmUp = std::chrono::seconds(5);
+constexpr auto kBurst = std::chrono::seconds(2);
 
 // A rank with its usual load as a part of the capacity. The load of the less
 // urgent ranks exceeds their shares, so that the shares can be observed.
@@ -56,6 +57,7 @@
   std::size_t rank = 0;
   double per_second = 0.0;
   bool single_organisation = false;
+  bool in_bursts = false;  // 2 s with requests, then 2 s without.
 };
 
 struct StreamResult {
@@ -238,6 +240,11 @@
                    const std::vector<Stream>& streams,
                    const Event& event) {
   const Stream& stream = streams[event.stream];
+  ScheduleArrival(simulation, streams, event.stream, event.time);
+  if (stream.in_bursts &&
+      (event.time - simulation.measure_from) / kBurst % 2 != 0) {
+    return;
+  }
   Request request;
   request.stream = event.stream;
   request.item.id = simulation.next_id++;
@@ -262,7 +269,6 @@
   Apply(simulation,
         OfferToEndpoint(simulation.endpoints[chosen], item, event.time), chosen,
         event.time);
-  ScheduleArrival(simulation, streams, event.stream, event.time);
 }
 
 void HandleFinish(Simulation& simulation,
@@ -370,7 +376,8 @@
   std::vector<Stream> streams;
   for (std::size_t rank = 0; rank < deployment.ranks.size(); rank++) {
     const RankLoad& load = deployment.ranks[rank];
-    streams.push_back({load.policy.name, rank, load.load * capacity, false});
+    streams.push_back(
+        {load.policy.name, rank, load.load * capacity, false, false});
   }
   return streams;
 }
@@ -388,9 +395,19 @@
                absl::StrFormat("%s %dx", streams[rank].name, factor));
     }
   }
+  // Bursts of a less urgent rank, while the most urgent one uses more than its
+  // share: the time for which the guaranteed share holds up urgent work.
+  for (std::size_t rank = 1; rank < deployment.ranks.size(); rank++) {
+    std::vector<Stream> streams = UsualStreams(deployment);
+    streams[0].per_second = 0.5 * capacity;
+    streams[rank].per_second = 10 * capacity;
+    streams[rank].in_bursts = true;
+    PrintRun(deployment, streams,
+             absl::StrFormat("bursts of %s 10x", streams[rank].name));
+  }
   for (std::size_t rank = 0; rank < deployment.ranks.size(); rank++) {
     std::vector<Stream> streams = UsualStreams(deployment);
-    streams.push_back({"  one organisation", rank, 10 * capacity, true});
+    streams.push_back({"  one organisation", rank, 10 * capacity, true, false});
     PrintRun(deployment, streams,
              absl::StrFormat("one org %s 10x", streams[rank].name));
   }
