Treat mass refutations as normal rumors

After a partition, the refutations of all members as urgent changes used up the send budget: views of 100 members took 77 s to agree.

--- a/Source/core/membership.cc
+++ b/Source/core/membership.cc
@@ -40,6 +40,10 @@
   return XXH64(parts, sizeof(parts), 0);
 }
 
+bool HasClaim(const MemberRecord& record) {
+  return ClaimOf(record.sequence) != 0;
+}
+
 bool IsLive(const MemberRecord* record) {
   return record != nullptr && !IsDead(*record);
 }
@@ -85,7 +89,7 @@
   }
   own.sequence = NextSequence(record.sequence);
   Store(membership, std::move(own), now);
-  return MergeResult::kUrgent;
+  return MergeResult::kRefuted;
 }
 
 }  // namespace
@@ -172,8 +176,6 @@
       if (std::tie(record.incarnation, record.sequence) <= held_version) {
         return MergeResult::kIgnored;
       }
-      Store(membership, std::move(record), now);
-      return MergeResult::kUrgent;
     }
     Store(membership, std::move(record), now);
     return MergeResult::kNormal;
@@ -185,9 +187,17 @@
     Store(membership, std::move(record), now);
     return MergeResult::kNormal;
   }
-  const bool urgent = record.state != held->state ||
-                      ClaimOf(record.sequence) != ClaimOf(held->sequence) ||
-                      DiffersUrgently(record.endpoints, held->endpoints);
+  const bool refuted = HasClaim(*held) && !HasClaim(record);
+  const bool same_statuses =
+      IsDead(*held) || !DiffersUrgently(record.endpoints, held->endpoints);
+  const bool left = record.state == MemberState::kLeaving &&
+                    held->state != MemberState::kLeaving;
+  if (refuted && same_statuses && !left) {
+    Store(membership, std::move(record), now);
+    return MergeResult::kRefuted;
+  }
+  const bool urgent = !same_statuses || record.state != held->state ||
+                      ClaimOf(record.sequence) != ClaimOf(held->sequence);
   Store(membership, std::move(record), now);
   return urgent ? MergeResult::kUrgent : MergeResult::kBackground;
 }
--- a/Source/core/membership.h
+++ b/Source/core/membership.h
@@ -51,8 +51,10 @@
   kBackground,
   /// A new or dead member; probing and anti-entropy also find these.
   kNormal,
-  /// A change to spread at once: verdict, draining, leaving, suspicion,
-  /// refutation, or a new incarnation of a known member.
+  /// A refuted suspicion or death; urgent unless there are many at once.
+  kRefuted,
+  /// A change to spread at once: verdict, draining, leaving, suspicion, or a
+  /// new incarnation of a known member.
   kUrgent,
 };
 
--- a/Source/core/peer_protocol.cc
+++ b/Source/core/peer_protocol.cc
@@ -24,6 +24,9 @@
 // record once, a rumor several times; when a whole fleet starts, rumors would
 // otherwise leave no budget for exchanges.
 constexpr double kExchangeReserve = 6000;
+// Answers to pings are sent regardless of the budget. A seed that answers a
+// whole fleet saves the bytes later.
+constexpr double kMaxSendDebt = 50'000;
 constexpr std::size_t kMaxPingRumorBytes = 1000;
 constexpr std::size_t kMaxPushRumorBytes = 2000;
 constexpr std::size_t kMaxExchangeBytes = 6000;
@@ -81,6 +84,10 @@
 // At least one value is sent, whatever its size.
 constexpr std::size_t kMaxSubtreeBytes = 65'536;
 
+// As urgent changes, the refutations of all of 100 members after a partition
+// used up the send budget, and views took 77 s to converge.
+constexpr std::size_t kManyRumors = 20;
+
 // The age in a message does not include its own transit time.
 constexpr microseconds kTransitAllowance{50'000};
 
@@ -104,7 +111,7 @@
 template <typename Message>
 void Spend(PeerProtocol& protocol, const Message& message) {
   protocol.send_tokens =
-      std::max(-kSendBurstBytes,
+      std::max(-kMaxSendDebt,
                protocol.send_tokens -
                    static_cast<double>(EncodedSize(message) + kFramingBytes));
 }
@@ -158,7 +165,11 @@
            Time now) {
   const MemberRecord* held = FindMember(protocol.membership, record.name);
   const bool was_dead = held != nullptr && IsDead(*held);
-  const MergeResult result = MergeRecord(protocol.membership, record, now);
+  MergeResult result = MergeRecord(protocol.membership, record, now);
+  if (result == MergeResult::kRefuted) {
+    result = protocol.rumors.rumors.size() > kManyRumors ? MergeResult::kNormal
+                                                         : MergeResult::kUrgent;
+  }
   if (result == MergeResult::kIgnored) {
     return false;
   }
