Name an incomplete response as the cause without a time

Cause: a daemon that closes the connection early also gives this error.

Change: the message says "no complete response arrived".

Conclusion: late replies that still trickle in keep the same message.

--- a/Source/ctl/daemon_client.cc
+++ b/Source/ctl/daemon_client.cc
@@ -86,7 +86,7 @@
     case httplib::Error::ConnectionTimeout:
       return "the connection was not accepted in time";
     case httplib::Error::Read:
-      return "no complete response arrived in time";
+      return "no complete response arrived";
     default:
       return "the connection failed";
   }
