--- a/Source/core/outlier_verdict.cc
+++ b/Source/core/outlier_verdict.cc
@@ -115,19 +115,23 @@
   }
 };
 
-// Scans all windows that end now and returns the one with the strongest
+// Scans all windows that end at `until` and returns the one with the strongest
 // evidence; its start estimates when the change happened. This finds a change
 // as fast as its size allows, without a fixed window length.
 template <typename Counter>
 Evidence StrongestEvidence(const EndpointHealth& health,
                            double expected,
                            const Counter& count,
+                           TimePoint until,
                            TimePoint now) {
   Evidence strongest;
   Counts total{0, 0};
   const std::size_t fresh = FreshSlots(health, now);
   for (std::size_t i = 0; i < fresh; ++i) {
     const HealthSlot& slot = SlotAt(health, i);
+    if (slot.start > until) {
+      continue;
+    }
     const Counts counts = count(slot);
     total.hits += counts.hits;
     total.samples += counts.samples;
@@ -255,7 +259,7 @@
   };
   SiblingView view = ViewSiblings(baseline, now - kSummaryLifetime);
   *evidence =
-      StrongestEvidence(health, expected(view), make_counter(view), now);
+      StrongestEvidence(health, expected(view), make_counter(view), now, now);
   if (!is_strong(*evidence)) {
     return Confirmation::kNoEvidence;
   }
@@ -270,8 +274,10 @@
   const SiblingView recent = ViewSiblings(baseline, confirmed);
   view.latency = std::max(view.latency, recent.latency);
   view.failed_share = std::max(view.failed_share, recent.failed_share);
-  *evidence =
-      StrongestEvidence(health, expected(view), make_counter(view), now);
+  // What happened after the time that the siblings describe may have happened
+  // to them as well.
+  *evidence = StrongestEvidence(health, expected(view), make_counter(view),
+                                confirmed + kSummaryHalfTime, now);
   // A fault that the whole service had a moment ago is no longer visible in
   // the siblings' summaries, but still in this window. The samples of the time
   // that the summaries describe must therefore agree.
@@ -555,7 +561,7 @@
     case Detection::kCareful:
       policy.slow_ratio = 2.0;
       policy.failed_share = 0.10;
-      policy.evidence = 9;
+      policy.evidence = 8;
       policy.probation_evidence = 5;
       policy.failures_in_row = 6;
       policy.evidence_time = milliseconds(1000);
--- a/Tests/core/outlier_verdict_test.cc
+++ b/Tests/core/outlier_verdict_test.cc
@@ -147,6 +147,28 @@
   CHECK(bench.verdict.state == EndpointState::kHealthy);
 }
 
+// Guards against chance evidence from before a slowdown of the whole service
+// that is completed by slow responses which siblings cannot have published yet.
+TEST_CASE("evidence counts only up to the time that siblings describe") {
+  Bench bench;
+  bench.sibling_age = milliseconds(1000);
+  bench.Judge();
+  const auto record = [&bench](milliseconds latency) {
+    RecordOutcome(bench.health, Outcome::kOk, latency, bench.now += kTick);
+    bench.Judge();
+  };
+  for (int i = 0; i < 60; ++i) {
+    record(milliseconds(i * 69 % 100 < 69 ? 200 : 40));
+  }
+  for (int i = 0; i < 22; ++i) {
+    record(milliseconds(200));
+  }
+  CHECK(bench.verdict.state == EndpointState::kHealthy);
+  bench.sibling_latency = milliseconds(200);
+  bench.Run(seconds(10), milliseconds(200));
+  CHECK(bench.verdict.state == EndpointState::kHealthy);
+}
+
 // Guards against blame for an outage of the whole service that siblings no
 // longer show in their summaries.
 TEST_CASE("a shared outage that has ended ejects nobody") {
