--- a/Source/core/peer_protocol.cc
+++ b/Source/core/peer_protocol.cc
@@ -243,6 +243,11 @@
 }
 
 void AddRumors(PeerProtocol& protocol, std::vector<MemberRecord>& rumors) {
+  // With many rumors, exchanges move the records at a lower cost.
+  if (protocol.send_tokens < kExchangeReserve &&
+      protocol.rumors.rumors.size() > kManyRumors) {
+    return;
+  }
   std::vector<MemberRecord> taken = TakeRumors(
       protocol.rumors, protocol.membership,
       protocol.send_tokens < kExchangeReserve ? MergeResult::kUrgent
