Answer every claim about this daemon with its own record

A holder of a claim that the subject had already refuted got no refutation in the answer to its ping, so that members were held as dead after a partition.

--- a/Source/core/peer_protocol.cc
+++ b/Source/core/peer_protocol.cc
@@ -821,7 +821,11 @@
       request.rumors.begin(), request.rumors.end(), [&](const MemberRecord& r) {
         return r.name == request.sender && IsAbridged(r);
       });
-  const std::uint64_t refutations = protocol.statistics.refutations;
+  // The sender may hold a claim that was refuted earlier.
+  const bool accused = std::any_of(
+      request.rumors.begin(), request.rumors.end(), [&](const MemberRecord& r) {
+        return r.name == protocol.membership.self && HasClaim(r);
+      });
   for (const MemberRecord& record : request.rumors) {
     Merge(protocol, record, Source::kRumor, now);
   }
@@ -839,7 +843,7 @@
     reply.rumors.push_back(*sender);
     reply.rumors.back().endpoints.clear();
   }
-  if (protocol.statistics.refutations != refutations) {
+  if (accused) {
     reply.rumors.push_back(Self(protocol.membership));
   }
   if (sender != nullptr && sender->incarnation < request.incarnation) {
--- a/Source/core/peer_protocol.h
+++ b/Source/core/peer_protocol.h
@@ -36,8 +36,7 @@
 /// and its end is noticed within 1 s.
 constexpr std::chrono::milliseconds kDeathBound =
     std::chrono::seconds(12) + kPingTimeout + kPingThroughTimeout +
-    std::chrono::seconds(4) + kSuspicionTimeout +
-    std::chrono::seconds(1);
+    std::chrono::seconds(4) + kSuspicionTimeout + std::chrono::seconds(1);
 
 /// \brief Bytes per second that a daemon may send on membership; it receives
 /// as much on average, which gives 7 KB/s in total with a reserve.
