--- a/Source/core/peer_protocol.cc
+++ b/Source/core/peer_protocol.cc
@@ -243,9 +243,12 @@
 }
 
 void AddRumors(PeerProtocol& protocol, std::vector<MemberRecord>& rumors) {
-  // With many rumors, exchanges move the records at a lower cost.
-  if (protocol.send_tokens < kExchangeReserve &&
-      protocol.rumors.rumors.size() > kManyRumors) {
+  // With many urgent rumors, exchanges move the records at a lower cost.
+  const auto urgent = std::count_if(
+      protocol.rumors.rumors.begin(), protocol.rumors.rumors.end(),
+      [](const auto& r) { return r.second.urgency == MergeResult::kUrgent; });
+  if (protocol.send_tokens<kExchangeReserve&& static_cast<std::size_t>(urgent)>
+          kManyRumors) {
     return;
   }
   std::vector<MemberRecord> taken = TakeRumors(
