--- a/Source/core/peer_protocol.cc
+++ b/Source/core/peer_protocol.cc
@@ -50,7 +50,7 @@
 // Abridged records, of about 65 bytes each, that an answer to an introduction
 // holds regardless of the budget.
 constexpr std::size_t kIntroductionRecords = 4;
-constexpr milliseconds kExpiryPeriod{500};
+constexpr milliseconds kExpiryPeriod{1000};
 
 // Three random neighbours per member reach about 95% of the fleet; pings reach
 // the rest. Pushing a record to all 8 costs almost three times the bytes.
@@ -165,6 +165,9 @@
            Time now) {
   const MemberRecord* held = FindMember(protocol.membership, record.name);
   const bool was_dead = held != nullptr && IsDead(*held);
+  // A death that this member doubts is not passed on: each receiver of the
+  // claim asks the member itself, and after a partition there are many.
+  const bool doubted = held != nullptr && IsDead(record) && !HasClaim(*held);
   MergeResult result = MergeRecord(protocol.membership, record, now);
   if (result == MergeResult::kRefuted) {
     result = protocol.rumors.rumors.size() > kManyRumors ? MergeResult::kNormal
@@ -183,7 +186,7 @@
   // The other members learn by anti-entropy what this one learned by it,
   // unless it is urgent. An abridged record serves only its receiver.
   if ((source == Source::kRumor || result == MergeResult::kUrgent) &&
-      !IsAbridged(record)) {
+      !IsAbridged(record) && !doubted) {
     AddRumor(protocol.rumors, record.name, result);
   }
   if (result == MergeResult::kUrgent) {
@@ -240,6 +243,14 @@
 }
 
 void AddRumors(PeerProtocol& protocol, std::vector<MemberRecord>& rumors) {
+  // With many urgent rumors, exchanges move the records at a lower cost.
+  const auto urgent = std::count_if(
+      protocol.rumors.rumors.begin(), protocol.rumors.rumors.end(),
+      [](const auto& r) { return r.second.urgency == MergeResult::kUrgent; });
+  if (protocol.send_tokens<kExchangeReserve&& static_cast<std::size_t>(urgent)>
+          kManyRumors) {
+    return;
+  }
   std::vector<MemberRecord> taken = TakeRumors(
       protocol.rumors, protocol.membership,
       protocol.send_tokens < kExchangeReserve ? MergeResult::kUrgent
@@ -813,7 +824,11 @@
       request.rumors.begin(), request.rumors.end(), [&](const MemberRecord& r) {
         return r.name == request.sender && IsAbridged(r);
       });
-  const std::uint64_t refutations = protocol.statistics.refutations;
+  // The sender may hold a claim that was refuted earlier.
+  const bool accused = std::any_of(
+      request.rumors.begin(), request.rumors.end(), [&](const MemberRecord& r) {
+        return r.name == protocol.membership.self && HasClaim(r);
+      });
   for (const MemberRecord& record : request.rumors) {
     Merge(protocol, record, Source::kRumor, now);
   }
@@ -831,7 +846,7 @@
     reply.rumors.push_back(*sender);
     reply.rumors.back().endpoints.clear();
   }
-  if (protocol.statistics.refutations != refutations) {
+  if (accused) {
     reply.rumors.push_back(Self(protocol.membership));
   }
   if (sender != nullptr && sender->incarnation < request.incarnation) {
