--- a/Source/daemon/daemon.cc
+++ b/Source/daemon/daemon.cc
@@ -1,6 +1,8 @@
 #include "daemon/daemon.h"
 
+#include <signal.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <optional>
@@ -220,6 +222,12 @@
 void Daemon::SlowTick(TimePoint now) {
   this->watcher.SetDecision(this->runner.DecideConfigRead(now));
   this->ConfirmByOwners();
+  if (!this->leaving && this->runner.Replaced()) {
+    spdlog::error("a later incarnation of daemon {} runs; this one stops",
+                  this->settings.name);
+    // The main thread waits for this signal.
+    kill(getpid(), SIGTERM);
+  }
 }
 
 void Daemon::ApplyMembers() {
--- a/Source/daemon/daemon_pages.cc
+++ b/Source/daemon/daemon_pages.cc
@@ -157,6 +157,16 @@
   return reports;
 }
 
+std::string RecoveryDetail(const KeyRecovery& recovery) {
+  const std::size_t missing = MissingMembers(recovery).size();
+  const auto incomplete = std::count_if(
+      recovery.members.begin(), recovery.members.end(), [](const auto& member) {
+        return member.second.received && !member.second.complete;
+      });
+  return absl::StrCat(missing, " journals missing, ", incomplete,
+                      " incomplete");
+}
+
 KeysReport ReportKeys(OwnedEndpoint& endpoint) {
   const std::lock_guard<std::mutex> lock(endpoint.mutex);
   KeysReport report;
@@ -165,8 +175,7 @@
   report.endpoint = endpoint.identity.endpoint.address;
   report.recovering = !IsRecovered(endpoint.keyed.recovery, Clock::now());
   if (report.recovering) {
-    report.recovery_detail = absl::StrCat(
-        MissingMembers(endpoint.keyed.recovery).size(), " journals missing");
+    report.recovery_detail = RecoveryDetail(endpoint.keyed.recovery);
   }
   report.records =
       endpoint.keyed.ledger.keys.size() + endpoint.keyed.ledger.attempts.size();
--- a/Source/daemon/endpoint_directory.cc
+++ b/Source/daemon/endpoint_directory.cc
@@ -18,6 +18,10 @@
 // Bounds the size of a forward for services with many endpoints.
 constexpr std::size_t kMaxSiblings = 16;
 
+// A published record may be older than a status that came with a reply; in a
+// simulation, older records that replaced newer ones hid ejections.
+constexpr std::chrono::seconds kReplyPrecedence{4};
+
 constexpr double kPercent = 100;
 
 std::uint16_t Clamp16(std::uint32_t value) {
@@ -88,8 +92,9 @@
         owner.location.failure_domain == this->location.failure_domain;
     endpoint.view.owner_reachable =
         !owner.dead && IsPathClear(this->paths[endpoint.ip]);
+    const bool replies = Clock::now() - endpoint.replied_at < kReplyPrecedence;
     for (const rpc::EndpointStatus& status : owner.endpoints) {
-      if (status.endpoint() == endpoint.address) {
+      if (status.endpoint() == endpoint.address && !replies) {
         this->ApplyStatus(status, endpoint);
       }
     }
@@ -190,6 +195,7 @@
     }
     const EndpointView before = endpoint.view;
     this->ApplyStatus(result.status(), endpoint);
+    endpoint.replied_at = now;
     if (before.state != endpoint.view.state ||
         before.severity != endpoint.view.severity ||
         before.draining != endpoint.view.draining ||
--- a/Source/daemon/endpoint_directory.h
+++ b/Source/daemon/endpoint_directory.h
@@ -110,6 +110,8 @@
     VerdictReason reason = VerdictReason::kNone;
     std::chrono::microseconds latency{0};
     std::optional<EndpointSummary> summary;
+    /// When a reply of the owner last brought its status.
+    TimePoint replied_at;
     /// Per rank, until when the owner refuses further work.
     std::map<std::string, TimePoint> full_until;
   };
--- a/Source/daemon/ingress.cc
+++ b/Source/daemon/ingress.cc
@@ -460,8 +460,6 @@
         attempt.response = FromProto(reply.answer());
         return;
       case rpc::FENCE_RUNNING:
-        std::this_thread::sleep_for(kFencePollPeriod);
-        break;
       case rpc::FENCE_UNSPECIFIED:
         std::this_thread::sleep_for(kFencePollPeriod);
         break;
--- a/Source/daemon/peer_runner.cc
+++ b/Source/daemon/peer_runner.cc
@@ -132,6 +132,11 @@
                     this->protocol.newest_config_contact, now, this->rng);
 }
 
+bool PeerRunner::Replaced() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->protocol.membership.replaced;
+}
+
 std::vector<MemberRecord> PeerRunner::Members() {
   const std::lock_guard<std::mutex> lock(this->mutex);
   std::vector<MemberRecord> members;
--- a/Source/daemon/peer_runner.h
+++ b/Source/daemon/peer_runner.h
@@ -72,6 +72,10 @@
   /// called each second.
   ReadDecision DecideConfigRead(TimePoint now);
 
+  /// \brief Whether a later incarnation of this daemon was seen, so that this
+  /// one has to stop.
+  bool Replaced();
+
   /// \brief All members, dead ones included.
   std::vector<MemberRecord> Members();
 
--- a/Utilities/demo.sh
+++ b/Utilities/demo.sh
@@ -83,9 +83,11 @@
 done
 
 say "check and publish the configuration of team shop"
-cat >"$work/shop.ini" <<'INI'
+cat >"$work/shop.ini" <<INI
 [team]
 [service atelier]
+# No keyed request was sent before the launch.
+keys_since = $(date -u -d '+5 seconds' +%Y-%m-%dT%H:%M:%SZ)
 endpoints = 127.77.0.1:8081, 127.77.0.2:8081, 127.77.0.3:8081
 slots = 4
 floor = 60%
