--- a/Source/daemon/backend_client.cc
+++ b/Source/daemon/backend_client.cc
@@ -1,59 +1,262 @@
 #include "daemon/backend_client.h"
 
-#include <httplib.h>
+#include <netdb.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <atomic>
+#include <cerrno>
+#include <cstring>
 #include <utility>
 
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "daemon/http_wire.h"
 
 namespace comfrey {
+
+/// \brief One connection to a backend server; closes its socket.
+struct BackendConnection {
+  explicit BackendConnection(int socket) : socket(socket), reader(socket) {}
+  ~BackendConnection() { ::close(this->socket); }
+
+  BackendConnection(const BackendConnection&) = delete;
+  BackendConnection& operator=(const BackendConnection&) = delete;
+
+  int socket;
+  WireReader reader;
+};
+
 namespace {
 
 using Clock = std::chrono::steady_clock;
 
 constexpr std::chrono::milliseconds kConnectTimeout{250};
 constexpr std::size_t kMaxIdleConnections = 16;
+constexpr std::size_t kMaxResponseHead = 64 << 10;
+// A daemon has 32 MB in total; a larger response would take a good part of it.
+constexpr std::size_t kMaxResponseBody = 8 << 20;
+// Interim responses (1xx) before the final one.
+constexpr int kMaxInterimResponses = 16;
+
+constexpr int kSwitchingProtocols = 101;
+constexpr int kOk = 200;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
 
 // Remaining time that the backend server may spend, in milliseconds.
 constexpr char kTimeoutHeader[] = "Request-Timeout-Ms";
 
-httplib::Request BuildRequest(const BackendCall& call, Clock::time_point now) {
-  httplib::Request request;
-  request.method = call.request->method;
-  request.path = call.request->target;
-  for (const HttpHeader& header : call.request->headers) {
-    request.headers.emplace(header.name, header.value);
+// What reading one response led to.
+struct Exchange {
+  std::string error;  // Empty if the response is whole.
+  bool timed_out = false;
+  bool received_bytes = false;
+  bool reusable = false;
+  HttpResponse response;
+};
+
+bool IsForwarded(const std::string& name) {
+  return !IsHopByHopHeader(name) &&
+         !absl::EqualsIgnoreCase(name, "Content-Length") &&
+         !absl::EqualsIgnoreCase(name, "Expect") &&
+         !absl::EqualsIgnoreCase(name, kTimeoutHeader);
+}
+
+// Returns what would let the request be read as another one, or "".
+std::string FindInvalidPart(const HttpRequest& request) {
+  if (!IsToken(request.method)) {
+    return "the method is not a token";
+  }
+  if (!IsValidTarget(request.target)) {
+    return "the target contains a space or a control character";
+  }
+  for (const HttpHeader& header : request.headers) {
+    if (!IsValidHeader(header)) {
+      return "a header contains a control character";
+    }
+  }
+  return "";
+}
+
+std::string BuildRequest(const BackendCall& call,
+                         const std::string& peer,
+                         Clock::time_point now) {
+  const HttpRequest& request = *call.request;
+  std::string text =
+      absl::StrCat(request.method, " ", request.target, " HTTP/1.1\r\n");
+  if (FindHeader(request.headers, "Host").empty()) {
+    absl::StrAppend(&text, "Host: ", peer, "\r\n");
+  }
+  for (const HttpHeader& header : request.headers) {
+    if (IsForwarded(header.name)) {
+      absl::StrAppend(&text, header.name, ": ", header.value, "\r\n");
+    }
   }
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
       call.deadline - now);
-  request.headers.erase(kTimeoutHeader);
-  request.headers.emplace(kTimeoutHeader, absl::StrCat(left.count()));
-  request.body = call.request->body;
-  return request;
+  absl::StrAppend(&text, kTimeoutHeader, ": ", left.count(), "\r\n");
+  if (!request.body.empty() ||
+      (request.method != "GET" && request.method != "HEAD")) {
+    absl::StrAppend(&text, "Content-Length: ", request.body.size(), "\r\n");
+  }
+  absl::StrAppend(&text, "\r\n", request.body);
+  return text;
 }
 
-// A response without a length that is not chunked ends with the connection,
-// so a cut response could not be told from a whole one.
-bool HasDefiniteEnd(const std::string& method,
-                    const httplib::Response& response) {
-  constexpr int kNoContent = 204;
-  constexpr int kNotModified = 304;
-  return method == "HEAD" || response.status == kNoContent ||
-         response.status == kNotModified ||
-         response.has_header("Content-Length") ||
-         response.has_header("Transfer-Encoding");
+// Returns the status of "HTTP/1.1 200 OK", or 0.
+int ParseStatusLine(absl::string_view line) {
+  constexpr std::size_t kVersionLength = 9;
+  constexpr std::size_t kStatusLength = 3;
+  if (!absl::StartsWith(line, "HTTP/1.1 ") &&
+      !absl::StartsWith(line, "HTTP/1.0 ")) {
+    return 0;
+  }
+  const absl::string_view digits = line.substr(kVersionLength, kStatusLength);
+  const absl::string_view rest =
+      line.substr(std::min(line.size(), kVersionLength + kStatusLength));
+  int status = 0;
+  if (digits.size() != kStatusLength ||
+      digits.find_first_not_of("0123456789") != absl::string_view::npos ||
+      !absl::SimpleAtoi(digits, &status) || status < 100 || status > 599 ||
+      !(rest.empty() || rest.front() == ' ')) {
+    return 0;
+  }
+  return status;
 }
 
-HttpResponse ConvertResponse(const httplib::Response& response) {
-  HttpResponse converted;
-  converted.status = response.status;
-  for (const auto& [name, value] : response.headers) {
-    converted.headers.push_back({name, value});
+std::string DescribeError(WireError error) {
+  switch (error) {
+    case WireError::kNone:
+      return "";
+    case WireError::kClosed:
+      return "the connection was closed before the end of the response";
+    case WireError::kTimedOut:
+      return "deadline exceeded";
+    case WireError::kMalformed:
+      return "the response is malformed";
+    case WireError::kHeadTooLarge:
+      return "the headers of the response are too large";
+    case WireError::kBodyTooLarge:
+      return absl::StrCat("the body of the response exceeds ", kMaxResponseBody,
+                          " bytes");
   }
-  converted.body = response.body;
-  return converted;
+  return "";
+}
+
+Exchange Fail(Exchange exchange, WireError error) {
+  exchange.error = DescribeError(error);
+  exchange.timed_out = error == WireError::kTimedOut;
+  return exchange;
+}
+
+Exchange ReadResponse(WireReader& reader,
+                      const std::string& method,
+                      Clock::time_point deadline) {
+  Exchange exchange;
+  MessageHead head;
+  int status = 0;
+  for (int interim = 0; status < kOk; ++interim) {
+    head = MessageHead{};
+    const WireError error = ReadHead(reader, deadline, kMaxResponseHead, head);
+    if (error != WireError::kNone) {
+      exchange.received_bytes = interim > 0 || reader.HasBufferedBytes() ||
+                                !head.start_line.empty() ||
+                                error == WireError::kMalformed;
+      return Fail(std::move(exchange), error);
+    }
+    exchange.received_bytes = true;
+    status = ParseStatusLine(head.start_line);
+    if (status == 0 || status == kSwitchingProtocols ||
+        interim >= kMaxInterimResponses) {
+      return Fail(std::move(exchange), WireError::kMalformed);
+    }
+  }
+  BodyFraming framing;
+  exchange.error = DetermineFraming(head.headers, framing);
+  if (!exchange.error.empty()) {
+    return exchange;
+  }
+  const bool without_body =
+      method == "HEAD" || status == kNoContent || status == kNotModified;
+  if (!without_body) {
+    // Without either, the response ends with the connection, so a cut one
+    // could not be told from a whole one.
+    if (!framing.chunked && !framing.has_length) {
+      exchange.error = "no length and not chunked";
+      return exchange;
+    }
+    const WireError error = ReadBody(reader, deadline, framing,
+                                     kMaxResponseBody, exchange.response.body);
+    if (error != WireError::kNone) {
+      return Fail(std::move(exchange), error);
+    }
+  }
+  exchange.response.status = status;
+  exchange.response.headers = std::move(head.headers);
+  // Bytes after the response belong to no request.
+  exchange.reusable =
+      absl::StartsWith(head.start_line, "HTTP/1.1") &&
+      !HasConnectionOption(exchange.response.headers, "close") &&
+      !reader.HasBufferedBytes();
+  return exchange;
+}
+
+// Returns a connected socket, or -1 with the cause in `error`.
+int Connect(const std::string& ip,
+            int port,
+            Clock::time_point deadline,
+            std::string& error) {
+  addrinfo hints{};
+  hints.ai_socktype = SOCK_STREAM;
+  hints.ai_flags = AI_NUMERICHOST | AI_NUMERICSERV;
+  addrinfo* address = nullptr;
+  if (::getaddrinfo(ip.c_str(), std::to_string(port).c_str(), &hints,
+                    &address) != 0) {
+    error = "the address is not an IP number";
+    return -1;
+  }
+  const std::unique_ptr<addrinfo, decltype(&::freeaddrinfo)> owner(
+      address, &::freeaddrinfo);
+  const int socket = ::socket(address->ai_family,
+                              SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (socket < 0) {
+    error = std::strerror(errno);
+    return -1;
+  }
+  const int enabled = 1;
+  ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
+  int code = 0;
+  if (::connect(socket, address->ai_addr, address->ai_addrlen) != 0) {
+    code = errno;
+    if (code == EINPROGRESS) {
+      socklen_t length = sizeof(code);
+      if (!WaitForSocket(socket, POLLOUT, deadline)) {
+        code = ETIMEDOUT;
+      } else if (::getsockopt(socket, SOL_SOCKET, SO_ERROR, &code, &length) !=
+                 0) {
+        code = errno;
+      }
+    }
+  }
+  if (code != 0) {
+    error = std::strerror(code);
+    ::close(socket);
+    return -1;
+  }
+  return socket;
+}
+
+// A connection on which nothing was asked must be silent: bytes are a late or
+// unsolicited response, and an end of file means that it was closed.
+bool IsSilent(const BackendConnection& connection) {
+  return !connection.reader.HasBufferedBytes() &&
+         !WaitForSocket(connection.socket, POLLIN, Clock::time_point{});
 }
 
 }  // namespace
@@ -64,53 +267,96 @@
 BackendClient::~BackendClient() = default;
 
 BackendResult BackendClient::Call(const BackendCall& call) {
+  const Clock::time_point start = Clock::now();
+  bool stale = false;
+  BackendResult result = this->CallOnce(call, call.idempotent, stale);
+  if (stale) {
+    result = this->CallOnce(call, false, stale);
+  }
+  result.latency = std::chrono::duration_cast<std::chrono::microseconds>(
+      Clock::now() - start);
+  return result;
+}
+
+BackendResult BackendClient::CallOnce(const BackendCall& call,
+                                      bool reuse,
+                                      bool& stale) {
+  stale = false;
   BackendResult result;
   const std::string peer = absl::StrCat(this->ip, ":", this->port);
   const Clock::time_point start = Clock::now();
+  const std::string invalid = FindInvalidPart(*call.request);
+  if (!invalid.empty()) {
+    result.error = absl::InvalidArgumentError(
+        absl::StrCat("send to ", peer, ": ", invalid));
+    return result;
+  }
   if (start >= call.deadline) {
     result.error = absl::DeadlineExceededError(
         absl::StrCat("send to ", peer, ": the deadline passed before"));
     return result;
   }
-  std::unique_ptr<httplib::Client> connection =
-      this->TakeConnection(call.idempotent);
-  const auto left = std::chrono::duration_cast<std::chrono::microseconds>(
-      call.deadline - start);
-  connection->set_connection_timeout(
-      std::min<std::chrono::microseconds>(kConnectTimeout, left));
-  connection->set_read_timeout(left);
-  connection->set_write_timeout(left);
+  // Between the check of an idle connection and its use, the backend server
+  // may close it; then it is unknown whether the request ran. A new connection,
+  // about 1 ms, avoids that for requests that must not run twice; idempotent
+  // requests are repeated on a new connection.
+  std::unique_ptr<BackendConnection> connection =
+      reuse ? this->TakeConnection() : nullptr;
+  const bool reused = connection != nullptr;
+  if (!connection) {
+    std::string error;
+    const int socket =
+        Connect(this->ip, this->port,
+                std::min(call.deadline, start + kConnectTimeout), error);
+    if (socket < 0) {
+      result.error = absl::UnavailableError(
+          absl::StrCat("connect to ", peer, ": ", error));
+      return result;
+    }
+    connection = std::make_unique<BackendConnection>(socket);
+    if (!IsSilent(*connection)) {
+      result.error = absl::UnavailableError(absl::StrCat(
+          "send to ", peer,
+          ": the backend server sent bytes or closed before the request"));
+      return result;
+    }
+  }
 
   std::atomic<bool> stopped{false};
+  const int socket = connection->socket;
   const CallWatchdog::CallId watch =
-      this->watchdog.Watch(call.deadline, call.cancelled, [&] {
+      this->watchdog.Watch(call.deadline, call.cancelled, [&stopped, socket] {
         stopped = true;
-        connection->stop();
+        ::shutdown(socket, SHUT_RDWR);
       });
-  const httplib::Result reply = connection->send(BuildRequest(call, start));
+  const std::string request = BuildRequest(call, peer, start);
+  std::size_t sent = 0;
+  Exchange exchange;
+  if (WriteAll(socket, call.deadline, request, sent)) {
+    exchange =
+        ReadResponse(connection->reader, call.request->method, call.deadline);
+  } else {
+    exchange.error = "the request could not be sent as a whole";
+  }
   this->watchdog.Remove(watch);
-  const Clock::time_point end = Clock::now();
-  result.latency =
-      std::chrono::duration_cast<std::chrono::microseconds>(end - start);
 
-  if (reply && HasDefiniteEnd(call.request->method, *reply)) {
+  if (exchange.error.empty()) {
     result.outcome = BackendOutcome::kAnswered;
-    result.response = ConvertResponse(*reply);
-    const bool close =
-        reply->get_header_value("Connection") == "close" || stopped;
-    if (!close) {
+    result.response = std::move(exchange.response);
+    if (exchange.reusable && !stopped) {
+      connection->reader.ReleaseBuffer();
       this->ReturnConnection(std::move(connection));
     }
     return result;
   }
-  if (reply.error() == httplib::Error::Connection ||
-      reply.error() == httplib::Error::ConnectionTimeout) {
-    result.outcome = BackendOutcome::kNotSent;
-    result.error = absl::UnavailableError(absl::StrCat(
-        "connect to ", peer, ": ", httplib::to_string(reply.error())));
+  stale = reused && !stopped && !exchange.timed_out &&
+          !exchange.received_bytes && Clock::now() < call.deadline;
+  if (sent == 0 && !stopped) {
+    result.error = absl::UnavailableError(
+        absl::StrCat("send to ", peer, ": ", exchange.error));
     return result;
   }
-  if (end >= call.deadline) {
+  if (exchange.timed_out || Clock::now() >= call.deadline) {
     result.outcome = BackendOutcome::kTimedOut;
     result.error = absl::DeadlineExceededError(
         absl::StrCat("response from ", peer, ": deadline exceeded"));
@@ -118,36 +364,26 @@
   }
   result.outcome =
       stopped ? BackendOutcome::kCancelled : BackendOutcome::kFailed;
-  result.error = absl::UnavailableError(absl::StrCat(
-      "response from ", peer, ": ",
-      reply ? "no length and not chunked" : httplib::to_string(reply.error())));
+  result.error = absl::UnavailableError(
+      absl::StrCat("response from ", peer, ": ", exchange.error));
   return result;
 }
 
-std::unique_ptr<httplib::Client> BackendClient::TakeConnection(
-    bool idempotent) {
-  // A backend server may close an idle connection at the moment it is reused;
-  // then it is unknown whether the request ran. A new connection, about 1 ms,
-  // avoids that for requests that must not run twice.
-  if (idempotent) {
-    const std::lock_guard<std::mutex> lock(this->mutex);
-    if (!this->idle.empty()) {
-      std::unique_ptr<httplib::Client> connection =
-          std::move(this->idle.back());
-      this->idle.pop_back();
+std::unique_ptr<BackendConnection> BackendClient::TakeConnection() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  while (!this->idle.empty()) {
+    std::unique_ptr<BackendConnection> connection =
+        std::move(this->idle.back());
+    this->idle.pop_back();
+    if (IsSilent(*connection)) {
       return connection;
     }
   }
-  auto connection = std::make_unique<httplib::Client>(this->ip, this->port);
-  connection->set_keep_alive(true);
-  connection->set_tcp_nodelay(true);
-  connection->set_decompress(false);
-  connection->set_url_encode(false);
-  return connection;
+  return nullptr;
 }
 
 void BackendClient::ReturnConnection(
-    std::unique_ptr<httplib::Client> connection) {
+    std::unique_ptr<BackendConnection> connection) {
   const std::lock_guard<std::mutex> lock(this->mutex);
   if (this->idle.size() < kMaxIdleConnections) {
     this->idle.push_back(std::move(connection));
--- a/Source/daemon/backend_client.h
+++ b/Source/daemon/backend_client.h
@@ -12,12 +12,10 @@
 #include "core/http_message.h"
 #include "daemon/call_watchdog.h"
 
-namespace httplib {
-class Client;
-}
-
 namespace comfrey {
 
+struct BackendConnection;
+
 /// \brief What became of a call to a backend server.
 enum class BackendOutcome {
   kAnswered,   ///< A whole response arrived.
@@ -53,18 +51,20 @@
   BackendClient(const BackendClient&) = delete;
   BackendClient& operator=(const BackendClient&) = delete;
 
-  /// \brief Sends one request and waits for the whole response.
+  /// \brief Sends one request and waits for the whole response, of which the
+  /// body has at most 8 MiB.
   BackendResult Call(const BackendCall& call);
 
  private:
-  std::unique_ptr<httplib::Client> TakeConnection(bool idempotent);
-  void ReturnConnection(std::unique_ptr<httplib::Client> connection);
+  BackendResult CallOnce(const BackendCall& call, bool reuse, bool& stale);
+  std::unique_ptr<BackendConnection> TakeConnection();
+  void ReturnConnection(std::unique_ptr<BackendConnection> connection);
 
   std::string ip;
   int port;
   CallWatchdog& watchdog;
   std::mutex mutex;
-  std::vector<std::unique_ptr<httplib::Client>> idle;
+  std::vector<std::unique_ptr<BackendConnection>> idle;
 };
 
 }  // namespace comfrey
--- a/Source/daemon/connection_pool.cc
+++ b/Source/daemon/connection_pool.cc
@@ -5,7 +5,10 @@
 namespace comfrey {
 namespace {
 
-thread_local bool over_limit_thread = false;
+// Connections that wait to be refused; each holds a file descriptor.
+constexpr std::size_t kMaxOverLimit = 64;
+
+thread_local ConnectionTreatment treatment = ConnectionTreatment::kServe;
 
 }  // namespace
 
@@ -13,13 +16,19 @@
   this->threads.emplace_back([this] { this->ServeOverLimit(); });
 }
 
-bool ConnectionPool::OverLimit() {
-  return over_limit_thread;
+ConnectionTreatment ConnectionPool::Treatment() {
+  return treatment;
 }
 
 void ConnectionPool::enqueue(std::function<void()> connection) {
-  const std::lock_guard<std::mutex> lock(this->mutex);
+  std::unique_lock<std::mutex> lock(this->mutex);
   if (this->serving + this->waiting.size() >= this->limit) {
+    if (this->over_limit.size() >= kMaxOverLimit) {
+      lock.unlock();
+      treatment = ConnectionTreatment::kDrop;
+      connection();
+      return;
+    }
     this->over_limit.push_back(std::move(connection));
     this->changed.notify_all();
     return;
@@ -64,7 +73,7 @@
 }
 
 void ConnectionPool::ServeOverLimit() {
-  over_limit_thread = true;
+  treatment = ConnectionTreatment::kRefuse;
   std::unique_lock<std::mutex> lock(this->mutex);
   for (;;) {
     this->changed.wait(
--- a/Source/daemon/connection_pool.h
+++ b/Source/daemon/connection_pool.h
@@ -13,11 +13,19 @@
 
 namespace comfrey {
 
+/// \brief What the calling thread does with its connection.
+enum class ConnectionTreatment {
+  kServe,   ///< Serves requests.
+  kRefuse,  ///< Replies that the limit is reached, and waits for the caller.
+  kDrop,    ///< As kRefuse, but never waits.
+};
+
 /// \brief Threads that serve caller connections, one connection a thread.
 ///
 /// Threads are started as connections arrive, up to `limit`. A connection
-/// beyond the limit is served by one extra thread, which marks its request as
-/// over the limit, so that the caller gets a reply instead of waiting.
+/// beyond the limit is refused by one extra thread, so that the caller gets a
+/// reply instead of waiting; if many wait for that thread, the thread that
+/// accepts connections drops them itself.
 class ConnectionPool : public httplib::TaskQueue {
  public:
   explicit ConnectionPool(std::size_t limit);
@@ -25,8 +33,8 @@
   void enqueue(std::function<void()> connection) override;
   void shutdown() override;
 
-  /// \brief Whether the calling thread serves connections beyond the limit.
-  static bool OverLimit();
+  /// \brief What the calling thread does with its connection.
+  static ConnectionTreatment Treatment();
 
  private:
   void Serve();
--- a/Source/daemon/http_frontend.cc
+++ b/Source/daemon/http_frontend.cc
@@ -1,103 +1,273 @@
 #include "daemon/http_frontend.h"
 
 #include <httplib.h>
+#include <poll.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <algorithm>
+#include <array>
 #include <chrono>
+#include <cstring>
+#include <optional>
 #include <utility>
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "daemon/connection_pool.h"
+#include "daemon/http_wire.h"
 
 namespace comfrey {
+
+/// \brief One request of a caller and its reply.
+struct HttpFrontend::Exchange {
+  HttpRequest request;
+  // Reply to a request that is not handled; the connection is closed after it.
+  std::optional<IngressReply> refusal;
+  // Set once the reply is that of the handler or a refusal, not a page.
+  std::optional<HttpResponse> reply;
+  bool close = false;
+  // Nothing was received or nobody waits for a reply.
+  bool ended = false;
+};
+
+/// \brief Accepts connections; requests are read by the frontend.
+class CallerServer : public httplib::Server {
+ public:
+  explicit CallerServer(std::function<void(int)> serve)
+      : serve(std::move(serve)) {}
+
+  /// \brief Replaces the library's backlog of 5 connections, beyond which
+  /// connections of a burst wait for a retransmission.
+  void RaiseBacklog() const {
+    constexpr int kBacklog = 512;
+    ::listen(this->svr_sock_, kBacklog);
+  }
+
+  bool Respond(httplib::Stream& stream) {
+    bool closed = false;
+    return this->process_request(stream, false, closed, nullptr);
+  }
+
+ private:
+  bool process_and_close_socket(socket_t socket) override {
+    this->serve(socket);
+    return true;
+  }
+
+  std::function<void(int)> serve;
+};
+
+thread_local HttpFrontend::Exchange* HttpFrontend::current = nullptr;
+
 namespace {
 
-constexpr std::chrono::seconds kReadTimeout{5};
+using Clock = std::chrono::steady_clock;
+
+// Whole head and whole body: a caller that sends a byte now and then would
+// otherwise hold a connection without end.
+constexpr std::chrono::seconds kHeadTimeout{5};
+constexpr std::chrono::seconds kBodyTimeout{10};
+// A response makes progress within the first and ends within the second.
 constexpr std::chrono::seconds kWriteTimeout{5};
-// A graceful shutdown waits this long for idle connections.
+constexpr std::chrono::seconds kResponseTimeout{30};
+constexpr std::size_t kWriteSize = 64 << 10;
 constexpr std::chrono::seconds kKeepAliveTimeout{5};
-constexpr std::size_t kKeepAliveRequests = 1'000'000;
+// After the stop, an idle connection may still carry a request that its caller
+// sent before it could know.
+constexpr std::chrono::seconds kStopIdleTimeout{1};
+// Closing a socket with unread bytes resets the connection, and the reset may
+// overtake the reply; so the bytes are read until the caller closes.
+constexpr std::chrono::seconds kCloseTimeout{1};
+// One thread refuses connections one after the other, so it waits only as long
+// as a request needs to arrive from a caller, a few milliseconds away.
+constexpr std::chrono::milliseconds kRefuseTimeout{20};
+constexpr std::chrono::seconds kStartTimeout{5};
+// Request line that the library accepts, less its other parts.
+constexpr std::size_t kMaxTarget = 8000;
 
 constexpr int kBadRequest = 400;
+constexpr int kRequestTimeout = 408;
 constexpr int kContentTooLarge = 413;
+constexpr int kTargetTooLong = 414;
 constexpr int kUnsupportedMediaType = 415;
+constexpr int kExpectationFailed = 417;
 constexpr int kHeaderTooLarge = 431;
+constexpr int kNotImplemented = 501;
+constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
 
-std::size_t HeaderBytes(const httplib::Request& request) {
-  std::size_t bytes = request.target.size();
-  for (const auto& [name, value] : request.headers) {
-    bytes += name.size() + value.size();
+constexpr std::array<absl::string_view, 7> kMethods = {
+    "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"};
+constexpr char kPagePrefix[] = "/comfrey/";
+
+// Gives the library a request that is already checked, and sends what the
+// library writes.
+class ReplyStream : public httplib::Stream {
+ public:
+  ReplyStream(int connection, std::string input)
+      : connection(connection),
+        input(std::move(input)),
+        deadline(Clock::now() + kResponseTimeout) {}
+
+  using httplib::Stream::write;
+
+  bool is_readable() const override { return true; }
+  bool is_writable() const override { return true; }
+
+  ssize_t read(char* bytes, std::size_t size) override {
+    const std::size_t count =
+        std::min(size, this->input.size() - this->position);
+    std::memcpy(bytes, this->input.data() + this->position, count);
+    this->position += count;
+    return static_cast<ssize_t>(count);
   }
-  return bytes;
-}
 
-// Returns why the framing of the body is ambiguous, or "". Two parsers that
-// read different lengths would let a caller smuggle a second request.
-std::string AmbiguousFraming(const httplib::Request& request) {
-  const std::size_t lengths = request.get_header_value_count("Content-Length");
-  const std::size_t encodings =
-      request.get_header_value_count("Transfer-Encoding");
-  if (lengths > 1 || encodings > 1) {
-    return "Content-Length or Transfer-Encoding is given more than once";
-  }
-  if (lengths == 1 && encodings == 1) {
-    return "both Content-Length and Transfer-Encoding are given";
-  }
-  if (encodings == 1 &&
-      !absl::EqualsIgnoreCase(request.get_header_value("Transfer-Encoding"),
-                              "chunked")) {
-    return "only the transfer encoding chunked is supported";
-  }
-  const std::string length = request.get_header_value("Content-Length");
-  if (lengths == 1 &&
-      (length.empty() ||
-       length.find_first_not_of("0123456789") != std::string::npos)) {
-    return "Content-Length is not a number";
-  }
-  return "";
-}
+  ssize_t write(const char* bytes, std::size_t size) override {
+    if (this->deadline == Clock::time_point{}) {
+      return -1;
+    }
+    for (std::size_t written = 0; written < size;) {
+      const absl::string_view piece(bytes + written,
+                                    std::min(size - written, kWriteSize));
+      std::size_t sent = 0;
+      const Clock::time_point limit = std::min<Clock::time_point>(
+          this->deadline, Clock::now() + kWriteTimeout);
+      if (!WriteAll(this->connection, limit, piece, sent)) {
+        this->deadline = Clock::time_point{};
+        return -1;
+      }
+      written += sent;
+    }
+    return static_cast<ssize_t>(size);
+  }
+
+  void get_remote_ip_and_port(std::string& /*ip*/,
+                              int& /*port*/) const override {}
+  void get_local_ip_and_port(std::string& /*ip*/,
+                             int& /*port*/) const override {}
+  socket_t socket() const override { return this->connection; }
+
+  bool Failed() const { return this->deadline == Clock::time_point{}; }
 
-std::size_t BodyLength(const httplib::Request& request) {
-  std::size_t length = 0;
-  const bool valid =
-      absl::SimpleAtoi(request.get_header_value("Content-Length"), &length);
-  return valid ? length : 0;
+ private:
+  int connection;
+  std::string input;
+  std::size_t position = 0;
+  // The start of the clock once a write has failed.
+  Clock::time_point deadline;
+};
+
+IngressReply Refuse(int status, const std::string& text) {
+  return OwnReply(CallerOutcome::kNotRun, status, text);
 }
 
-// Headers that describe the connection or that the receiver sets anew.
-bool IsForwarded(const std::string& name) {
-  return !IsHopByHopHeader(name) &&
-         !absl::EqualsIgnoreCase(name, "Content-Length") &&
-         !absl::EqualsIgnoreCase(name, "Expect") &&
-         // Pseudo headers that the library adds to each request.
-         name != "REMOTE_ADDR" && name != "REMOTE_PORT" &&
-         name != "LOCAL_ADDR" && name != "LOCAL_PORT";
+IngressReply RefuseRead(WireError error, const FrontendLimits& limits) {
+  switch (error) {
+    case WireError::kTimedOut:
+      return Refuse(kRequestTimeout, "the request did not arrive in time");
+    case WireError::kHeadTooLarge:
+      return Refuse(
+          kHeaderTooLarge,
+          absl::StrCat("the headers exceed ", limits.header_bytes, " bytes"));
+    case WireError::kBodyTooLarge:
+      return Refuse(
+          kContentTooLarge,
+          absl::StrCat("the body exceeds ", limits.body_bytes, " bytes"));
+    case WireError::kClosed:
+      return Refuse(kBadRequest, "the request ended early");
+    case WireError::kNone:
+    case WireError::kMalformed:
+      break;
+  }
+  return Refuse(kBadRequest, "the request is malformed");
 }
 
-HttpRequest ConvertRequest(const httplib::Request& request) {
-  HttpRequest converted;
-  converted.method = request.method;
-  converted.target = request.target;
-  converted.body = request.body;
-  for (const auto& [name, value] : request.headers) {
-    if (IsForwarded(name)) {
-      converted.headers.push_back({name, value});
+// "http://host/path" becomes "/path" with Host: host (RFC 9112, section 3.2.2).
+void ConvertAbsoluteForm(HttpRequest& request) {
+  constexpr absl::string_view kScheme = "http://";
+  if (!absl::StartsWithIgnoreCase(request.target, kScheme)) {
+    return;
+  }
+  const std::string rest = request.target.substr(kScheme.size());
+  const std::size_t end = std::min(rest.find_first_of("/?"), rest.size());
+  for (HttpHeader& header : request.headers) {
+    if (absl::EqualsIgnoreCase(header.name, "Host")) {
+      header.value = rest.substr(0, end);
     }
   }
-  return converted;
+  request.target = rest.substr(end);
+  if (request.target.empty() || request.target.front() != '/') {
+    request.target.insert(0, "/");
+  }
 }
 
-// The library would cut the response to the ranges that the caller asked for,
-// or compress it, although the backend server has already decided on both. The
-// request object is the library's own and is not const.
-void DisableResponseRewriting(const httplib::Request& request) {
-  auto& mutable_request = const_cast<httplib::Request&>(request);
-  mutable_request.ranges.clear();
-  mutable_request.headers.erase("Accept-Encoding");
+// Reads the request line and what the other headers require; returns the
+// refusal of what is not supported.
+std::optional<IngressReply> CheckHead(const MessageHead& head,
+                                      HttpRequest& request,
+                                      bool& close) {
+  const std::vector<std::string> parts = absl::StrSplit(head.start_line, ' ');
+  if (parts.size() != 3 || !IsToken(parts[0]) || !IsValidTarget(parts[1]) ||
+      (parts[2] != "HTTP/1.1" && parts[2] != "HTTP/1.0")) {
+    return Refuse(kBadRequest, "the request line is malformed");
+  }
+  const bool old_version = parts[2] == "HTTP/1.0";
+  close = old_version || HasConnectionOption(head.headers, "close");
+  request.method = parts[0];
+  request.target = parts[1];
+  if (request.target.size() > kMaxTarget) {
+    return Refuse(kTargetTooLong,
+                  absl::StrCat("the target exceeds ", kMaxTarget, " bytes"));
+  }
+  if (std::find(kMethods.begin(), kMethods.end(), request.method) ==
+      kMethods.end()) {
+    return Refuse(kNotImplemented, "the method is not supported");
+  }
+  const auto hosts = std::count_if(
+      head.headers.begin(), head.headers.end(), [](const HttpHeader& header) {
+        return absl::EqualsIgnoreCase(header.name, "Host");
+      });
+  if (hosts > 1 || (hosts == 0 && !old_version)) {
+    return Refuse(kBadRequest, "the header Host is missing or repeated");
+  }
+  if (old_version && !FindHeader(head.headers, "Transfer-Encoding").empty()) {
+    return Refuse(kBadRequest, "HTTP/1.0 has no transfer encodings");
+  }
+  if (!FindHeader(head.headers, "Content-Encoding").empty()) {
+    return Refuse(kUnsupportedMediaType,
+                  "encoded request bodies are not supported");
+  }
+  const absl::string_view expect = FindHeader(head.headers, "Expect");
+  if (!expect.empty() && !absl::EqualsIgnoreCase(expect, "100-continue")) {
+    return Refuse(kExpectationFailed, "only 100-continue may be expected");
+  }
+  request.headers = head.headers;
+  ConvertAbsoluteForm(request);
+  if (request.target.front() != '/' &&
+      !(request.method == "OPTIONS" && request.target == "*")) {
+    return Refuse(kBadRequest, "the target is not a path");
+  }
+  return std::nullopt;
+}
+
+// Removes the headers that describe the connection, also those that the header
+// Connection names, and those that the receiver sets anew.
+void RemoveConnectionHeaders(std::vector<HttpHeader>& headers) {
+  const std::vector<HttpHeader> all = headers;
+  const auto removed = [&all](const HttpHeader& header) {
+    return IsHopByHopHeader(header.name) ||
+           absl::EqualsIgnoreCase(header.name, "Content-Length") ||
+           absl::EqualsIgnoreCase(header.name, "Expect") ||
+           HasConnectionOption(all, header.name);
+  };
+  headers.erase(std::remove_if(headers.begin(), headers.end(), removed),
+                headers.end());
 }
 
 ExplainQuery ReadExplainQuery(const httplib::Request& request) {
@@ -117,63 +287,59 @@
   return query;
 }
 
-void WriteHeaders(const HttpResponse& reply, httplib::Response& response) {
-  response.status = reply.status;
-  for (const HttpHeader& header : reply.headers) {
-    if (!IsHopByHopHeader(header.name) &&
-        !absl::EqualsIgnoreCase(header.name, "Content-Length")) {
-      response.headers.emplace(header.name, header.value);
-    }
+// Waits until the caller has closed, so that it receives what was sent.
+void CloseAfterReply(int socket, Clock::time_point deadline) {
+  ::shutdown(socket, SHUT_WR);
+  std::array<char, 4096> bytes;
+  while (Clock::now() < deadline && WaitForSocket(socket, POLLIN, deadline) &&
+         ::recv(socket, bytes.data(), bytes.size(), MSG_DONTWAIT) > 0) {
   }
 }
 
-// Writes the response and closes the connection after it. The library closes
-// only where the caller asked for it, or where a content provider fails; so
-// the provider writes the whole body and then reports failure.
-void WriteAndClose(const HttpResponse& reply, httplib::Response& response) {
-  WriteHeaders(reply, response);
-  response.headers.erase("Content-Type");
-  response.set_header("Connection", "close");
-  const std::string body = reply.body.empty() ? "\n" : reply.body;
-  response.set_content_provider(
-      body.size(), "text/plain",
-      [body](std::size_t, std::size_t, httplib::DataSink& sink) {
-        sink.write(body.data(), body.size());
-        return false;
-      });
-}
-
-// Whether the request of this thread reached the handler that forwards it. If
-// not, the library itself refused it.
-thread_local bool reached_handler = false;
-
 }  // namespace
 
 HttpFrontend::HttpFrontend(Ingress& ingress,
                            CounterRegistry& counters,
                            FrontendLimits limits,
                            FrontendPages pages)
-    : ingress(ingress),
+    : HttpFrontend(
+          [&ingress](const HttpRequest& request) {
+            return ingress.Handle(request);
+          },
+          counters,
+          limits,
+          std::move(pages)) {}
+
+HttpFrontend::HttpFrontend(Handler handler,
+                           CounterRegistry& counters,
+                           FrontendLimits limits,
+                           FrontendPages pages)
+    : handler(std::move(handler)),
       counters(counters),
       limits(limits),
       pages(std::move(pages)),
       rejected(counters.Counter("comfrey_frontend_rejected_total")),
-      server(std::make_unique<httplib::Server>()) {
+      stop_event(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)),
+      server(std::make_unique<CallerServer>(
+          [this](int socket) { this->ServeConnection(socket); })) {
   const std::size_t connections = this->limits.connections;
   this->server->new_task_queue = [connections] {
     return new ConnectionPool(connections);
   };
-  this->server->set_payload_max_length(this->limits.body_bytes);
-  this->server->set_read_timeout(kReadTimeout);
-  this->server->set_write_timeout(kWriteTimeout);
   this->server->set_keep_alive_timeout(kKeepAliveTimeout.count());
-  this->server->set_keep_alive_max_count(kKeepAliveRequests);
   this->server->set_tcp_nodelay(true);
+  // The library would set SO_REUSEPORT, with which a second daemon could listen
+  // on the same address and take part of the connections.
+  this->server->set_socket_options([](socket_t socket) {
+    const int enabled = 1;
+    ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
+  });
   this->AddRoutes();
 }
 
 HttpFrontend::~HttpFrontend() {
   this->Stop();
+  ::close(this->stop_event);
 }
 
 absl::Status HttpFrontend::Start(const std::string& ip, int port) {
@@ -182,11 +348,22 @@
         absl::StrCat("listen for callers on ", ip, ":", port,
                      ": the address is in use or not local"));
   }
+  this->server->RaiseBacklog();
   this->thread = std::thread([this] { this->server->listen_after_bind(); });
+  // A stop before the library runs would have no effect.
+  const Clock::time_point deadline = Clock::now() + kStartTimeout;
+  while (!this->server->is_running() && Clock::now() < deadline) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
   return absl::OkStatus();
 }
 
 void HttpFrontend::Stop() {
+  if (!this->stopping) {
+    this->stop_time = Clock::now();
+    this->stopping = true;
+    ::eventfd_write(this->stop_event, 1);
+  }
   this->server->stop();
   if (this->thread.joinable()) {
     this->thread.join();
@@ -194,27 +371,6 @@
 }
 
 void HttpFrontend::AddRoutes() {
-  this->server->set_pre_routing_handler(
-      [this](const httplib::Request& request, httplib::Response& response) {
-        return this->RejectEarly(request, response)
-                   ? httplib::Server::HandlerResponse::Handled
-                   : httplib::Server::HandlerResponse::Unhandled;
-      });
-  this->server->set_error_handler(httplib::Server::HandlerWithResponse(
-      [this](const httplib::Request&, httplib::Response& response) {
-        if (std::exchange(reached_handler, false) ||
-            response.has_header("Comfrey-Outcome")) {
-          return httplib::Server::HandlerResponse::Unhandled;
-        }
-        // The body may not have been read to its end, so what follows on this
-        // connection is not a new request.
-        this->rejected.Add();
-        WriteAndClose(OwnReply(CallerOutcome::kNotRun, response.status,
-                               "the request is malformed or too large")
-                          .response,
-                      response);
-        return httplib::Server::HandlerResponse::Handled;
-      }));
   this->server->Get("/comfrey/metrics", [this](const auto&, auto& response) {
     response.set_content(this->counters.Render(), "text/plain");
   });
@@ -234,59 +390,191 @@
     response.status = ready ? 200 : kUnavailable;
     response.set_content(ready ? "ready\n" : "not ready\n", "text/plain");
   });
-  const auto handle = [this](const httplib::Request& request,
-                             httplib::Response& response) {
-    this->HandleRequest(request, response);
-  };
-  this->server->Get(".*", handle);
-  this->server->Post(".*", handle);
-  this->server->Put(".*", handle);
-  this->server->Patch(".*", handle);
-  this->server->Delete(".*", handle);
-  this->server->Options(".*", handle);
+  this->server->Get(".*", [this](const auto&, auto& response) {
+    this->HandleRequest(response);
+  });
+  this->server->set_exception_handler(
+      [](const auto&, auto& response, const std::exception_ptr&) {
+        // The library would tell the caller the text of the exception.
+        current->reply = OwnReply(CallerOutcome::kUnknown, kBadGateway,
+                                  "the daemon failed to handle the request")
+                             .response;
+        response.status = current->reply->status;
+        response.body = current->reply->body;
+      });
+  this->server->set_post_routing_handler(
+      [this](const auto&, auto& response) { this->CompleteHeaders(response); });
 }
 
-bool HttpFrontend::RejectEarly(const httplib::Request& request,
-                               httplib::Response& response) {
-  reached_handler = false;
-  IngressReply reply;
-  const std::string framing = AmbiguousFraming(request);
-  if (ConnectionPool::OverLimit()) {
-    reply = OwnReply(CallerOutcome::kNotRun, kUnavailable,
-                     "the limit of caller connections is reached");
-  } else if (HeaderBytes(request) > this->limits.header_bytes) {
-    reply = OwnReply(CallerOutcome::kNotRun, kHeaderTooLarge,
-                     absl::StrCat("the headers exceed ",
-                                  this->limits.header_bytes, " bytes"));
-  } else if (BodyLength(request) > this->limits.body_bytes) {
-    reply = OwnReply(
-        CallerOutcome::kNotRun, kContentTooLarge,
-        absl::StrCat("the body exceeds ", this->limits.body_bytes, " bytes"));
-  } else if (!framing.empty()) {
-    reply = OwnReply(CallerOutcome::kNotRun, kBadRequest, framing);
-  } else if (request.has_header("Content-Encoding")) {
-    reply = OwnReply(CallerOutcome::kNotRun, kUnsupportedMediaType,
-                     "encoded request bodies are not supported");
+void HttpFrontend::ServeConnection(int socket) {
+  const ConnectionTreatment treatment = ConnectionPool::Treatment();
+  if (treatment == ConnectionTreatment::kServe) {
+    this->ServeRequests(socket);
   } else {
+    this->RefuseConnection(socket, treatment);
+  }
+  ::close(socket);
+}
+
+void HttpFrontend::ServeRequests(int socket) {
+  WireReader reader(socket);
+  for (;;) {
+    reader.ReleaseBuffer();
+    if (!reader.HasBufferedBytes() && !this->WaitForRequest(socket)) {
+      return;
+    }
+    Exchange exchange;
+    this->ReadRequest(reader, socket, exchange);
+    if (exchange.ended || !this->Reply(socket, exchange)) {
+      return;
+    }
+    if (exchange.close) {
+      CloseAfterReply(socket, Clock::now() + kCloseTimeout);
+      return;
+    }
+  }
+}
+
+bool HttpFrontend::WaitForRequest(int socket) const {
+  const Clock::time_point idle_since = Clock::now();
+  std::array<pollfd, 2> entries = {pollfd{socket, POLLIN, 0},
+                                   pollfd{this->stop_event, POLLIN, 0}};
+  constexpr std::chrono::milliseconds kTimeout = kKeepAliveTimeout;
+  if (::poll(entries.data(), entries.size(),
+             static_cast<int>(kTimeout.count())) <= 0) {
     return false;
   }
-  this->rejected.Add();
-  // The body was not read, so the connection cannot be used again.
-  WriteAndClose(reply.response, response);
-  return true;
+  if (entries[0].revents != 0) {
+    return true;
+  }
+  const Clock::time_point deadline =
+      std::min<Clock::time_point>(this->stop_time.load() + kStopIdleTimeout,
+                                  idle_since + kKeepAliveTimeout);
+  return WaitForSocket(socket, POLLIN, deadline);
+}
+
+void HttpFrontend::ReadRequest(WireReader& reader,
+                               int socket,
+                               Exchange& exchange) const {
+  MessageHead head;
+  WireError error = ReadHead(reader, Clock::now() + kHeadTimeout,
+                             this->limits.header_bytes, head);
+  if (error != WireError::kNone) {
+    exchange.ended = error == WireError::kClosed && head.start_line.empty() &&
+                     !reader.HasBufferedBytes();
+    exchange.refusal = RefuseRead(error, this->limits);
+    return;
+  }
+  exchange.refusal = CheckHead(head, exchange.request, exchange.close);
+  if (exchange.refusal) {
+    return;
+  }
+  BodyFraming framing;
+  const std::string ambiguous = DetermineFraming(head.headers, framing);
+  if (!ambiguous.empty()) {
+    exchange.refusal = Refuse(kBadRequest, ambiguous);
+    return;
+  }
+  if (framing.length > this->limits.body_bytes) {
+    exchange.refusal = RefuseRead(WireError::kBodyTooLarge, this->limits);
+    return;
+  }
+  const bool has_body = framing.chunked || framing.length > 0;
+  if (has_body && !reader.HasBufferedBytes() &&
+      !FindHeader(head.headers, "Expect").empty()) {
+    std::size_t sent = 0;
+    WriteAll(socket, Clock::now() + kWriteTimeout,
+             "HTTP/1.1 100 Continue\r\n\r\n", sent);
+  }
+  error = ReadBody(reader, Clock::now() + kBodyTimeout, framing,
+                   this->limits.body_bytes, exchange.request.body);
+  if (error != WireError::kNone) {
+    exchange.refusal = RefuseRead(error, this->limits);
+    return;
+  }
+  RemoveConnectionHeaders(exchange.request.headers);
 }
 
-void HttpFrontend::HandleRequest(const httplib::Request& request,
-                                 httplib::Response& response) {
-  reached_handler = true;
-  const HttpRequest converted = ConvertRequest(request);
-  DisableResponseRewriting(request);
-  IngressReply reply = this->pages.ready()
-                           ? this->ingress.Handle(converted)
-                           : OwnReply(CallerOutcome::kNotRun, kUnavailable,
-                                      "the daemon has no configuration yet");
-  WriteHeaders(reply.response, response);
-  response.body = std::move(reply.response.body);
+void HttpFrontend::RefuseConnection(int socket, ConnectionTreatment treatment) {
+  Exchange exchange;
+  exchange.refusal =
+      Refuse(kUnavailable, "the limit of caller connections is reached");
+  // The reply does not wait for the request: slow callers beyond the limit
+  // would delay the others. With an empty socket buffer the write is immediate.
+  if (this->Reply(socket, exchange) &&
+      treatment == ConnectionTreatment::kRefuse && !this->stopping) {
+    CloseAfterReply(socket, Clock::now() + kRefuseTimeout);
+  }
+}
+
+bool HttpFrontend::Reply(int socket, Exchange& exchange) {
+  const bool head_only = exchange.request.method == "HEAD";
+  const bool page = !exchange.refusal &&
+                    (head_only || exchange.request.method == "GET") &&
+                    absl::StartsWith(exchange.request.target, kPagePrefix);
+  // The library sees neither headers nor body: it would cut the response to the
+  // range that the caller asked for, or compress it, although the backend
+  // server has decided on both.
+  ReplyStream stream(
+      socket, absl::StrCat(head_only ? "HEAD " : "GET ",
+                           page ? exchange.request.target : std::string("/"),
+                           " HTTP/1.1\r\n\r\n"));
+  exchange.close = exchange.close || exchange.refusal.has_value();
+  current = &exchange;
+  const bool written = this->server->Respond(stream);
+  current = nullptr;
+  return written && !stream.Failed();
+}
+
+void HttpFrontend::HandleRequest(httplib::Response& response) {
+  Exchange& exchange = *current;
+  IngressReply reply;
+  if (exchange.refusal) {
+    this->rejected.Add();
+    reply = std::move(*exchange.refusal);
+  } else if (!this->pages.ready()) {
+    reply = Refuse(kUnavailable, "the daemon has no configuration yet");
+  } else {
+    reply = this->handler(exchange.request);
+  }
+  response.status = reply.response.status;
+  if (response.status != kNoContent && response.status != kNotModified) {
+    response.body = std::move(reply.response.body);
+  }
+  exchange.reply = std::move(reply.response);
+}
+
+void HttpFrontend::CompleteHeaders(httplib::Response& response) const {
+  Exchange& exchange = *current;
+  if (exchange.reply) {
+    const std::string length = response.get_header_value("Content-Length");
+    response.headers.clear();
+    const bool without_body = response.status == kNoContent ||
+                              response.status == kNotModified ||
+                              exchange.request.method == "HEAD";
+    // A response without a body may state the length that another request
+    // would get.
+    const std::string stated(
+        FindHeader(exchange.reply->headers, "Content-Length"));
+    if (!without_body) {
+      response.set_header("Content-Length", length);
+    } else if (!stated.empty() && response.status != kNoContent) {
+      response.set_header("Content-Length", stated);
+    }
+    RemoveConnectionHeaders(exchange.reply->headers);
+    for (const HttpHeader& header : exchange.reply->headers) {
+      response.headers.emplace(header.name, header.value);
+    }
+  }
+  exchange.close = exchange.close || this->stopping;
+  response.headers.erase("Connection");
+  response.headers.erase("Keep-Alive");
+  if (exchange.close) {
+    response.set_header("Connection", "close");
+  } else {
+    response.set_header("Keep-Alive",
+                        absl::StrCat("timeout=", kKeepAliveTimeout.count()));
+  }
 }
 
 }  // namespace comfrey
--- a/Source/daemon/http_frontend.h
+++ b/Source/daemon/http_frontend.h
@@ -1,6 +1,8 @@
 #ifndef DAEMON_HTTP_FRONTEND_H_
 #define DAEMON_HTTP_FRONTEND_H_
 
+#include <atomic>
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -13,13 +15,15 @@
 #include "daemon/ingress.h"
 
 namespace httplib {
-class Server;
-struct Request;
 struct Response;
 }  // namespace httplib
 
 namespace comfrey {
 
+class CallerServer;
+class WireReader;
+enum class ConnectionTreatment;
+
 /// \brief Limits towards callers.
 struct FrontendLimits {
   std::size_t connections = 400;
@@ -36,12 +40,21 @@
 };
 
 /// \brief HTTP/1.1 server for callers and operators' reads.
+///
+/// Requests are read and checked by `http_wire`; the HTTP library accepts the
+/// connections, serves the pages and writes the responses.
 class HttpFrontend {
  public:
+  using Handler = std::function<IngressReply(const HttpRequest&)>;
+
   HttpFrontend(Ingress& ingress,
                CounterRegistry& counters,
                FrontendLimits limits,
                FrontendPages pages);
+  HttpFrontend(Handler handler,
+               CounterRegistry& counters,
+               FrontendLimits limits,
+               FrontendPages pages);
   ~HttpFrontend();
 
   HttpFrontend(const HttpFrontend&) = delete;
@@ -50,23 +63,37 @@
   /// \brief Listens on the address; serves on threads of its own.
   absl::Status Start(const std::string& ip, int port);
 
-  /// \brief Stops accepting connections and waits for the requests in flight
-  /// and for idle connections; their last response says "Connection: close".
+  /// \brief Stops accepting connections and waits for the requests in flight;
+  /// their responses say "Connection: close". An idle connection may send one
+  /// more request within 1 s.
   void Stop();
 
  private:
+  struct Exchange;
+
   void AddRoutes();
-  bool RejectEarly(const httplib::Request& request,
-                   httplib::Response& response);
-  void HandleRequest(const httplib::Request& request,
-                     httplib::Response& response);
+  void ServeConnection(int socket);
+  void ServeRequests(int socket);
+  bool WaitForRequest(int socket) const;
+  void ReadRequest(WireReader& reader, int socket, Exchange& exchange) const;
+  void RefuseConnection(int socket, ConnectionTreatment treatment);
+  bool Reply(int socket, Exchange& exchange);
+  void HandleRequest(httplib::Response& response);
+  void CompleteHeaders(httplib::Response& response) const;
+
+  // Exchange of the calling thread, for the functions that the library calls.
+  static thread_local Exchange* current;
 
-  Ingress& ingress;
+  Handler handler;
   CounterRegistry& counters;
   FrontendLimits limits;
   FrontendPages pages;
   Metric& rejected;
-  std::unique_ptr<httplib::Server> server;
+  // Readable once the frontend stops; wakes idle connections.
+  int stop_event;
+  std::atomic<bool> stopping{false};
+  std::atomic<std::chrono::steady_clock::time_point> stop_time{};
+  std::unique_ptr<CallerServer> server;
   std::thread thread;
 };
 
--- /dev/null
+++ b/Source/daemon/http_wire.cc
@@ -0,0 +1,374 @@
+#include "daemon/http_wire.h"
+
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_split.h"
+
+// cpp-httplib reads messages leniently and cannot be configured otherwise: it
+// skips header lines that it does not understand, so that two parsers may see
+// different lengths, decodes percent signs in header values, accepts any chunk
+// size that strtoul accepts, and limits neither the headers as a whole nor a
+// chunked body. Messages are therefore read here, strictly.
+
+namespace comfrey {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+// poll takes an int; longer waits are repeated.
+constexpr std::chrono::milliseconds kMaxWait{60'000};
+constexpr std::size_t kReadSize = 16 << 10;
+// Longest line of a chunk size with its extensions, and of all trailers.
+constexpr std::size_t kMaxChunkLine = 256;
+constexpr std::size_t kMaxTrailers = 8 << 10;
+// 8 hexadecimal digits; every limit of a body is far below.
+constexpr std::size_t kMaxChunkDigits = 8;
+
+bool IsTokenCharacter(char c) {
+  return absl::ascii_isalnum(static_cast<unsigned char>(c)) ||
+         absl::string_view("!#$%&'*+-.^_`|~").find(c) !=
+             absl::string_view::npos;
+}
+
+bool IsFieldCharacter(char c) {
+  const auto byte = static_cast<unsigned char>(c);
+  return c == '\t' || (byte >= 0x20 && byte != 0x7f);
+}
+
+bool IsFieldText(absl::string_view text) {
+  return std::all_of(text.begin(), text.end(), IsFieldCharacter);
+}
+
+absl::string_view TrimBlanks(absl::string_view text) {
+  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
+    text.remove_prefix(1);
+  }
+  while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
+    text.remove_suffix(1);
+  }
+  return text;
+}
+
+// A space before the colon, a folded line and a line without a colon all fail,
+// since then the name is not a token.
+bool ParseHeaderLine(absl::string_view line, HttpHeader& header) {
+  const std::size_t colon = line.find(':');
+  if (colon == absl::string_view::npos || !IsFieldText(line) ||
+      !IsToken(line.substr(0, colon))) {
+    return false;
+  }
+  header.name = std::string(line.substr(0, colon));
+  header.value = std::string(TrimBlanks(line.substr(colon + 1)));
+  return true;
+}
+
+bool ParseChunkSize(absl::string_view line, std::size_t& size) {
+  const absl::string_view digits = line.substr(0, line.find(';'));
+  if (digits.empty() || digits.size() > kMaxChunkDigits || !IsFieldText(line) ||
+      !std::all_of(digits.begin(), digits.end(), [](char c) {
+        return absl::ascii_isxdigit(static_cast<unsigned char>(c));
+      })) {
+    return false;
+  }
+  return absl::SimpleHexAtoi(digits, &size);
+}
+
+WireError ReadChunks(WireReader& reader,
+                     Clock::time_point deadline,
+                     std::size_t max_bytes,
+                     std::string& body) {
+  for (;;) {
+    std::size_t budget = kMaxChunkLine;
+    std::string line;
+    WireError error = reader.ReadLine(deadline, budget, line);
+    if (error != WireError::kNone) {
+      return error == WireError::kHeadTooLarge ? WireError::kMalformed : error;
+    }
+    std::size_t size = 0;
+    if (!ParseChunkSize(line, size)) {
+      return WireError::kMalformed;
+    }
+    if (size == 0) {
+      break;
+    }
+    if (size > max_bytes - body.size()) {
+      return WireError::kBodyTooLarge;
+    }
+    error = reader.ReadBytes(deadline, size, body);
+    if (error != WireError::kNone) {
+      return error;
+    }
+    std::string end;
+    budget = 2;
+    error = reader.ReadLine(deadline, budget, end);
+    if (error != WireError::kNone) {
+      return error == WireError::kHeadTooLarge ? WireError::kMalformed : error;
+    }
+    if (!end.empty()) {
+      return WireError::kMalformed;
+    }
+  }
+  // Trailers are dropped: nothing here uses them.
+  std::size_t budget = kMaxTrailers;
+  for (;;) {
+    std::string line;
+    const WireError error = reader.ReadLine(deadline, budget, line);
+    if (error != WireError::kNone) {
+      return error;
+    }
+    HttpHeader trailer;
+    if (line.empty()) {
+      return WireError::kNone;
+    }
+    if (!ParseHeaderLine(line, trailer)) {
+      return WireError::kMalformed;
+    }
+  }
+}
+
+}  // namespace
+
+WireError WireReader::Fill(TimePoint deadline) {
+  if (this->position > 0) {
+    this->buffer.erase(0, this->position);
+    this->position = 0;
+  }
+  std::array<char, kReadSize> bytes;
+  // The time is checked before each read: a peer that always has a byte ready
+  // would never let a wait time out.
+  while (Clock::now() < deadline) {
+    const ssize_t count =
+        ::recv(this->socket, bytes.data(), bytes.size(), MSG_DONTWAIT);
+    if (count > 0) {
+      this->buffer.append(bytes.data(), static_cast<std::size_t>(count));
+      return WireError::kNone;
+    }
+    if (count == 0 ||
+        (errno != EINTR && errno != EAGAIN && errno != EWOULDBLOCK)) {
+      return WireError::kClosed;
+    }
+    WaitForSocket(this->socket, POLLIN, deadline);
+  }
+  return WireError::kTimedOut;
+}
+
+void WireReader::ReleaseBuffer() {
+  if (!this->HasBufferedBytes()) {
+    std::string().swap(this->buffer);
+    this->position = 0;
+  }
+}
+
+WireError WireReader::ReadLine(TimePoint deadline,
+                               std::size_t& budget,
+                               std::string& line) {
+  std::size_t searched = 0;
+  for (;;) {
+    const absl::string_view rest =
+        absl::string_view(this->buffer).substr(this->position);
+    const std::size_t end = rest.find('\n', searched);
+    if (end != absl::string_view::npos) {
+      // A line that ends with LF alone would end elsewhere for other parsers.
+      if (end + 1 > budget) {
+        return WireError::kHeadTooLarge;
+      }
+      if (end == 0 || rest[end - 1] != '\r') {
+        return WireError::kMalformed;
+      }
+      line.append(rest.data(), end - 1);
+      this->position += end + 1;
+      budget -= end + 1;
+      return WireError::kNone;
+    }
+    searched = rest.size();
+    if (searched >= budget) {
+      return WireError::kHeadTooLarge;
+    }
+    const WireError error = this->Fill(deadline);
+    if (error != WireError::kNone) {
+      return error;
+    }
+  }
+}
+
+WireError WireReader::ReadBytes(TimePoint deadline,
+                                std::size_t count,
+                                std::string& bytes) {
+  for (;;) {
+    const std::size_t taken =
+        std::min(count, this->buffer.size() - this->position);
+    bytes.append(this->buffer, this->position, taken);
+    this->position += taken;
+    count -= taken;
+    if (count == 0) {
+      return WireError::kNone;
+    }
+    const WireError error = this->Fill(deadline);
+    if (error != WireError::kNone) {
+      return error;
+    }
+  }
+}
+
+WireError ReadHead(WireReader& reader,
+                   WireReader::TimePoint deadline,
+                   std::size_t max_bytes,
+                   MessageHead& head) {
+  std::size_t budget = max_bytes;
+  WireError error = reader.ReadLine(deadline, budget, head.start_line);
+  if (error != WireError::kNone) {
+    return error;
+  }
+  if (!IsFieldText(head.start_line)) {
+    return WireError::kMalformed;
+  }
+  for (;;) {
+    std::string line;
+    error = reader.ReadLine(deadline, budget, line);
+    if (error != WireError::kNone) {
+      return error;
+    }
+    if (line.empty()) {
+      return WireError::kNone;
+    }
+    HttpHeader header;
+    if (!ParseHeaderLine(line, header)) {
+      return WireError::kMalformed;
+    }
+    head.headers.push_back(std::move(header));
+  }
+}
+
+std::string DetermineFraming(const std::vector<HttpHeader>& headers,
+                             BodyFraming& framing) {
+  std::size_t lengths = 0;
+  std::size_t encodings = 0;
+  absl::string_view length;
+  absl::string_view encoding;
+  for (const HttpHeader& header : headers) {
+    if (absl::EqualsIgnoreCase(header.name, "Content-Length")) {
+      ++lengths;
+      length = header.value;
+    } else if (absl::EqualsIgnoreCase(header.name, "Transfer-Encoding")) {
+      ++encodings;
+      encoding = header.value;
+    }
+  }
+  if (lengths > 1 || encodings > 1) {
+    return "Content-Length or Transfer-Encoding is given more than once";
+  }
+  if (lengths == 1 && encodings == 1) {
+    return "both Content-Length and Transfer-Encoding are given";
+  }
+  if (encodings == 1 && !absl::EqualsIgnoreCase(encoding, "chunked")) {
+    return "only the transfer encoding chunked is supported";
+  }
+  framing.chunked = encodings == 1;
+  framing.has_length = lengths == 1;
+  if (lengths == 1 &&
+      (length.empty() ||
+       length.find_first_not_of("0123456789") != absl::string_view::npos ||
+       !absl::SimpleAtoi(length, &framing.length))) {
+    return "Content-Length is not a number";
+  }
+  return "";
+}
+
+WireError ReadBody(WireReader& reader,
+                   WireReader::TimePoint deadline,
+                   const BodyFraming& framing,
+                   std::size_t max_bytes,
+                   std::string& body) {
+  if (framing.chunked) {
+    return ReadChunks(reader, deadline, max_bytes, body);
+  }
+  if (framing.length > max_bytes) {
+    return WireError::kBodyTooLarge;
+  }
+  return reader.ReadBytes(deadline, framing.length, body);
+}
+
+bool IsValidHeader(const HttpHeader& header) {
+  return IsToken(header.name) && IsFieldText(header.value);
+}
+
+bool IsToken(absl::string_view text) {
+  return !text.empty() &&
+         std::all_of(text.begin(), text.end(), IsTokenCharacter);
+}
+
+bool IsValidTarget(absl::string_view target) {
+  return !target.empty() &&
+         std::all_of(target.begin(), target.end(),
+                     [](char c) { return c > 0x20 && c < 0x7f && c != '#'; });
+}
+
+bool HasConnectionOption(const std::vector<HttpHeader>& headers,
+                         absl::string_view option) {
+  for (const HttpHeader& header : headers) {
+    if (!absl::EqualsIgnoreCase(header.name, "Connection")) {
+      continue;
+    }
+    for (const absl::string_view part : absl::StrSplit(header.value, ',')) {
+      if (absl::EqualsIgnoreCase(TrimBlanks(part), option)) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+bool WaitForSocket(int socket, short events, WireReader::TimePoint deadline) {
+  for (;;) {
+    const auto left =
+        std::chrono::ceil<std::chrono::milliseconds>(deadline - Clock::now());
+    pollfd entry{socket, events, 0};
+    const int ready = ::poll(
+        &entry, 1,
+        static_cast<int>(std::clamp<long>(left.count(), 0, kMaxWait.count())));
+    if (ready > 0) {
+      return true;
+    }
+    if (ready == 0 && left.count() <= 0) {
+      return false;
+    }
+    if (ready < 0 && errno != EINTR) {
+      return false;
+    }
+  }
+}
+
+bool WriteAll(int socket,
+              WireReader::TimePoint deadline,
+              absl::string_view bytes,
+              std::size_t& sent) {
+  sent = 0;
+  while (sent < bytes.size()) {
+    if (Clock::now() >= deadline) {
+      return false;
+    }
+    const ssize_t count =
+        ::send(socket, bytes.data() + sent, bytes.size() - sent,
+               MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (count > 0) {
+      sent += static_cast<std::size_t>(count);
+      continue;
+    }
+    if (count < 0 && errno != EINTR && errno != EAGAIN &&
+        errno != EWOULDBLOCK) {
+      return false;
+    }
+    WaitForSocket(socket, POLLOUT, deadline);
+  }
+  return true;
+}
+
+}  // namespace comfrey
--- /dev/null
+++ b/Tests/daemon/backend_client_test.cc
@@ -0,0 +1,392 @@
+#include "daemon/backend_client.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "daemon/raw_socket.h"
+
+namespace comfrey {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr char kIp[] = "127.9.2.1";
+constexpr std::chrono::seconds kPatience{20};
+
+// A client and its backend server.
+struct Setup {
+  explicit Setup(RawServer::Serve serve)
+      : server(kIp, std::move(serve)),
+        watchdog(this->timers),
+        client(kIp, this->server.Port(), this->watchdog) {}
+
+  BackendResult Call(
+      const std::string& method = "GET",
+      std::chrono::milliseconds time = std::chrono::milliseconds(5000),
+      bool idempotent = true,
+      std::function<bool()> cancelled = [] { return false; }) {
+    HttpRequest request;
+    request.method = method;
+    request.target = "/a";
+    return this->client.Call(
+        {&request, idempotent, Clock::now() + time, std::move(cancelled)});
+  }
+
+  RawServer server;
+  TimerService timers;
+  CallWatchdog watchdog;
+  BackendClient client;
+};
+
+// Sends the bytes to the first request of each connection, then closes.
+RawServer::Serve Answer(const std::string& reply) {
+  return [reply](RawSocket& socket, int /*connection*/) {
+    bool closed = false;
+    socket.Receive(HasHead, kPatience, closed);
+    socket.Send(reply);
+  };
+}
+
+struct ResponseCase {
+  std::string name;
+  std::string method;
+  std::string reply;
+  BackendOutcome outcome;
+  int status;
+  std::string body;
+};
+
+// Guards against delivering a response that is cut, ambiguous or not HTTP.
+TEST_CASE("Only whole responses are delivered", "[backend_client]") {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  const auto answered = BackendOutcome::kAnswered;
+  const auto failed = BackendOutcome::kFailed;
+  const std::string limit(8 << 20, 'x');
+  const std::vector<ResponseCase> cases = {
+      {"length", "GET", ok + "Content-Length: 3\r\n\r\nabc", answered, 200,
+       "abc"},
+      {"no reason phrase", "GET", "HTTP/1.1 200\r\nContent-Length: 0\r\n\r\n",
+       answered, 200, ""},
+      {"chunks", "GET", chunked + "3\r\nabc\r\n2;x\r\nde\r\n0\r\nX: 1\r\n\r\n",
+       answered, 200, "abcde"},
+      {"HEAD", "HEAD", ok + "Content-Length: 3\r\n\r\n", answered, 200, ""},
+      {"HEAD of chunks", "HEAD", chunked, answered, 200, ""},
+      {"204", "GET", "HTTP/1.1 204 No Content\r\n\r\n", answered, 204, ""},
+      {"304", "GET", "HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n",
+       answered, 304, ""},
+      {"interim responses", "GET",
+       "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: "
+       "x\r\n\r\n" +
+           ok + "Content-Length: 1\r\n\r\na",
+       answered, 200, "a"},
+      {"interim response only", "GET", "HTTP/1.1 100 Continue\r\n\r\n", failed,
+       0, ""},
+      {"switching protocols", "GET",
+       "HTTP/1.1 101 Switching Protocols\r\nContent-Length: 0\r\n\r\n" + ok +
+           "Content-Length: 0\r\n\r\n",
+       failed, 0, ""},
+      {"body at the limit", "GET",
+       ok + "Content-Length: 8388608\r\n\r\n" + limit, answered, 200, limit},
+      {"length beyond the limit", "GET",
+       ok + "Content-Length: 8388609\r\n\r\n" + limit + "x", failed, 0, ""},
+      {"chunks beyond the limit", "GET",
+       chunked + "800000\r\n" + limit + "\r\n1\r\nx\r\n0\r\n\r\n", failed, 0,
+       ""},
+      {"extra bytes", "GET", ok + "Content-Length: 3\r\n\r\nabcdef", answered,
+       200, "abc"},
+      {"truncated body", "GET", ok + "Content-Length: 4\r\n\r\nabc", failed, 0,
+       ""},
+      {"truncated chunk", "GET", chunked + "4\r\nabc", failed, 0, ""},
+      {"no last chunk", "GET", chunked + "3\r\nabc\r\n", failed, 0, ""},
+      {"no end of the trailers", "GET", chunked + "3\r\nabc\r\n0\r\n", failed,
+       0, ""},
+      {"malformed chunk size", "GET", chunked + "0x3\r\nabc\r\n0\r\n\r\n",
+       failed, 0, ""},
+      {"negative chunk size", "GET", chunked + "-3\r\nabc\r\n0\r\n\r\n", failed,
+       0, ""},
+      {"no length", "GET", ok + "\r\nabc", failed, 0, ""},
+      {"length and chunks", "GET",
+       ok + "Content-Length: 3\r\nTransfer-Encoding: "
+            "chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+       failed, 0, ""},
+      {"two lengths", "GET",
+       ok + "Content-Length: 3\r\nContent-Length: 2\r\n\r\nabc", failed, 0, ""},
+      {"negative length", "GET", ok + "Content-Length: -1\r\n\r\n", failed, 0,
+       ""},
+      {"other transfer encoding", "GET",
+       ok + "Transfer-Encoding: gzip\r\n\r\nabc", failed, 0, ""},
+      {"folded header", "GET",
+       ok + "X: 1\r\n Content-Length: 3\r\nContent-Length: 0\r\n\r\n", failed,
+       0, ""},
+      {"garbage", "GET", "SSH-2.0-OpenSSH\r\n\r\n", failed, 0, ""},
+      {"garbage status", "GET", "HTTP/1.1 2x0 OK\r\nContent-Length: 0\r\n\r\n",
+       failed, 0, ""},
+      {"status of four digits", "GET",
+       "HTTP/1.1 2000 OK\r\nContent-Length: 0\r\n\r\n", failed, 0, ""},
+      {"HTTP/2", "GET", "HTTP/2 200\r\nContent-Length: 0\r\n\r\n", failed, 0,
+       ""},
+      {"no response", "GET", "", failed, 0, ""},
+      {"endless header", "GET", ok + "X: " + std::string(1 << 20, 'x'), failed,
+       0, ""},
+      {"many headers", "GET",
+       ok +
+           [] {
+             std::string lines;
+             while (lines.size() < (64 << 10)) {
+               lines += "X-A: 1\r\n";
+             }
+             return lines;
+           }() +
+           "Content-Length: 0\r\n\r\n",
+       failed, 0, ""},
+  };
+  for (const ResponseCase& test : cases) {
+    for (const bool idempotent : {false, true}) {
+      INFO(test.name);
+      Setup setup(Answer(test.reply));
+      const BackendResult result =
+          setup.Call(test.method, kPatience, idempotent);
+      CHECK(result.outcome == test.outcome);
+      CHECK(result.response.status == test.status);
+      CHECK((result.response.body == test.body));
+      CHECK(result.error.ok() == (test.outcome == answered));
+    }
+  }
+}
+
+// Guards against losing or changing headers, e.g. by decoding percent signs,
+// and against two framings in one request.
+TEST_CASE("Request and headers are sent as given", "[backend_client]") {
+  std::string received;
+  Setup setup([&received](RawSocket& socket, int) {
+    bool closed = false;
+    received = socket.Receive(HasHead, kPatience, closed);
+    socket.Send("HTTP/1.1 200 OK\r\nX-P: %0d%41\r\nContent-Length: 0\r\n\r\n");
+  });
+  HttpRequest request{"POST",
+                      "/a?b=%20",
+                      {{"Host", "h"},
+                       {"X-P", "%0d%41"},
+                       {"Content-Length", "7"},
+                       {"Transfer-Encoding", "chunked"},
+                       {"Request-Timeout-Ms", "9"}},
+                      ""};
+  const auto never = [] { return false; };
+  const BackendResult result =
+      setup.client.Call({&request, false, Clock::now() + kPatience, never});
+  REQUIRE(result.outcome == BackendOutcome::kAnswered);
+  CHECK(FindHeader(result.response.headers, "X-P") == "%0d%41");
+  CHECK(received.rfind("POST /a?b=%20 HTTP/1.1\r\nHost: h\r\nX-P: %0d%41\r\n"
+                       "Request-Timeout-Ms: 1",
+                       0) == 0);
+  CHECK(received.find("\r\nContent-Length: 0\r\n\r\n") != std::string::npos);
+  CHECK(received.find("chunked") == std::string::npos);
+  const std::vector<HttpRequest> invalid = {
+      {"GET", "/a b", {}, ""},
+      {"GET", "/a\r\n", {}, ""},
+      {"GE T", "/a", {}, ""},
+      {"GET", "/a", {{"X", "1\r\nY: 2"}}, ""},
+      {"GET", "/a", {{"X: 1\r\nY", "2"}}, ""}};
+  for (const HttpRequest& bad : invalid) {
+    const BackendResult refused =
+        setup.client.Call({&bad, true, Clock::now() + kPatience, never});
+    CHECK(refused.outcome == BackendOutcome::kNotSent);
+  }
+}
+
+// Guards invariant I2: bytes that follow a response, at once or while the
+// connection is idle, must not become the response to the next request.
+TEST_CASE("An unsolicited response is never delivered", "[backend_client]") {
+  const std::string own = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown";
+  const std::string late = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother";
+  for (const std::chrono::milliseconds delay :
+       {std::chrono::milliseconds(0), std::chrono::milliseconds(50)}) {
+    std::atomic<bool> sent{false};
+    std::atomic<int> connections{0};
+    Setup setup([&](RawSocket& socket, int connection) {
+      bool closed = false;
+      connections = connection + 1;
+      socket.Receive(HasHead, kPatience, closed);
+      if (delay.count() == 0) {
+        socket.Send(own + late);
+      } else {
+        socket.Send(own);
+        std::this_thread::sleep_for(delay);
+        socket.Send(late);
+      }
+      sent = true;
+      socket.Receive(HasHead, kPatience, closed);
+    });
+    CHECK(setup.Call().response.body == "own");
+    while (!sent) {
+      std::this_thread::yield();
+    }
+    // The bytes were handed to the kernel, which delivers them at once on the
+    // loopback interface.
+    CHECK(setup.Call().response.body == "own");
+    CHECK(connections == 2);
+  }
+}
+
+// Guards against a response that was sent before its request: here, one that
+// arrives while the request cannot be sent as a whole, since nobody reads it.
+TEST_CASE("A response before the end of the request is not delivered",
+          "[backend_client]") {
+  Setup setup([](RawSocket& socket, int) {
+    socket.Send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nearly");
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
+  });
+  const HttpRequest request{"POST", "/a", {}, std::string(32 << 20, 'x')};
+  const BackendResult result = setup.client.Call(
+      {&request, false, Clock::now() + std::chrono::milliseconds(300),
+       [] { return false; }});
+  CHECK(result.outcome == BackendOutcome::kTimedOut);
+}
+
+// Guards against failing a request because the backend server closed the
+// connection while it was idle, or at the moment of its reuse.
+TEST_CASE("A connection that was closed while idle is replaced",
+          "[backend_client]") {
+  const std::string reply = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na";
+  for (const bool at_reuse : {false, true}) {
+    std::atomic<int> served{0};
+    Setup setup([&](RawSocket& socket, int connection) {
+      bool closed = false;
+      socket.Receive(HasHead, kPatience, closed);
+      socket.Send(reply);
+      if (at_reuse && connection == 0) {
+        socket.Receive(HasHead, kPatience, closed);
+      }
+      ++served;
+    });
+    CHECK(setup.Call().outcome == BackendOutcome::kAnswered);
+    while (!at_reuse && served == 0) {
+      std::this_thread::yield();
+    }
+    CHECK(setup.Call().outcome == BackendOutcome::kAnswered);
+    CHECK(setup.Call("POST", kPatience, false).outcome ==
+          BackendOutcome::kAnswered);
+  }
+}
+
+// Guards invariant I4: a request that must not run twice is sent once, whatever
+// the backend server does with the connection.
+TEST_CASE("A non-idempotent request is sent once on a new connection",
+          "[backend_client]") {
+  std::atomic<int> requests{0};
+  std::atomic<int> connections{0};
+  Setup setup([&](RawSocket& socket, int connection) {
+    bool closed = false;
+    ++connections;
+    while (HasHead(socket.Receive(HasHead, kPatience, closed))) {
+      ++requests;
+      if (connection > 0) {
+        return;
+      }
+      socket.Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    }
+  });
+  CHECK(setup.Call().outcome == BackendOutcome::kAnswered);
+  // The server has one thread; the idle connection must end first.
+  CHECK(setup.Call("GET").outcome == BackendOutcome::kAnswered);
+  CHECK(connections == 1);
+  const BackendResult result =
+      setup.Call("POST", std::chrono::milliseconds(500), false);
+  CHECK(result.outcome != BackendOutcome::kAnswered);
+  CHECK(requests == 2);
+}
+
+// Guards against callers that wait past their deadline: it holds for the whole
+// response, not for each byte. The bound is 100 ms after the deadline.
+TEST_CASE("A trickled response ends at the deadline", "[backend_client]") {
+  constexpr std::chrono::milliseconds kDeadline{400};
+  const std::vector<std::string> starts = {
+      "HTTP/1.1 200 OK\r\nX: ",
+      "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffff\r\n", ""};
+  for (const std::string& start : starts) {
+    INFO(start);
+    Setup setup([&start](RawSocket& socket, int) {
+      bool closed = false;
+      socket.Receive(HasHead, kPatience, closed);
+      socket.Send(start);
+      while (!closed && (start.empty() || socket.Send("a"))) {
+        socket.Receive(HasHead, std::chrono::milliseconds(5), closed);
+      }
+    });
+    const Clock::time_point begin = Clock::now();
+    const BackendResult result = setup.Call("GET", kDeadline);
+    const auto taken = Clock::now() - begin;
+    CHECK(result.outcome == BackendOutcome::kTimedOut);
+    CHECK(taken >= kDeadline);
+    CHECK(taken < kDeadline + std::chrono::milliseconds(100));
+  }
+}
+
+// Guards against a call that goes on after its caller gave up.
+TEST_CASE("A cancelled call ends and its connection is closed",
+          "[backend_client]") {
+  std::atomic<bool> received{false};
+  std::atomic<bool> ended{false};
+  Setup setup([&](RawSocket& socket, int) {
+    bool closed = false;
+    socket.Receive(HasHead, kPatience, closed);
+    received = true;
+    socket.Receive(HasHead, kPatience, closed);
+    ended = closed;
+  });
+  const Clock::time_point begin = Clock::now();
+  const BackendResult result = setup.Call(
+      "GET", kPatience, true, [&received] { return received.load(); });
+  CHECK(result.outcome == BackendOutcome::kCancelled);
+  CHECK(Clock::now() - begin < kPatience / 2);
+  while (!ended && Clock::now() - begin < kPatience) {
+    std::this_thread::yield();
+  }
+  CHECK(ended);
+}
+
+// Guards invariant I3: a request that could not be sent is reported as such,
+// and a silent address takes at most the connect timeout of 250 ms.
+TEST_CASE("Connect failures are not sent", "[backend_client]") {
+  TimerService timers;
+  CallWatchdog watchdog(timers);
+  const HttpRequest request{"GET", "/a", {}, ""};
+  // A listener whose backlog is full does not complete new connections.
+  const int listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  ::inet_pton(AF_INET, kIp, &address.sin_addr);
+  socklen_t length = sizeof(address);
+  REQUIRE(::bind(listener, reinterpret_cast<sockaddr*>(&address), length) == 0);
+  ::getsockname(listener, reinterpret_cast<sockaddr*>(&address), &length);
+  BackendClient client(kIp, ntohs(address.sin_port), watchdog);
+  const auto call = [&] {
+    return client.Call(
+        {&request, true, Clock::now() + kPatience, [] { return false; }});
+  };
+  CHECK(call().outcome == BackendOutcome::kNotSent);  // Refused.
+  REQUIRE(::listen(listener, 0) == 0);
+  const auto filler = RawSocket::Connect(kIp, ntohs(address.sin_port));
+  const Clock::time_point begin = Clock::now();
+  CHECK(call().outcome == BackendOutcome::kNotSent);
+  CHECK(Clock::now() - begin < std::chrono::seconds(2));
+  const BackendResult late =
+      client.Call({&request, true, Clock::now(), [] { return false; }});
+  CHECK(late.outcome == BackendOutcome::kNotSent);
+  ::close(listener);
+}
+
+}  // namespace
+}  // namespace comfrey
--- /dev/null
+++ b/Tests/daemon/http_frontend_test.cc
@@ -0,0 +1,532 @@
+#include "daemon/http_frontend.h"
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <future>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "daemon/raw_socket.h"
+
+namespace comfrey {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr char kIp[] = "127.9.1.1";
+constexpr std::chrono::seconds kPatience{20};
+constexpr std::size_t kBodyLimit = 1000;
+constexpr std::size_t kHeaderLimit = 16 << 10;
+
+int FreePort() {
+  const RawServer server(kIp, [](RawSocket&, int) {});
+  return server.Port();
+}
+
+// A frontend whose requests are recorded and answered by the test.
+class FakeDaemon {
+ public:
+  explicit FakeDaemon(std::size_t connections = 10)
+      : port(FreePort()),
+        frontend(
+            [this](const HttpRequest& request) {
+              return this->Handle(request);
+            },
+            this->counters,
+            FrontendLimits{connections, kBodyLimit, kHeaderLimit},
+            FrontendPages{
+                [] { return true; }, [] { return std::string("{}"); },
+                [] { return std::string("{}"); },
+                [](const ExplainQuery& query) { return query.target; }}) {
+    REQUIRE(this->frontend.Start(kIp, this->port).ok());
+  }
+
+  std::unique_ptr<RawSocket> Connect() const {
+    return RawSocket::Connect(kIp, this->port);
+  }
+
+  std::vector<HttpRequest> Requests() {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    return this->requests;
+  }
+
+  std::mutex mutex;
+  std::vector<HttpRequest> requests;
+  int port;
+  std::function<HttpResponse(const HttpRequest&)> answer =
+      [](const HttpRequest& request) {
+        return HttpResponse{200, {{"X-Answer", "yes"}}, request.target + "\n"};
+      };
+  CounterRegistry counters;
+  HttpFrontend frontend;
+
+ private:
+  IngressReply Handle(const HttpRequest& request) {
+    {
+      const std::lock_guard<std::mutex> lock(this->mutex);
+      this->requests.push_back(request);
+    }
+    return {CallerOutcome::kAnswered, this->answer(request)};
+  }
+};
+
+bool Contains(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+bool Never(const std::string& /*bytes*/) {
+  return false;
+}
+
+struct Refusal {
+  std::string name;
+  std::string request;
+  int status;
+};
+
+std::vector<Refusal> Refusals() {
+  const std::string post = "POST /a HTTP/1.1\r\nHost: a\r\n";
+  const std::string get = "GET /a HTTP/1.1\r\nHost: a\r\n";
+  const std::string chunked = post + "Transfer-Encoding: chunked\r\n\r\n";
+  return {
+      {"length and chunked",
+       post +
+           "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+       400},
+      {"two lengths",
+       post + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc", 400},
+      {"list of lengths", post + "Content-Length: 3, 3\r\n\r\nabc", 400},
+      {"empty length", post + "Content-Length:\r\n\r\n", 400},
+      {"hexadecimal length", post + "Content-Length: 0x3\r\n\r\nabc", 400},
+      {"negative length", post + "Content-Length: -3\r\n\r\nabc", 400},
+      {"length with sign", post + "Content-Length: +3\r\n\r\nabc", 400},
+      {"length beyond 64 bits",
+       post + "Content-Length: 18446744073709551619\r\n\r\nabc", 400},
+      {"other transfer encoding", post + "Transfer-Encoding: gzip\r\n\r\nabc",
+       400},
+      {"list of transfer encodings",
+       post + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 400},
+      {"two transfer encodings",
+       post + "Transfer-Encoding: chunked\r\nTransfer-Encoding: "
+              "identity\r\n\r\n0\r\n\r\n",
+       400},
+      {"chunked in HTTP/1.0",
+       "POST /a HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+      {"chunk size with prefix", chunked + "0x3\r\nabc\r\n0\r\n\r\n", 400},
+      {"chunk size with sign", chunked + "+3\r\nabc\r\n0\r\n\r\n", 400},
+      {"negative chunk size", chunked + "-3\r\nabc\r\n0\r\n\r\n", 400},
+      {"chunk size after space", chunked + " 3\r\nabc\r\n0\r\n\r\n", 400},
+      {"chunk size before space", chunked + "3 \r\nabc\r\n0\r\n\r\n", 400},
+      {"empty chunk size", chunked + "\r\nabc\r\n0\r\n\r\n", 400},
+      {"chunk size beyond 64 bits",
+       chunked + "10000000000000003\r\nabc\r\n0\r\n\r\n", 400},
+      {"chunk size with bare LF", chunked + "3\nabc\r\n0\r\n\r\n", 400},
+      {"chunk longer than its size", chunked + "3\r\nabcd\r\n0\r\n\r\n", 400},
+      {"malformed trailer", chunked + "0\r\nno colon\r\n\r\n", 400},
+      {"space before colon", post + "Content-Length : 3\r\n\r\nabc", 400},
+      {"folded header", get + "X-A: 1\r\n Content-Length: 3\r\n\r\nabc", 400},
+      {"line without colon", get + "Content-Length\r\n\r\n", 400},
+      {"header without name", get + ": 1\r\n\r\n", 400},
+      {"bare LF in headers", post + "X-A: 1\nContent-Length: 3\r\n\r\nabc",
+       400},
+      {"bare CR in headers", get + "X-A: 1\rX-B: 2\r\n\r\n", 400},
+      {"NUL in a header", get + "X-A: 1" + std::string(1, '\0') + "\r\n\r\n",
+       400},
+      {"NUL in the target",
+       "GET /a" + std::string(1, '\0') + " HTTP/1.1\r\nHost: a\r\n\r\n", 400},
+      {"two spaces in the request line", "GET  /a HTTP/1.1\r\nHost: a\r\n\r\n",
+       400},
+      {"no version", "GET /a\r\nHost: a\r\n\r\n", 400},
+      {"HTTP/2.0", "GET /a HTTP/2.0\r\nHost: a\r\n\r\n", 400},
+      {"no host", "GET /a HTTP/1.1\r\n\r\n", 400},
+      {"two hosts", get + "Host: b\r\n\r\n", 400},
+      {"fragment", "GET /a#b HTTP/1.1\r\nHost: a\r\n\r\n", 400},
+      {"authority form", "GET a:80 HTTP/1.1\r\nHost: a\r\n\r\n", 400},
+      {"other method", "CONNECT /a HTTP/1.1\r\nHost: a\r\n\r\n", 501},
+      {"long target",
+       "GET /" + std::string(9000, 'a') + " HTTP/1.1\r\nHost: a\r\n\r\n", 414},
+      {"long header line",
+       get + "X-A: " + std::string(kHeaderLimit, 'a') + "\r\n\r\n", 431},
+      {"endless header line", get + std::string(4 * kHeaderLimit, 'a'), 431},
+      {"many header lines",
+       get +
+           [] {
+             std::string lines;
+             while (lines.size() < kHeaderLimit) {
+               lines += "X-A: 1\r\n";
+             }
+             return lines;
+           }() +
+           "\r\n",
+       431},
+      {"long body by length",
+       post + "Content-Length: 1001\r\n\r\n" + std::string(1001, 'a'), 413},
+      {"long body announced only", post + "Content-Length: 1001\r\n\r\n", 413},
+      {"long body by chunks",
+       chunked + "300\r\n" + std::string(0x300, 'a') + "\r\n300\r\n" +
+           std::string(0x300, 'a') + "\r\n0\r\n\r\n",
+       413},
+      {"one long chunk", chunked + "ffffffff\r\n", 413},
+      {"encoded body",
+       post + "Content-Encoding: gzip\r\nContent-Length: 3\r\n\r\nabc", 415},
+      {"other expectation",
+       post + "Expect: 200-ok\r\nContent-Length: 3\r\n\r\nabc", 417},
+  };
+}
+
+// Guards against request smuggling and unbounded input: a request whose end is
+// ambiguous or that is too large must not be forwarded, and what follows it
+// must not be read as a request.
+TEST_CASE("Unsafe requests are refused and nothing after them is read",
+          "[http_frontend]") {
+  FakeDaemon daemon;
+  for (const Refusal& refusal : Refusals()) {
+    INFO(refusal.name);
+    const auto caller = daemon.Connect();
+    caller->Send(refusal.request + "GET /smuggled HTTP/1.1\r\nHost: a\r\n\r\n");
+    bool closed = false;
+    const std::string reply = caller->Receive(Never, kPatience, closed);
+    CHECK(closed);
+    CHECK(reply.rfind("HTTP/1.1 " + std::to_string(refusal.status) + " ", 0) ==
+          0);
+    CHECK(Contains(reply, "Comfrey-Outcome: not-run\r\n"));
+    CHECK(Contains(reply, "Connection: close\r\n"));
+    CHECK(reply.find("HTTP/1.1 ", 1) == std::string::npos);
+    CHECK(daemon.Requests().empty());
+  }
+}
+
+struct Acceptance {
+  std::string name;
+  std::string request;
+  std::string target;
+  std::string body;
+  bool close;
+};
+
+// Guards against requests that are read to the wrong end: each is followed on
+// the same connection by another one, which must arrive as sent.
+TEST_CASE("Valid requests are forwarded as sent and the connection is reused",
+          "[http_frontend]") {
+  const std::string host = " HTTP/1.1\r\nHost: a\r\n";
+  const std::vector<Acceptance> cases = {
+      {"no body", "GET /a?b=%2F" + host + "\r\n", "/a?b=%2F", "", false},
+      {"GET with a body", "GET /a" + host + "Content-Length: 3\r\n\r\nabc",
+       "/a", "abc", false},
+      {"OPTIONS with a body",
+       "OPTIONS /a" + host + "Content-Length: 3\r\n\r\nabc", "/a", "abc",
+       false},
+      {"POST without a length", "POST /a" + host + "\r\n", "/a", "", false},
+      {"DELETE without a length", "DELETE /a" + host + "\r\n", "/a", "", false},
+      {"length", "POST /a" + host + "Content-Length: 3\r\n\r\nabc", "/a", "abc",
+       false},
+      {"chunks",
+       "POST /a" + host +
+           "Transfer-Encoding: Chunked\r\n\r\n3;x=y\r\nabc\r\n2\r\nde\r\n0\r\n"
+           "X-T: 1\r\n\r\n",
+       "/a", "abcde", false},
+      {"body at the limit",
+       "POST /a" + host + "Content-Length: 1000\r\n\r\n" +
+           std::string(kBodyLimit, 'a'),
+       "/a", std::string(kBodyLimit, 'a'), false},
+      {"absolute form", "GET http://b:80/a?c" + host + "\r\n", "/a?c", "",
+       false},
+      {"absolute form without a path", "GET http://b" + host + "\r\n", "/", "",
+       false},
+      {"encoded line feed in the path", "GET /a%0a%00" + host + "\r\n",
+       "/a%0a%00", "", false},
+      {"long target", "GET /" + std::string(7000, 'a') + host + "\r\n",
+       "/" + std::string(7000, 'a'), "", false},
+      {"close asked for", "GET /a" + host + "Connection: x, Close\r\n\r\n",
+       "/a", "", true},
+      {"HTTP/1.0", "GET /a HTTP/1.0\r\n\r\n", "/a", "", true},
+  };
+  FakeDaemon daemon;
+  for (const Acceptance& acceptance : cases) {
+    INFO(acceptance.name);
+    const std::size_t before = daemon.Requests().size();
+    const auto caller = daemon.Connect();
+    caller->Send(acceptance.request + "PUT /next HTTP/1.1\r\nHost: a\r\n\r\n");
+    bool closed = false;
+    const std::string reply = caller->ReceiveResponse(kPatience, closed);
+    CHECK(reply.rfind("HTTP/1.1 200 ", 0) == 0);
+    CHECK_FALSE(Contains(reply, "Comfrey-Outcome"));
+    CHECK(Contains(reply, "\r\n\r\n" + acceptance.target + "\n"));
+    CHECK(Contains(reply, "Connection: close\r\n") == acceptance.close);
+    const std::string next = caller->ReceiveResponse(kPatience, closed);
+    CHECK(closed == acceptance.close);
+    CHECK(Contains(next, "/next\n") != acceptance.close);
+    const std::vector<HttpRequest> requests = daemon.Requests();
+    REQUIRE(requests.size() == before + (acceptance.close ? 1 : 2));
+    CHECK(requests[before].target == acceptance.target);
+    CHECK(requests[before].body == acceptance.body);
+  }
+}
+
+// Guards against the HTTP library, which decodes percent signs in header
+// values, and against headers of one connection that reach the backend server.
+TEST_CASE("Headers are forwarded as sent, except those of the connection",
+          "[http_frontend]") {
+  FakeDaemon daemon;
+  const auto caller = daemon.Connect();
+  caller->Send(
+      "GET http://b/a HTTP/1.1\r\nHost: a\r\nX-Percent: a%0d%0aX-Evil: 1\r\n"
+      "Range: bytes=0-1\r\nAccept-Encoding: gzip\r\nConnection: X-Hop\r\n"
+      "X-Hop: 1\r\nX-Two: 1\r\nX-Two: 2\r\nTE: trailers\r\n\r\n");
+  bool closed = false;
+  caller->ReceiveResponse(kPatience, closed);
+  const std::vector<HttpRequest> requests = daemon.Requests();
+  REQUIRE(requests.size() == 1);
+  const std::vector<HttpHeader> expected = {
+      {"Host", "b"},          {"X-Percent", "a%0d%0aX-Evil: 1"},
+      {"Range", "bytes=0-1"}, {"Accept-Encoding", "gzip"},
+      {"X-Two", "1"},         {"X-Two", "2"}};
+  CHECK(requests[0].headers == expected);
+}
+
+// Guards against the HTTP library cutting or compressing a response, and
+// against headers that it adds on its own.
+TEST_CASE("Responses of backend servers are delivered unchanged",
+          "[http_frontend]") {
+  FakeDaemon daemon;
+  const std::string body(900, 'x');
+  daemon.answer = [&body](const HttpRequest& request) {
+    if (request.target == "/empty") {
+      return HttpResponse{
+          204, {{"X-A", "1"}, {"Content-Length", "5"}}, "abcde"};
+    }
+    return HttpResponse{206,
+                        {{"Content-Range", "bytes 0-899/1000"},
+                         {"Content-Length", "900"},
+                         {"Transfer-Encoding", "chunked"},
+                         {"Connection", "close, X-Hop"},
+                         {"X-Hop", "1"}},
+                        request.method == "HEAD" ? "" : body};
+  };
+  const auto caller = daemon.Connect();
+  const std::string headers =
+      "Host: a\r\nRange: bytes=0-1\r\nAccept-Encoding: gzip, br\r\n\r\n";
+  const std::string expected =
+      "HTTP/1.1 206 Partial Content\r\nContent-Length: 900\r\n"
+      "Content-Range: bytes 0-899/1000\r\nKeep-Alive: timeout=5\r\n\r\n";
+  bool closed = false;
+  caller->Send("GET /a HTTP/1.1\r\n" + headers);
+  CHECK(caller->ReceiveResponse(kPatience, closed) == expected + body);
+  caller->Send("HEAD /a HTTP/1.1\r\n" + headers);
+  CHECK(caller->Receive(HasHead, kPatience, closed) == expected);
+  caller->Send("GET /empty HTTP/1.1\r\n" + headers);
+  CHECK(caller->Receive(HasHead, kPatience, closed) ==
+        "HTTP/1.1 204 No Content\r\nKeep-Alive: timeout=5\r\nX-A: 1\r\n\r\n");
+  caller->Send("GET /comfrey/readyz HTTP/1.1\r\n" + headers);
+  CHECK(Contains(caller->ReceiveResponse(kPatience, closed), "\r\n\r\nready"));
+}
+
+// Guards against callers that wait for 100 Continue before they send a body,
+// and against asking for a body that will be refused.
+TEST_CASE("100 Continue is sent only for a body that will be read",
+          "[http_frontend]") {
+  FakeDaemon daemon;
+  bool closed = false;
+  const std::string head =
+      "POST /a HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n";
+  const auto caller = daemon.Connect();
+  caller->Send(head + "Content-Length: 3\r\n\r\n");
+  CHECK(caller->Receive(HasHead, kPatience, closed) ==
+        "HTTP/1.1 100 Continue\r\n\r\n");
+  caller->Send("abc");
+  CHECK(Contains(caller->ReceiveResponse(kPatience, closed), " 200 "));
+  REQUIRE(daemon.Requests().size() == 1);
+  CHECK(daemon.Requests()[0].body == "abc");
+  const auto refused = daemon.Connect();
+  refused->Send(head + "Content-Length: 1001\r\n\r\n");
+  CHECK(
+      refused->Receive(HasHead, kPatience, closed).rfind("HTTP/1.1 413 ", 0) ==
+      0);
+}
+
+// Guards against slow callers that hold a thread without end: the limits are
+// 5 s for the head and 10 s for the body, whatever arrives in between.
+TEST_CASE("A trickled request is refused at its limit", "[http_frontend]") {
+  FakeDaemon daemon;
+  const auto trickle = [&daemon](const std::string& start) {
+    const auto caller = daemon.Connect();
+    caller->Send(start);
+    bool closed = false;
+    std::string reply;
+    const Clock::time_point begin = Clock::now();
+    while (reply.empty() && !closed && Clock::now() < begin + kPatience) {
+      caller->Send("a");
+      reply = caller->Receive(HasHead, std::chrono::milliseconds(200), closed);
+    }
+    return reply;
+  };
+  const auto slow_head = std::async(
+      std::launch::async, [&] { return trickle("GET /a HTTP/1.1\r\nX-A: "); });
+  const auto slow_body = std::async(std::launch::async, [&] {
+    return trickle(
+        "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 900\r\n\r\n");
+  });
+  slow_head.wait();
+  slow_body.wait();
+  CHECK(daemon.Requests().empty());
+  auto& head = const_cast<std::future<std::string>&>(slow_head);
+  auto& body = const_cast<std::future<std::string>&>(slow_body);
+  CHECK(head.get().rfind("HTTP/1.1 408 ", 0) == 0);
+  CHECK(body.get().rfind("HTTP/1.1 408 ", 0) == 0);
+}
+
+// Guards against running a request that its caller did not finish, and against
+// dropping one whose caller only stopped sending.
+TEST_CASE("A half-closed connection gets the reply to a whole request",
+          "[http_frontend]") {
+  FakeDaemon daemon;
+  bool closed = false;
+  const auto whole = daemon.Connect();
+  whole->Send("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc");
+  whole->ShutdownWrite();
+  CHECK(Contains(whole->Receive(Never, kPatience, closed), " 200 "));
+  CHECK(closed);
+  const std::vector<std::string> parts = {
+      "GET /a HT", "GET /a HTTP/1.1\r\nHost: a\r\n",
+      "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nab",
+      "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: "
+      "chunked\r\n\r\n3\r\nabc\r\n"};
+  for (const std::string& part : parts) {
+    INFO(part);
+    const auto cut = daemon.Connect();
+    cut->Send(part);
+    cut->ShutdownWrite();
+    const std::string reply = cut->Receive(Never, kPatience, closed);
+    CHECK(closed);
+    CHECK(reply.rfind("HTTP/1.1 400 ", 0) == 0);
+    CHECK(Contains(reply, "Comfrey-Outcome: not-run\r\n"));
+  }
+  CHECK(daemon.Requests().size() == 1);
+}
+
+// Guards against callers that wait for a thread: beyond the limit they are told
+// so at once, even if those before them are slow.
+TEST_CASE("Connections beyond the limit are refused without waiting",
+          "[http_frontend]") {
+  FakeDaemon daemon(2);
+  bool closed = false;
+  const std::string request = "GET /a HTTP/1.1\r\nHost: a\r\n\r\n";
+  std::vector<std::unique_ptr<RawSocket>> served;
+  for (int i = 0; i < 2; ++i) {
+    served.push_back(daemon.Connect());
+    served.back()->Send(request);
+    CHECK(Contains(served.back()->ReceiveResponse(kPatience, closed), " 200 "));
+  }
+  // None of these sends a request.
+  std::vector<std::unique_ptr<RawSocket>> silent;
+  for (int i = 0; i < 80; ++i) {
+    silent.push_back(daemon.Connect());
+  }
+  const auto refused = daemon.Connect();
+  refused->Send(request);
+  for (const auto& caller : silent) {
+    const std::string reply = caller->Receive(HasHead, kPatience, closed);
+    CHECK(reply.rfind("HTTP/1.1 503 ", 0) == 0);
+    CHECK(Contains(reply, "Comfrey-Outcome: not-run\r\n"));
+  }
+  CHECK(
+      refused->Receive(HasHead, kPatience, closed).rfind("HTTP/1.1 503 ", 0) ==
+      0);
+  served[0]->Send(request);
+  CHECK(Contains(served[0]->ReceiveResponse(kPatience, closed), " 200 "));
+  CHECK(daemon.Requests().size() == 3);
+}
+
+// Guards against planned stops that interrupt requests: the one in flight and
+// one that an idle caller sends just after the stop began are both answered.
+TEST_CASE("A stop completes requests and closes idle connections",
+          "[http_frontend]") {
+  FakeDaemon daemon;
+  bool closed = false;
+  std::promise<void> release;
+  const std::shared_future<void> released = release.get_future().share();
+  std::atomic<bool> running{false};
+  daemon.answer = [&](const HttpRequest& request) {
+    if (request.target == "/slow") {
+      running = true;
+      released.wait();
+    }
+    return HttpResponse{200, {}, "done"};
+  };
+  const auto idle = daemon.Connect();
+  const auto late = daemon.Connect();
+  for (const auto* caller : {&idle, &late}) {
+    (*caller)->Send("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+    const std::string reply = (*caller)->ReceiveResponse(kPatience, closed);
+    CHECK_FALSE(Contains(reply, "Connection: close"));
+  }
+  const auto slow = daemon.Connect();
+  slow->Send("GET /slow HTTP/1.1\r\nHost: a\r\n\r\n");
+  while (!running) {
+    std::this_thread::yield();
+  }
+  auto stop = std::async(std::launch::async, [&] { daemon.frontend.Stop(); });
+  late->Send("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+  CHECK(Contains(late->ReceiveResponse(kPatience, closed), "done"));
+  idle->Receive(Never, kPatience, closed);
+  CHECK(closed);
+  CHECK(stop.wait_for(std::chrono::milliseconds(0)) ==
+        std::future_status::timeout);
+  release.set_value();
+  const Clock::time_point begin = Clock::now();
+  const std::string reply = slow->ReceiveResponse(kPatience, closed);
+  CHECK(Contains(reply, "Connection: close\r\n"));
+  CHECK(Contains(reply, "done"));
+  // The caller keeps its side open; the frontend waits 1 s for it at most.
+  CHECK(stop.wait_for(kPatience) == std::future_status::ready);
+  CHECK(Clock::now() - begin < std::chrono::seconds(4));
+}
+
+// Guards against a stop that has no effect because the server does not run yet,
+// and against one that waits for idle callers longer than 1 s.
+TEST_CASE("A stop without requests ends soon", "[http_frontend]") {
+  for (int i = 0; i < 5; ++i) {
+    FakeDaemon daemon;
+    daemon.frontend.Stop();
+  }
+  FakeDaemon daemon;
+  const auto idle = daemon.Connect();
+  idle->Send("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+  bool closed = false;
+  idle->ReceiveResponse(kPatience, closed);
+  const Clock::time_point begin = Clock::now();
+  daemon.frontend.Stop();
+  CHECK(Clock::now() - begin < std::chrono::seconds(4));
+}
+
+// Guards against two daemons that listen on one address without notice.
+TEST_CASE("An address in use is refused", "[http_frontend]") {
+  FakeDaemon daemon;
+  CounterRegistry counters;
+  HttpFrontend second([](const HttpRequest&) { return IngressReply{}; },
+                      counters, FrontendLimits{}, FrontendPages{});
+  CHECK_FALSE(second.Start(kIp, daemon.port).ok());
+}
+
+// Guards against telling a caller the text of an internal error, or that a
+// request that may have run did not.
+TEST_CASE("An exception of the handler is an unknown outcome",
+          "[http_frontend]") {
+  FakeDaemon daemon;
+  daemon.answer = [](const HttpRequest&) -> HttpResponse {
+    throw std::runtime_error("internal text");
+  };
+  const auto caller = daemon.Connect();
+  caller->Send("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+  bool closed = false;
+  const std::string reply = caller->ReceiveResponse(kPatience, closed);
+  CHECK(reply.rfind("HTTP/1.1 502 ", 0) == 0);
+  CHECK(Contains(reply, "Comfrey-Outcome: unknown\r\n"));
+  CHECK_FALSE(Contains(reply, "internal text"));
+}
+
+}  // namespace
+}  // namespace comfrey
