--- a/Source/daemon/http_wire.cc
+++ b/Source/daemon/http_wire.cc
@@ -29,8 +29,6 @@
 // Longest line of a chunk size with its extensions, and of all trailers.
 constexpr std::size_t kMaxChunkLine = 256;
 constexpr std::size_t kMaxTrailers = 8 << 10;
-// 8 hexadecimal digits; every limit of a body is far below.
-constexpr std::size_t kMaxChunkDigits = 8;
 
 bool IsTokenCharacter(char c) {
   return absl::ascii_isalnum(static_cast<unsigned char>(c)) ||
@@ -72,7 +70,7 @@
 
 bool ParseChunkSize(absl::string_view line, std::size_t& size) {
   const absl::string_view digits = line.substr(0, line.find(';'));
-  if (digits.empty() || digits.size() > kMaxChunkDigits || !IsFieldText(line) ||
+  if (digits.empty() || !IsFieldText(line) ||
       !std::all_of(digits.begin(), digits.end(), [](char c) {
         return absl::ascii_isxdigit(static_cast<unsigned char>(c));
       })) {
