Test that a scalar in place of an array or object is refused

Cause: a trial without the check for arrays passed all tests.

Change: two rows in the table of wrong types; without the check for arrays, the test now fails.

--- a/Tests/ctl/report_json_test.cc
+++ b/Tests/ctl/report_json_test.cc
@@ -64,13 +64,15 @@
 }
 
 // Guards against numbers that wrap around, and against a crash of the reader.
-TEST_CASE("documents with values out of range are refused") {
+TEST_CASE("documents with wrong types and values out of range are refused") {
   const Json document = Json::parse(kStatusJson);
   struct Case {
     std::string pointer;
     Json value;
   };
   const std::vector<Case> cases = {
+      {"/teams", 17},
+      {"/members/0", nullptr},
       {"/endpoints/0/load", -1},
       {"/endpoints/0/load", 4294967296},
       {"/endpoints/0/load", 1.5},
