Use one type for HTTP responses

The ledger had a response type of its own, equal to HttpResponse field by field, with conversions in both directions.

--- a/Source/core/attempt_journal.cc
+++ b/Source/core/attempt_journal.cc
@@ -14,9 +14,9 @@
                      2 * entry.attempt.ingress.size() + entry.key.team.size() +
                      entry.key.service.size() + entry.key.key.size();
   if (entry.response != nullptr) {
-    size += sizeof(StoredResponse) + entry.response->body.size();
-    for (const HeaderField& header : entry.response->headers) {
-      size += sizeof(HeaderField) + header.name.size() + header.value.size();
+    size += sizeof(HttpResponse) + entry.response->body.size();
+    for (const HttpHeader& header : entry.response->headers) {
+      size += sizeof(HttpHeader) + header.name.size() + header.value.size();
     }
   }
   return size;
--- a/Source/core/attempt_ledger.cc
+++ b/Source/core/attempt_ledger.cc
@@ -35,9 +35,9 @@
   if (response == nullptr) {
     return 0;
   }
-  std::size_t size = sizeof(StoredResponse) + response->body.size();
-  for (const HeaderField& header : response->headers) {
-    size += sizeof(HeaderField) + header.name.size() + header.value.size();
+  std::size_t size = sizeof(HttpResponse) + response->body.size();
+  for (const HttpHeader& header : response->headers) {
+    size += sizeof(HttpHeader) + header.name.size() + header.value.size();
   }
   return size;
 }
--- a/Source/core/attempt_ledger.h
+++ b/Source/core/attempt_ledger.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "core/attempt_id.h"
+#include "core/http_message.h"
 #include "core/key_placement.h"
 
 namespace comfrey {
@@ -45,24 +46,8 @@
   std::chrono::microseconds uptime{0};
 };
 
-struct HeaderField {
-  std::string name;
-  std::string value;
-};
-
-inline bool operator==(const HeaderField& a, const HeaderField& b) {
-  return a.name == b.name && a.value == b.value;
-}
-
-/// \brief A complete response of a backend server.
-struct StoredResponse {
-  int status = 0;
-  std::vector<HeaderField> headers;
-  std::string body;
-};
-
 /// \brief Shared, since several callers may receive it at once.
-using ResponsePtr = std::shared_ptr<const StoredResponse>;
+using ResponsePtr = std::shared_ptr<const HttpResponse>;
 
 /// \brief Hash by which a repeated key is checked to carry the same request.
 std::uint64_t HashRequest(std::string_view method,
--- a/Source/daemon/ingress.cc
+++ b/Source/daemon/ingress.cc
@@ -375,7 +375,9 @@
         responded                                   ? JournalOutcome::kResponded
         : attempt.outcome == CallerOutcome::kNotRun ? JournalOutcome::kNotRun
                                                     : JournalOutcome::kUnknown,
-        responded ? ToStored(attempt.response) : nullptr, Clock::now());
+        responded ? std::make_shared<const HttpResponse>(attempt.response)
+                  : nullptr,
+        Clock::now());
   }
 }
 
--- a/Source/daemon/message_conversion.cc
+++ b/Source/daemon/message_conversion.cc
@@ -60,36 +60,8 @@
           message.body()};
 }
 
-void ToProto(const StoredResponse& response, rpc::Answer& message) {
-  message.set_status(response.status);
-  for (const HeaderField& header : response.headers) {
-    AddHeader({header.name, header.value}, *message.add_headers());
-  }
-  message.set_body(response.body);
-}
-
-ResponsePtr ToStored(const HttpResponse& response) {
-  auto stored = std::make_shared<StoredResponse>();
-  stored->status = response.status;
-  for (const HttpHeader& header : response.headers) {
-    stored->headers.push_back({header.name, header.value});
-  }
-  stored->body = response.body;
-  return stored;
-}
-
 ResponsePtr StoredFromProto(const rpc::Answer& message) {
-  return ToStored(FromProto(message));
-}
-
-HttpResponse ToHttp(const StoredResponse& response) {
-  HttpResponse http;
-  http.status = response.status;
-  for (const HeaderField& header : response.headers) {
-    http.headers.push_back({header.name, header.value});
-  }
-  http.body = response.body;
-  return http;
+  return std::make_shared<const HttpResponse>(FromProto(message));
 }
 
 void ToProto(const EndpointSummary& summary,
--- a/Source/daemon/message_conversion.h
+++ b/Source/daemon/message_conversion.h
@@ -21,10 +21,7 @@
 void ToProto(const HttpResponse& response, rpc::Answer& message);
 HttpResponse FromProto(const rpc::Answer& message);
 
-void ToProto(const StoredResponse& response, rpc::Answer& message);
-ResponsePtr ToStored(const HttpResponse& response);
 ResponsePtr StoredFromProto(const rpc::Answer& message);
-HttpResponse ToHttp(const StoredResponse& response);
 
 /// \brief Conversions of summaries; ages are relative to `now`.
 void ToProto(const EndpointSummary& summary,
--- a/Source/daemon/owner_service.cc
+++ b/Source/daemon/owner_service.cc
@@ -358,7 +358,7 @@
       case KeyedStep::kRun:
         return true;
       case KeyedStep::kRespond:
-        call.result = Answered(ToHttp(*action.response));
+        call.result = Answered(*action.response);
         return false;
       case KeyedStep::kRefuse:
         call.result = MakeRefusal(
@@ -483,7 +483,8 @@
   if (!repeatable) {
     if (backend.outcome == BackendOutcome::kAnswered) {
       FinishAttempt(endpoint.keyed.ledger, ledger_request,
-                    ToStored(backend.response), now);
+                    std::make_shared<const HttpResponse>(backend.response),
+                    now);
     } else {
       LoseAttempt(endpoint.keyed.ledger, ledger_request, now);
     }
--- a/Tests/core/at_most_once_model.cc
+++ b/Tests/core/at_most_once_model.cc
@@ -995,10 +995,9 @@
     if (lost) {
       LoseAttempt(ledger, request, this->Steady(o));
     } else {
-      FinishAttempt(
-          ledger, request,
-          std::make_shared<StoredResponse>(StoredResponse{200, {}, body}),
-          this->Steady(o));
+      FinishAttempt(ledger, request,
+                    std::make_shared<HttpResponse>(HttpResponse{200, {}, body}),
+                    this->Steady(o));
     }
     this->StepKey(o, request);
   });
--- a/Tests/core/attempt_ledger_test.cc
+++ b/Tests/core/attempt_ledger_test.cc
@@ -39,7 +39,7 @@
 }
 
 ResponsePtr Response(const std::string& body) {
-  return std::make_shared<StoredResponse>(StoredResponse{
+  return std::make_shared<HttpResponse>(HttpResponse{
       201, {{"Content-Type", "text/plain"}, {"X-Order", "9"}}, body});
 }
 
@@ -67,8 +67,8 @@
   CHECK(repeat.response->status == 201);
   CHECK(repeat.response->body == body);
   CHECK(repeat.response->headers ==
-        std::vector<HeaderField>{{"Content-Type", "text/plain"},
-                                 {"X-Order", "9"}});
+        std::vector<HttpHeader>{{"Content-Type", "text/plain"},
+                                {"X-Order", "9"}});
 
   const LedgerDecision other =
       BeginAttempt(ledger, Request(3, "k", 0, 2), kVersion, At(4));
--- a/Tests/core/key_recovery_test.cc
+++ b/Tests/core/key_recovery_test.cc
@@ -28,7 +28,7 @@
 }
 
 ResponsePtr Response(const std::string& body) {
-  return std::make_shared<StoredResponse>(StoredResponse{200, {}, body});
+  return std::make_shared<HttpResponse>(HttpResponse{200, {}, body});
 }
 
 // Guards against a restarted owner that runs a key of its earlier incarnation
--- a/Tests/core/keyed_execution_test.cc
+++ b/Tests/core/keyed_execution_test.cc
@@ -101,7 +101,7 @@
     bool not_run;
   };
   const ResponsePtr response =
-      std::make_shared<StoredResponse>(StoredResponse{200, {}, "x"});
+      std::make_shared<HttpResponse>(HttpResponse{200, {}, "x"});
   const Case cases[] = {
       {{KeyFenceState::kFenced, nullptr, 0},
        KeyedStep::kRun,
