--- /dev/null
+++ b/Utilities/measure_load.cc
@@ -0,0 +1,270 @@
+// Measures the latency that the fleet adds to requests at fixed rates.
+//
+// Callers send to one ingress daemon, which owns no endpoint, so that each
+// request takes two hops. The same callers send the same requests directly to
+// the backend servers, in rounds that alternate with the others, so that a
+// change in the load of the machine affects both. Latency counts from the time
+// at which a request was due, so that a slow response does not hide the delay
+// of the requests behind it.
+
+#include <httplib.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "gflags/gflags.h"
+#include "measured_fleet.h"
+#include "system/fleet.h"
+
+DEFINE_int32(rate, 214, "requests per second of the first step");
+DEFINE_int32(steps, 4, "steps; each doubles the rate");
+DEFINE_int32(seconds, 5, "length of a round in seconds");
+DEFINE_int32(rounds, 2, "rounds of each kind in a step");
+DEFINE_int32(connections, 40, "keep-alive caller connections");
+DEFINE_int32(owners, 4, "owner daemons, each with one backend server");
+DEFINE_int32(delay_ms, 5, "service time of the backend servers");
+DEFINE_int32(organisations, 1, "organisations that send in turn");
+DEFINE_bool(idle, true, "first measure the connections while they are idle");
+
+namespace comfrey {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+constexpr int kHttpPort = 8080;
+constexpr int kBackendPort = 8081;
+constexpr int kIngressVm = 1;
+constexpr int kOk = 200;
+constexpr std::chrono::seconds kStartTimeout{60};
+constexpr std::chrono::seconds kCallTimeout{5};
+
+struct Target {
+  std::string ip;
+  int port = 0;
+  std::string path;
+};
+
+struct RoundResult {
+  std::vector<double> latencies_ms;
+  std::size_t failures = 0;
+  double seconds = 0;
+};
+
+// Sends every `connections`-th request of the round on one connection.
+RoundResult SendShare(const std::vector<Target>& targets,
+                      int connection,
+                      int rate,
+                      Clock::time_point start) {
+  RoundResult result;
+  const Target& target = targets[connection % targets.size()];
+  httplib::Client client(target.ip, target.port);
+  client.set_keep_alive(true);
+  client.set_tcp_nodelay(true);
+  client.set_read_timeout(kCallTimeout);
+  const int total = rate * FLAGS_seconds;
+  for (int i = connection; i < total; i += FLAGS_connections) {
+    const auto due =
+        start + std::chrono::microseconds(std::micro::den) * i / rate;
+    std::this_thread::sleep_until(due);
+    const httplib::Result reply =
+        client.Get(target.path,
+                   {{"X-Organisation",
+                     absl::StrCat("organisation-", i % FLAGS_organisations)}});
+    if (reply && reply->status == kOk) {
+      result.latencies_ms.push_back(
+          std::chrono::duration<double, std::milli>(Clock::now() - due)
+              .count());
+    } else {
+      ++result.failures;
+    }
+  }
+  return result;
+}
+
+void RunRound(const std::vector<Target>& targets,
+              int rate,
+              RoundResult& total) {
+  const auto begin = Clock::now();
+  constexpr std::chrono::milliseconds kLead{100};
+  std::mutex mutex;
+  std::vector<std::thread> threads;
+  threads.reserve(FLAGS_connections);
+  for (int c = 0; c < FLAGS_connections; ++c) {
+    threads.emplace_back([&, c] {
+      const RoundResult share = SendShare(targets, c, rate, begin + kLead);
+      const std::lock_guard<std::mutex> lock(mutex);
+      total.failures += share.failures;
+      total.latencies_ms.insert(total.latencies_ms.end(),
+                                share.latencies_ms.begin(),
+                                share.latencies_ms.end());
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  total.seconds +=
+      std::chrono::duration<double>(Clock::now() - begin - kLead).count();
+}
+
+std::string ServiceConfig(const MeasuredFleet& fleet) {
+  std::string endpoints;
+  for (int vm = 2; vm < 2 + FLAGS_owners; ++vm) {
+    absl::StrAppend(&endpoints, endpoints.empty() ? "" : ", ",
+                    fleet.Address(vm), ":", kBackendPort);
+  }
+  // With more slots than connections, no request waits in a queue.
+  return absl::StrCat(
+      "[team]\n[service load]\nslots = ", FLAGS_connections,
+      "\nwarmup = 1s\nendpoints = ", endpoints,
+      "\n[rank all]\nurgency = 1\ntarget = 250ms\n"
+      "[route all]\nservice = load\nrank = all\npath = /\nrepeat = safe\n");
+}
+
+struct CpuSum {
+  std::chrono::microseconds ingress{0};
+  std::chrono::microseconds owners{0};
+};
+
+CpuSum ReadCpu(const MeasuredFleet& fleet) {
+  CpuSum sum;
+  sum.ingress = fleet.DaemonUse(kIngressVm).cpu;
+  for (int vm = 2; vm < 2 + FLAGS_owners; ++vm) {
+    sum.owners += fleet.DaemonUse(vm).cpu;
+  }
+  return sum;
+}
+
+void PrintStep(const MeasuredFleet& fleet,
+               int rate,
+               const RoundResult& direct,
+               const RoundResult& proxied,
+               const CpuSum& cpu) {
+  const double d50 = Percentile(direct.latencies_ms, 0.5);
+  const double d99 = Percentile(direct.latencies_ms, 0.99);
+  const double p50 = Percentile(proxied.latencies_ms, 0.5);
+  const double p99 = Percentile(proxied.latencies_ms, 0.99);
+  const auto requests = static_cast<double>(proxied.latencies_ms.size());
+  const double window_us = proxied.seconds * std::micro::den;
+  constexpr double kMiB = 1024.0 * 1024.0;
+  std::printf(
+      "%5d %7.2f %7.2f %7.2f %7.2f %7.2f %7.2f %5.2f %7.0f %5zu %5zu %6.1f "
+      "%6.0f %6.0f %6.1f %6.1f %5.1f\n",
+      rate, d50, d99, p50, p99, p50 - d50, p99 - d99, d99 > 0 ? p99 / d99 : 0,
+      requests / proxied.seconds, direct.failures, proxied.failures,
+      100 * static_cast<double>(cpu.ingress.count()) / window_us,
+      static_cast<double>(cpu.ingress.count()) / std::max(requests, 1.0),
+      static_cast<double>(cpu.owners.count()) / std::max(requests, 1.0),
+      static_cast<double>(fleet.DaemonUse(kIngressVm).resident_bytes) / kMiB,
+      static_cast<double>(fleet.DaemonUse(2).resident_bytes) / kMiB,
+      LoadAverage());
+}
+
+// Opens the caller connections with one request each and measures the ingress
+// daemon while they are idle. The daemon closes a connection that is idle for
+// 5 s, so the window is shorter.
+void MeasureIdle(const MeasuredFleet& fleet, const Target& target) {
+  constexpr std::chrono::seconds kWindow{3};
+  std::vector<std::unique_ptr<httplib::Client>> clients;
+  const ProcessUse alone = fleet.DaemonUse(kIngressVm);
+  std::this_thread::sleep_for(kWindow);
+  const auto alone_cpu = fleet.DaemonUse(kIngressVm).cpu - alone.cpu;
+  for (int c = 0; c < FLAGS_connections; ++c) {
+    clients.push_back(
+        std::make_unique<httplib::Client>(target.ip, target.port));
+    clients.back()->set_keep_alive(true);
+    clients.back()->Get("/comfrey/readyz");
+  }
+  const ProcessUse before = fleet.DaemonUse(kIngressVm);
+  std::this_thread::sleep_for(kWindow);
+  const ProcessUse after = fleet.DaemonUse(kIngressVm);
+  const auto percent = [&](std::chrono::microseconds cpu) {
+    return 100 * std::chrono::duration<double>(cpu) / kWindow;
+  };
+  constexpr double kMiB = 1024.0 * 1024.0;
+  std::printf(
+      "idle: 0 connections %.2f%% of a core, %.2f MiB; %d connections %.2f%%, "
+      "%.2f MiB; load %.1f\n",
+      percent(alone_cpu), static_cast<double>(alone.resident_bytes) / kMiB,
+      FLAGS_connections, percent(after.cpu - before.cpu),
+      static_cast<double>(after.resident_bytes) / kMiB, LoadAverage());
+}
+
+int Run() {
+  MeasuredFleet fleet({});
+  fleet.Publish("load", ServiceConfig(fleet));
+  for (int vm = 1; vm < 2 + FLAGS_owners; ++vm) {
+    if (vm != kIngressVm) {
+      fleet.StartBackend(vm, kBackendPort,
+                         std::chrono::milliseconds(FLAGS_delay_ms));
+    }
+    fleet.StartDaemon(vm);
+  }
+  const Target proxied{fleet.Address(kIngressVm), kHttpPort, "/load/work"};
+  // A stand-in serves 64 connections at a time; the others would wait.
+  std::vector<Target> direct;
+  for (int vm = 2; vm < 2 + FLAGS_owners; ++vm) {
+    direct.push_back({fleet.Address(vm), kBackendPort, "/work"});
+  }
+  const bool ready = WaitFor(
+      [&] {
+        for (int vm = 1; vm < 2 + FLAGS_owners; ++vm) {
+          if (!fleet.IsReady(vm)) {
+            return false;
+          }
+        }
+        return !fleet.Page(kIngressVm, proxied.path).empty();
+      },
+      kStartTimeout);
+  if (!ready) {
+    std::fprintf(stderr, "the daemons were not ready in time\n");
+    return 1;
+  }
+  if (FLAGS_idle) {
+    MeasureIdle(fleet, proxied);
+  }
+  // Opens the channels and ends the warm-up of the endpoints.
+  RoundResult discarded;
+  RunRound({proxied}, FLAGS_rate, discarded);
+  std::printf(
+      "%d connections, %d owners, service time %d ms, %d "
+      "organisations, %d x %d s each, %u cores\n",
+      FLAGS_connections, FLAGS_owners, FLAGS_delay_ms, FLAGS_organisations,
+      FLAGS_rounds, FLAGS_seconds, std::thread::hardware_concurrency());
+  std::printf(
+      " rate direct ms (50,99)  via fleet (50,99) added (50,99)  x99    "
+      "req/s fail  fail  ingr%% us/req us/req    MiB    MiB  load\n"
+      "                                                                "
+      "             dir   via   core  ingr  owners   ingr  owner\n");
+  int rate = FLAGS_rate;
+  for (int step = 0; step < FLAGS_steps; ++step, rate *= 2) {
+    RoundResult direct_result;
+    RoundResult proxied_result;
+    CpuSum cpu;
+    for (int round = 0; round < FLAGS_rounds; ++round) {
+      RunRound(direct, rate, direct_result);
+      const CpuSum before = ReadCpu(fleet);
+      RunRound({proxied}, rate, proxied_result);
+      const CpuSum after = ReadCpu(fleet);
+      cpu.ingress += after.ingress - before.ingress;
+      cpu.owners += after.owners - before.owners;
+    }
+    PrintStep(fleet, rate, direct_result, proxied_result, cpu);
+  }
+  return 0;
+}
+
+}  // namespace
+}  // namespace comfrey
+
+int main(int argc, char** argv) {
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  std::setvbuf(stdout, nullptr, _IOLBF, 0);
+  return comfrey::Run();
+}
--- /dev/null
+++ b/Utilities/measured_fleet.h
@@ -0,0 +1,87 @@
+#ifndef UTILITIES_MEASURED_FLEET_H_
+#define UTILITIES_MEASURED_FLEET_H_
+
+#include <sys/types.h>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "system/process.h"
+
+namespace comfrey {
+
+/// \brief Processor time and resident memory of a process.
+struct ProcessUse {
+  std::chrono::microseconds cpu{0};
+  std::size_t resident_bytes = 0;
+  /// Part of `resident_bytes` that is not backed by files.
+  std::size_t anonymous_bytes = 0;
+};
+
+/// \brief Reads /proc/PID/stat and /proc/PID/status; zeros if it has ended.
+ProcessUse ReadProcessUse(pid_t pid);
+
+/// \brief Load average of the machine over the last minute.
+double LoadAverage();
+
+/// \brief The value at `share` (0 to 1) of the sorted values; 0 without any.
+double Percentile(std::vector<double> values, double share);
+
+struct FleetShape {
+  int failure_domains = 7;
+  int regions = 2;
+  int seeds = 3;
+  int connections = 400;
+};
+
+/// \brief Real daemons and one configuration service on loopback addresses of
+/// this process. Daemons count from 1.
+class MeasuredFleet {
+ public:
+  explicit MeasuredFleet(const FleetShape& shape);
+  ~MeasuredFleet();
+
+  MeasuredFleet(const MeasuredFleet&) = delete;
+  MeasuredFleet& operator=(const MeasuredFleet&) = delete;
+
+  std::string Address(int vm) const;
+  int FailureDomain(int vm) const;
+
+  void StartConfigService();
+  void StopConfigService() { this->config_service.reset(); }
+  void StartDaemon(int vm);
+  void StopDaemon(int vm) { this->daemons.erase(vm); }
+  void StartBackend(int vm, int port, std::chrono::milliseconds delay);
+
+  pid_t DaemonPid(int vm) const { return this->daemons.at(vm)->Pid(); }
+  ProcessUse DaemonUse(int vm) const;
+
+  bool IsReady(int vm) const;
+  /// \brief The counters of a daemon by name; empty if it does not respond.
+  std::map<std::string, std::int64_t> Counters(int vm) const;
+  /// \brief Body of a page of a daemon.
+  std::string Page(int vm, const std::string& target) const;
+
+  void Publish(const std::string& team, const std::string& text) const;
+  /// \brief Calls that the configuration service has received so far.
+  std::int64_t ConfigCalls() const;
+
+ private:
+  std::string Settings(int vm) const;
+
+  FleetShape shape;
+  std::string prefix;
+  std::string directory;
+  std::unique_ptr<Process> config_service;
+  std::map<int, std::unique_ptr<Process>> daemons;
+  std::vector<std::unique_ptr<Process>> backends;
+};
+
+}  // namespace comfrey
+
+#endif  // UTILITIES_MEASURED_FLEET_H_
