--- a/Utilities/measure_fleet.cc
+++ b/Utilities/measure_fleet.cc
@@ -274,6 +274,9 @@
   std::printf("%5d  failure domain of %zu lost, first %d s, survivors:\n", size,
               domain.size(), static_cast<int>(kRecoveryWindow.count()));
   PrintUse(size, Measure(fleet, others, kRecoveryWindow));
+  std::printf("%5d  the next %d s:\n", size,
+              static_cast<int>(kRecoveryWindow.count()));
+  PrintUse(size, Measure(fleet, others, kRecoveryWindow));
   MeasureReady(fleet, size, "ready, failure domain returns", domain);
   PrintUse(size, Measure(fleet, others, kRecoveryWindow));
 
