--- a/Tests/system/at_most_once_test.cc
+++ b/Tests/system/at_most_once_test.cc
@@ -130,6 +130,7 @@
   fleet.Publish("demo", KeyedConfig(fleet, 3));
   REQUIRE(fleet.WaitReady());
   std::vector<std::string> keys;
+  keys.reserve(12);
   for (int i = 0; i < 12; ++i) {
     keys.push_back("order-" + std::to_string(i));
   }
