Let operators wait 1.5 times the retention between key phases

The check now takes the wait from the same function as the model; the two expectations of its tests follow: 15m for a retention of 10m, 90m for 1h.

--- a/Source/ctl/keys_rule.cc
+++ b/Source/ctl/keys_rule.cc
@@ -1,11 +1,13 @@
 #include "ctl/keys_rule.h"
 
 #include <algorithm>
+#include <chrono>
 #include <optional>
 #include <set>
 
 #include "absl/strings/str_cat.h"
 #include "base/duration_text.h"
+#include "core/attempt_ledger.h"
 
 namespace comfrey {
 namespace {
@@ -19,6 +21,14 @@
                      });
 }
 
+// How long an endpoint stays in a phase, which is longer than the retention.
+std::string PhaseText(std::chrono::microseconds key_retention) {
+  KeyTimes times;
+  times.key_retention =
+      std::chrono::ceil<std::chrono::milliseconds>(key_retention);
+  return FormatDuration(PhaseDuration(times));
+}
+
 Phase PhaseOf(const ServiceConfig& service, const std::string& endpoint) {
   for (const EndpointConfig& candidate : service.endpoints) {
     if (candidate.address == endpoint) {
@@ -31,7 +41,7 @@
 // Judges one endpoint; `retention` is the longer one of both versions.
 std::optional<KeysChange> CompareEndpoint(const Phase& before,
                                           const Phase& after,
-                                          const std::string& retention) {
+                                          const std::string& wait) {
   KeysChange change;
   if (before == after) {
     return std::nullopt;
@@ -39,36 +49,35 @@
   if (!before && after == KeysState::kActive) {
     change.breaks_rule = true;
     change.cause = "a new endpoint is active at once";
-    change.remedy =
-        absl::StrCat("add it with \"keys = joining\" and make it active ",
-                     retention, " later");
+    change.remedy = absl::StrCat(
+        "add it with \"keys = joining\" and make it active ", wait, " later");
     return change;
   }
   if (before == KeysState::kLeaving && after == KeysState::kActive) {
     change.breaks_rule = true;
     change.cause = "a leaving endpoint becomes active";
     change.remedy =
-        absl::StrCat("set \"keys = joining\" and make it active ", retention,
+        absl::StrCat("set \"keys = joining\" and make it active ", wait,
                      " later, since its keys may have run elsewhere");
     return change;
   }
   if (!after && before && *before != KeysState::kLeaving) {
     change.breaks_rule = true;
     change.cause = "an endpoint that is not leaving is removed";
-    change.remedy = absl::StrCat("set \"keys = leaving\" and remove it ",
-                                 retention, " later");
+    change.remedy =
+        absl::StrCat("set \"keys = leaving\" and remove it ", wait, " later");
     return change;
   }
   if (before == KeysState::kJoining && after == KeysState::kActive) {
     change.cause = "a joining endpoint becomes active";
     change.remedy =
-        absl::StrCat("make sure that it has been joining for ", retention);
+        absl::StrCat("make sure that it has been joining for ", wait);
     return change;
   }
   if (before == KeysState::kLeaving && !after) {
     change.cause = "a leaving endpoint is removed";
     change.remedy =
-        absl::StrCat("make sure that it has been leaving for ", retention);
+        absl::StrCat("make sure that it has been leaving for ", wait);
     return change;
   }
   return std::nullopt;
@@ -93,11 +102,11 @@
         endpoints.insert(endpoint.address);
       }
     }
-    const std::string retention =
-        FormatDuration(std::max(old->key_retention, service.key_retention));
+    const std::string wait =
+        PhaseText(std::max(old->key_retention, service.key_retention));
     for (const std::string& endpoint : endpoints) {
       auto change = CompareEndpoint(PhaseOf(*old, endpoint),
-                                    PhaseOf(service, endpoint), retention);
+                                    PhaseOf(service, endpoint), wait);
       if (change) {
         change->service = service.name;
         change->endpoint = endpoint;
--- a/Tests/ctl/keys_rule_test.cc
+++ b/Tests/ctl/keys_rule_test.cc
@@ -33,7 +33,7 @@
 TEST_CASE("each change of an endpoint is judged by the keys rule") {
   constexpr Phase kPhases[] = {kAbsent, kJoining, kActive, kLeaving};
   // From the phase of the row to that of the column: B breaks the rule, n is
-  // permitted after the retention time.
+  // permitted after the duration of a phase, 1.5 times the retention.
   constexpr const char* kExpected[] = {"--B-",   // absent
                                        "B-n-",   // joining
                                        "B---",   // active
@@ -49,7 +49,7 @@
         CHECK(changes[0].service == "booking");
         CHECK(changes[0].endpoint == "127.0.1.2:8081");
         CHECK(changes[0].breaks_rule == (expected == 'B'));
-        CHECK_THAT(changes[0].remedy, Catch::Contains("10m"));
+        CHECK_THAT(changes[0].remedy, Catch::Contains("15m"));
       }
     }
   }
@@ -75,14 +75,15 @@
   CHECK(CompareKeys(MakeTeam(kActive, false), TeamConfig()).empty());
 }
 
-// Guards against a remedy that states the shorter one of two retention times.
-TEST_CASE("the longer retention time is stated") {
+// Guards against a remedy that states the wait of the shorter one of two
+// retention times.
+TEST_CASE("the wait of the longer retention time is stated") {
   TeamConfig before = MakeTeam(kAbsent, false);
   TeamConfig after = MakeTeam(kActive, false);
   before.services[0].key_retention = std::chrono::hours(1);
-  CHECK_THAT(CompareKeys(before, after).at(0).remedy, Catch::Contains("1h"));
+  CHECK_THAT(CompareKeys(before, after).at(0).remedy, Catch::Contains("90m"));
   std::swap(before.services[0].key_retention, after.services[0].key_retention);
-  CHECK_THAT(CompareKeys(before, after).at(0).remedy, Catch::Contains("1h"));
+  CHECK_THAT(CompareKeys(before, after).at(0).remedy, Catch::Contains("90m"));
 }
 
 }  // namespace
