--- a/Source/core/path_health.cc
+++ b/Source/core/path_health.cc
@@ -11,6 +11,8 @@
 
 constexpr milliseconds kBaseAcceptTimeout{250};
 constexpr int kUsualTimeFactor = 4;
+// Assumed on a path that was never used: a round trip to another region.
+constexpr milliseconds kUnknownUsualTime{60};
 constexpr int kUsualTimeWeight = 8;
 // Bounds the effect of acceptances that were delayed by a fault.
 constexpr milliseconds kMaxUsualTime{250};
@@ -35,7 +37,10 @@
 }  // namespace
 
 microseconds AcceptTimeout(const PathHealth& path) {
-  return kBaseAcceptTimeout + kUsualTimeFactor * path.usual_accept_time;
+  const microseconds usual = path.usual_accept_time > microseconds(0)
+                                 ? path.usual_accept_time
+                                 : microseconds(kUnknownUsualTime);
+  return kBaseAcceptTimeout + kUsualTimeFactor * usual;
 }
 
 bool IsPathClear(const PathHealth& path) {
--- a/Source/daemon/forward_call.cc
+++ b/Source/daemon/forward_call.cc
@@ -133,10 +133,13 @@
         CallError("connect to", owner.address, "no connection in time");
     return call;
   }
+  // The handshake of a new connection takes round trips of its own.
+  const Clock::time_point sent_at = Clock::now();
   ForwardReactor reactor(*owner.stub, request);
-  reactor.WaitAccepted(accept_deadline);
+  reactor.WaitAccepted(
+      std::min(limits.deadline, sent_at + limits.accept_timeout));
   call.accept_time = std::chrono::duration_cast<std::chrono::microseconds>(
-      Clock::now() - start);
+      Clock::now() - sent_at);
   const bool accepted_in_time = reactor.Accepted();
   const bool caller_left = reactor.WaitDone(
       accepted_in_time ? limits.deadline + kReplyGrace : Clock::now(),
--- a/Source/platform/registry_decoder.cc
+++ b/Source/platform/registry_decoder.cc
@@ -235,10 +235,8 @@
 }
 
 std::uint64_t ReadRevision(const json& item, const char* field) {
-  const auto found = item.find(field);
-  return found != item.end() && found->is_number_unsigned()
-             ? found->get<std::uint64_t>()
-             : 0;
+  const absl::StatusOr<std::int64_t> revision = ReadNumber(item, field, 0);
+  return revision.ok() ? static_cast<std::uint64_t>(*revision) : 0;
 }
 
 // The bytes of an item; nothing for a deletion.
--- a/Tests/config/daemon_settings_test.cc
+++ b/Tests/config/daemon_settings_test.cc
@@ -146,5 +146,93 @@
   CHECK(errors.size() == 7);
 }
 
+// The form into which the platform fills deploy/vm.ini.
+constexpr char kRegistryExample[] = R"([daemon]
+name = sidecar-a-1
+address = 10.1.0.35
+region = piedmont
+failure_domain = piedmont-a
+peer_port = 7660
+caller_listen = 10.1.0.35:8141
+ready_listen = 10.1.0.35:8140
+ready_path = /ready
+status_listen = 10.1.0.35:7661
+local_service = huvo11a
+[registry]
+address = 10.200.1.7:8142
+regions = piedmont-a piedmont,
+    coastal-a coastal,
+    piedmont-b piedmont
+floor = 0.6
+[headers]
+attempt_id = X-Attempt
+time_left = X-Left
+expected_instance = X-Instance
+not_executed = X-Not-Run
+caller_service = X-Caller
+signature = X-Mark
+[backend]
+close_delimited = true
+[repeats]
+share = 0.2
+slack = 58
+[shutdown]
+grace = 6.5s
+)";
+
+// Guards against a key that is read into another setting or not at all.
+TEST_CASE("the settings with a registry are read") {
+  std::vector<IniError> errors;
+  const DaemonSettings s =
+      ParseDaemonSettings("d.ini", kRegistryExample, errors);
+  INFO(FormatIniErrors(errors));
+  REQUIRE(errors.empty());
+  REQUIRE(s.registry);
+  CHECK(FormatSocketAddress(*s.registry) == "10.200.1.7:8142");
+  CHECK(s.regions.size() == 3);
+  CHECK(s.regions.at("coastal-a") == "coastal");
+  CHECK(s.floor == 0.6);
+  CHECK(FormatSocketAddress(s.caller_listen.value()) == "10.1.0.35:8141");
+  CHECK(FormatSocketAddress(s.ready_listen.value()) == "10.1.0.35:8140");
+  CHECK(FormatSocketAddress(s.status_listen.value()) == "10.1.0.35:7661");
+  CHECK(s.ready_path == "/ready");
+  CHECK(s.local_service == "huvo11a");
+  const HeaderNames& names = s.backend.headers;
+  CHECK(names.attempt_id == "X-Attempt");
+  CHECK(names.time_left == "X-Left");
+  CHECK(names.expected_instance == "X-Instance");
+  CHECK(names.not_executed == "X-Not-Run");
+  CHECK(names.caller_service == "X-Caller");
+  CHECK(names.signature == "X-Mark");
+  CHECK(s.backend.close_delimited);
+  CHECK(s.repeats.share == 0.2);
+  CHECK(s.repeats.slack == 58);
+  CHECK(s.grace == std::chrono::milliseconds(6500));
+}
+
+// Guards against a daemon that starts with settings it does not understand.
+TEST_CASE("invalid settings of a registry are refused") {
+  const std::vector<std::pair<std::string, std::string>> cases = {
+      {"10.200.1.7:8142", "store.example:8142"},
+      {"coastal-a coastal", "coastal-a"},
+      {"floor = 0.6", "floor = 60%"},
+      {"floor = 0.6", "floor = 1.2"},
+      {"X-Attempt", "X Attempt"},
+      {"/ready", "ready"},
+      {"close_delimited = true", "close_delimited = yes"},
+      {"share = 0.2", "share = -1"},
+      {"slack = 58", "slack = many"},
+      {"10.1.0.35:8141", "10.1.0.35"},
+  };
+  for (const auto& [old_text, new_text] : cases) {
+    INFO(old_text << " -> " << new_text);
+    std::vector<IniError> errors;
+    ParseDaemonSettings(
+        "d.ini", absl::StrReplaceAll(kRegistryExample, {{old_text, new_text}}),
+        errors);
+    CHECK_FALSE(errors.empty());
+  }
+}
+
 }  // namespace
 }  // namespace comfrey
--- /dev/null
+++ b/Tests/config/registry_view_test.cc
@@ -0,0 +1,193 @@
+#include "config/registry_view.h"
+
+#include <string>
+
+#include "catch2/catch.hpp"
+
+namespace comfrey {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using TimePoint = std::chrono::steady_clock::time_point;
+
+constexpr TimePoint kNow{seconds(1000)};
+
+RegisteredEndpoint MakeEndpoint(const std::string& ip) {
+  RegisteredEndpoint endpoint;
+  endpoint.service = "booking";
+  endpoint.address = {ip, 8080};
+  endpoint.failure_domain = "budapest-a";
+  endpoint.slots = 3;
+  return endpoint;
+}
+
+RegistrationChange Registered(const std::string& instance,
+                              const std::string& ip,
+                              std::uint64_t revision) {
+  RegistrationChange change;
+  change.instance = instance;
+  change.endpoint = MakeEndpoint(ip);
+  change.revision = revision;
+  change.created_revision = revision;
+  return change;
+}
+
+RegistrationChange Removed(const std::string& instance,
+                           std::uint64_t revision) {
+  RegistrationChange change;
+  change.instance = instance;
+  change.revision = revision;
+  return change;
+}
+
+PublishedConfig MakeConfig(std::uint64_t version) {
+  PublishedConfig config;
+  config.version = version;
+  config.services = {{"booking", "/health"}, {"survey", "/health"}};
+  PublishedRoute route;
+  route.name = "visits";
+  route.host = "shop.example";
+  route.prefix = "/visits/";
+  route.timeout = seconds(4);
+  route.target = milliseconds(600);
+  route.priority = 1;
+  route.services = {{"booking", 90}, {"survey", 10}};
+  route.max_attempts = 2;
+  config.routes = {route};
+  return config;
+}
+
+RegistryUpdate Listing(std::vector<RegistrationChange> registrations) {
+  RegistryUpdate update;
+  update.complete = true;
+  update.revision = 10;
+  update.config = MakeConfig(4);
+  update.registrations = std::move(registrations);
+  return update;
+}
+
+RegistryUpdate Change(RegistrationChange change) {
+  RegistryUpdate update;
+  update.revision = change.revision;
+  update.registrations = {std::move(change)};
+  return update;
+}
+
+const RegistryServiceSettings kSettings{{{"budapest-a", "budapest"}}, 0.7};
+
+// Guards against routes, ranks or endpoints that are lost in the translation.
+TEST_CASE("the published configuration becomes a team") {
+  RegistryView view;
+  CHECK_FALSE(BuildTeam(view, kSettings));
+  REQUIRE(ApplyUpdate(view, Listing({Registered("i-1", "10.1.0.1", 3)}), kNow));
+  const auto team = BuildTeam(view, kSettings);
+  REQUIRE(team);
+  CHECK(team->generation == 4);
+  REQUIRE(team->services.size() == 2);
+  REQUIRE(team->services[0].endpoints.size() == 1);
+  const EndpointConfig& endpoint = team->services[0].endpoints[0];
+  CHECK(endpoint.address == "10.1.0.1:8080");
+  CHECK(endpoint.instance == "i-1");
+  CHECK(endpoint.region == "budapest");
+  CHECK(endpoint.slots == 3);
+  CHECK(team->services[1].endpoints.empty());
+  REQUIRE(team->routes.size() == 1);
+  CHECK(team->routes[0].host == "shop.example");
+  CHECK(team->routes[0].split.size() == 2);
+  CHECK(team->routes[0].max_attempts == 2);
+  CHECK_FALSE(team->routes[0].repeat_safe);
+  REQUIRE(team->ranks.size() == 1);
+  CHECK(team->ranks[0].name == team->routes[0].rank);
+  CHECK(team->ranks[0].urgency == 2);
+}
+
+// Guards against a configuration that goes back to an older one.
+TEST_CASE("an older configuration is ignored") {
+  RegistryView view;
+  ApplyUpdate(view, Listing({}), kNow);
+  RegistryUpdate older;
+  older.config = MakeConfig(3);
+  CHECK_FALSE(ApplyUpdate(view, older, kNow));
+  CHECK(view.config->version == 4);
+  RegistryUpdate newer;
+  newer.config = MakeConfig(6);
+  CHECK(ApplyUpdate(view, newer, kNow));
+  CHECK(view.config->version == 6);
+}
+
+// Guards against requests to a backend server that left.
+TEST_CASE("a removed registration is dropped at once while in contact") {
+  RegistryView view;
+  ApplyUpdate(view, Listing({Registered("i-1", "10.1.0.1", 3)}), kNow);
+  CHECK(ApplyUpdate(view, Change(Removed("i-1", 12)), kNow + seconds(60)));
+  CHECK(view.registrations.empty());
+}
+
+// Guards against an event that arrives late and undoes a newer one.
+TEST_CASE("an older change of a registration is ignored") {
+  RegistryView view;
+  ApplyUpdate(view, Listing({Registered("i-1", "10.1.0.1", 8)}), kNow);
+  CHECK_FALSE(ApplyUpdate(view, Change(Removed("i-1", 7)), kNow + seconds(60)));
+  CHECK(view.registrations.size() == 1);
+}
+
+// Guards against throwing capacity away when the registry returns: the
+// registrations that lapsed meanwhile are written again within two seconds.
+TEST_CASE("registrations that lapsed in an outage have time to return") {
+  RegistryView view;
+  ApplyUpdate(view,
+              Listing({Registered("i-1", "10.1.0.1", 3),
+                       Registered("i-2", "10.1.0.2", 4)}),
+              kNow);
+  NoteRegistryLost(view);
+  const TimePoint back = kNow + seconds(30);
+  CHECK_FALSE(ApplyUpdate(view, Listing({}), back));
+  CHECK(view.registrations.size() == 2);
+  CHECK_FALSE(DropMissing(view, back + milliseconds(1999)));
+  ApplyUpdate(view, Change(Registered("i-2", "10.1.0.2", 20)),
+              back + milliseconds(1999));
+  CHECK(DropMissing(view, back + kReturnTime));
+  REQUIRE(view.registrations.size() == 1);
+  CHECK(view.registrations.count("i-2") == 1);
+}
+
+// Guards against dropping endpoints while nothing is known of the registry.
+TEST_CASE("nothing is dropped while the registry is away") {
+  RegistryView view;
+  ApplyUpdate(view, Listing({Registered("i-1", "10.1.0.1", 3)}), kNow);
+  NoteRegistryLost(view);
+  ApplyUpdate(view, Listing({}), kNow + seconds(10));
+  NoteRegistryLost(view);
+  CHECK_FALSE(DropMissing(view, kNow + seconds(60)));
+  CHECK(view.registrations.size() == 1);
+}
+
+// Guards against a request for the earlier backend server of an address.
+TEST_CASE("the last started backend server holds an address") {
+  RegistryView view;
+  RegistrationChange first = Registered("i-1", "10.1.0.1", 30);
+  first.endpoint->started_ms = 1'000;
+  RegistrationChange second = Registered("i-2", "10.1.0.1", 20);
+  second.endpoint->started_ms = 2'000;
+  second.endpoint->service = "survey";
+  ApplyUpdate(view, Listing({first, second}), kNow);
+  const auto team = BuildTeam(view, kSettings);
+  REQUIRE(team);
+  CHECK(team->services[0].endpoints.empty());
+  REQUIRE(team->services[1].endpoints.size() == 1);
+  CHECK(team->services[1].endpoints[0].instance == "i-2");
+}
+
+// Guards against an entry that cannot be read and still gets requests.
+TEST_CASE("a registration that becomes unusable names no endpoint") {
+  RegistryView view;
+  ApplyUpdate(view, Listing({Registered("i-1", "10.1.0.1", 3)}), kNow);
+  RegistrationChange unusable = Removed("i-1", 12);
+  unusable.problem = "the value is not a JSON object";
+  CHECK(ApplyUpdate(view, Change(unusable), kNow + seconds(60)));
+  CHECK(view.registrations.empty());
+}
+
+}  // namespace
+}  // namespace comfrey
--- a/Tests/config/route_table_test.cc
+++ b/Tests/config/route_table_test.cc
@@ -216,5 +216,107 @@
   CHECK(without.teams.size() == 1);
 }
 
+RouteMatch MatchHost(const RouteTable& table,
+                     const std::string& host,
+                     const std::string& target) {
+  return Match(table, "GET", target,
+               [&](absl::string_view name) -> std::optional<std::string> {
+                 return absl::EqualsIgnoreCase(name, "Host")
+                            ? std::optional<std::string>(host)
+                            : std::nullopt;
+               });
+}
+
+// Guards against a request that reaches the route of another host or prefix,
+// and against a target that is changed on the way.
+TEST_CASE("a host with routes of its own is matched by literal prefix") {
+  const RouteTable table = BuildRouteTable(
+      {Parse("salon", Route("visits", "path = /visits\n")),
+       Parse("shop", Route("short", "host = shop.example\npath = /a\n") +
+                         Route("long", "host = shop.example\npath = /a/b\n") +
+                         Route("other", "host = other.example\npath = /\n"))});
+  struct Case {
+    std::string host;
+    std::string target;
+    std::string route;  // Empty if none matches.
+  };
+  const std::vector<Case> cases = {
+      {"shop.example", "/a/x?page=1", "short"},
+      {"SHOP.example:8080", "/a/x", "short"},
+      {"shop.example", "/a/b/c", "long"},
+      {"shop.example", "/a/b", "short"},
+      {"shop.example", "/a", ""},
+      {"shop.example", "/ab/c", ""},
+      {"shop.example", "/salon/visits", ""},
+      {"other.example", "/anything//%2f", "other"},
+      {"unknown.example", "/salon/visits", "visits"},
+      {"unknown.example", "/a/x", ""},
+  };
+  for (const Case& c : cases) {
+    INFO(c.host << " " << c.target);
+    const RouteMatch match = MatchHost(table, c.host, c.target);
+    if (c.route.empty()) {
+      CHECK(match.status != MatchStatus::kFound);
+      continue;
+    }
+    REQUIRE(match.status == MatchStatus::kFound);
+    CHECK(match.route->name == c.route);
+    if (c.route != "visits") {
+      CHECK(match.target == c.target);
+    }
+  }
+}
+
+// Guards against a removed team that still serves its hosts, and against a
+// host that nobody serves although another team lists it.
+TEST_CASE("a host follows the teams that list it") {
+  RouteTable table = BuildRouteTable(
+      {Parse("b", Route("second", "host = shop.example\npath = /\n")),
+       Parse("a", Route("first", "host = shop.example\npath = /\n"))});
+  CHECK(MatchHost(table, "shop.example", "/x").team->team == "a");
+  auto removed = std::make_shared<TeamConfig>();
+  removed->team = "a";
+  removed->removed = true;
+  SetTeam(table, removed);
+  CHECK(MatchHost(table, "shop.example", "/x").team->team == "b");
+}
+
+// Guards against a split that does not follow its weights.
+TEST_CASE("a split divides the requests by weight") {
+  std::vector<IniError> errors;
+  auto config = std::make_shared<const TeamConfig>(
+      ParseTeamConfig("t", "t.ini",
+                      "[service s]\nendpoints = 127.0.0.1:1\n"
+                      "[service s2]\nendpoints = 127.0.0.1:2\n"
+                      "[service s3]\nendpoints = 127.0.0.1:3\n"
+                      "[rank r]\nurgency = 1\ntarget = 1s\n"
+                      "[route x]\nservice = s\nrank = r\nhost = h.example\n"
+                      "split = s 90, s2 0, s3 10\n",
+                      errors));
+  INFO(FormatIniErrors(errors));
+  REQUIRE(errors.empty());
+  const RouteTable table = BuildRouteTable({config});
+  const RouteMatch match = MatchHost(table, "h.example", "/x");
+  REQUIRE(match.status == MatchStatus::kFound);
+  CHECK(SelectService(match, 0)->name == "s");
+  CHECK(SelectService(match, 0.899)->name == "s");
+  CHECK(SelectService(match, 0.901)->name == "s3");
+  CHECK(SelectService(match, 0.9999)->name == "s3");
+}
+
+// Guards against a split that names a missing service or sends nowhere.
+TEST_CASE("a split with a fault is refused") {
+  for (const char* split : {"s", "s x", "s -1", "none 1", "s 0", "s 1,"}) {
+    INFO(split);
+    std::vector<IniError> errors;
+    ParseTeamConfig("t", "t.ini",
+                    "[service s]\nendpoints = 127.0.0.1:1\n"
+                    "[rank r]\nurgency = 1\ntarget = 1s\n" +
+                        Route("x", std::string("split = ") + split + "\n"),
+                    errors);
+    CHECK_FALSE(errors.empty());
+  }
+}
+
 }  // namespace
 }  // namespace comfrey
--- /dev/null
+++ b/Tests/core/placement_test.cc
@@ -0,0 +1,140 @@
+#include "core/placement.h"
+
+#include <set>
+
+#include "catch2/catch.hpp"
+
+namespace comfrey {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using TimePoint = std::chrono::steady_clock::time_point;
+
+constexpr TimePoint kNow{seconds(1000)};
+
+// Six endpoints: two in the failure domain (0, 1), two in the region (2, 3) and
+// two in another region (4, 5).
+struct Bench {
+  Bench() : views(6), hints(6) {
+    for (std::size_t i = 2; i < this->views.size(); ++i) {
+      this->views[i].same_failure_domain = false;
+      this->views[i].same_region = i < 4;
+    }
+  }
+
+  std::optional<Placement> Next() {
+    constexpr unsigned kFloorPercent = 70;
+    return NextPlacement(PlanCapacity(this->views, kFloorPercent), this->views,
+                         this->hints, this->policy, kNow, this->rng);
+  }
+
+  // Offers the request until it is queued, forced or nowhere left; every owner
+  // answers that its slots are in use.
+  std::vector<Placement> AskWhileBusy(milliseconds wait) {
+    std::vector<Placement> placements;
+    while (const auto next = this->Next()) {
+      placements.push_back(*next);
+      if (next->mode != PlacementMode::kRunNow) {
+        break;
+      }
+      this->hints[next->view].asked = AskResult::kBusy;
+      this->hints[next->view].expected_wait = wait;
+    }
+    return placements;
+  }
+
+  std::vector<EndpointView> views;
+  std::vector<PlacementHint> hints;
+  PlacementPolicy policy;
+  std::mt19937_64 rng{5};
+};
+
+// Guards against traffic between failure domains while there is room nearby.
+TEST_CASE("the failure domain comes first, then the region") {
+  Bench bench;
+  const auto first = bench.Next();
+  REQUIRE(first);
+  CHECK(first->view < 2);
+  CHECK(first->mode == PlacementMode::kRunNow);
+  bench.hints[0].asked = AskResult::kBusy;
+  bench.hints[1].suspect_until = kNow + milliseconds(1);
+  const auto second = bench.Next();
+  REQUIRE(second);
+  CHECK((second->view == 2 || second->view == 3));
+}
+
+// Guards against a request that waits behind others while an endpoint of the
+// region is free, and against billed traffic for a short wait.
+TEST_CASE("a short wait in the region is better than another region") {
+  Bench bench;
+  const auto placements = bench.AskWhileBusy(milliseconds(100));
+  REQUIRE(placements.size() == 5);
+  std::set<std::uint32_t> asked;
+  for (int i = 0; i < 4; ++i) {
+    asked.insert(placements[i].view);
+  }
+  CHECK(asked == std::set<std::uint32_t>{0, 1, 2, 3});
+  CHECK(placements.back().mode == PlacementMode::kQueue);
+  CHECK(placements.back().view < 4);
+}
+
+// Guards against callers who go unserved in a region that is out of capacity.
+TEST_CASE("a long wait sends work to another region") {
+  Bench bench;
+  const auto placements = bench.AskWhileBusy(milliseconds(800));
+  REQUIRE(placements.size() == 7);
+  CHECK(placements[4].view >= 4);
+  CHECK(placements[4].mode == PlacementMode::kRunNow);
+  CHECK(placements.back().mode == PlacementMode::kQueue);
+}
+
+// Guards against queueing behind the longest queue.
+TEST_CASE("work is queued where the wait is shortest") {
+  Bench bench;
+  for (std::size_t i = 0; i < bench.hints.size(); ++i) {
+    bench.hints[i].asked = AskResult::kBusy;
+    bench.hints[i].expected_wait = milliseconds(200);
+  }
+  bench.hints[3].expected_wait = milliseconds(50);
+  const auto next = bench.Next();
+  REQUIRE(next);
+  CHECK(next->view == 3);
+}
+
+// Guards against a service that answers nobody because all of its endpoints
+// failed once, and against work at suspects while another one is sound.
+TEST_CASE("a suspect is used only if nothing else is left") {
+  Bench bench;
+  for (PlacementHint& hint : bench.hints) {
+    hint.asked = AskResult::kSuspect;
+  }
+  bench.hints[5].asked = AskResult::kNotAsked;
+  const auto sound = bench.Next();
+  REQUIRE(sound);
+  CHECK(sound->view == 5);
+  CHECK(sound->mode == PlacementMode::kRunNow);
+  bench.hints[5].asked = AskResult::kExcluded;
+  const auto forced = bench.Next();
+  REQUIRE(forced);
+  CHECK(forced->mode == PlacementMode::kForce);
+  CHECK(forced->view < 4);
+  for (PlacementHint& hint : bench.hints) {
+    hint.asked = AskResult::kExcluded;
+  }
+  CHECK_FALSE(bench.Next());
+}
+
+// Guards against new work for a backend server that leaves or whose owner is
+// not reached.
+TEST_CASE("endpoints that leave or are not reached get nothing") {
+  Bench bench;
+  for (std::size_t i = 0; i < bench.views.size(); ++i) {
+    bench.views[i].draining = i % 2 == 0;
+    bench.views[i].owner_reachable = i % 2 == 0;
+  }
+  CHECK_FALSE(bench.Next());
+}
+
+}  // namespace
+}  // namespace comfrey
--- a/Tests/core/retry_budget_test.cc
+++ b/Tests/core/retry_budget_test.cc
@@ -62,5 +62,45 @@
         RetryVerdict::kNonIdempotent);
 }
 
+// Guards against a fleet that spends the slack of its budget once per daemon.
+TEST_CASE("the limits of the fleet are divided by its daemons") {
+  constexpr int kDaemons = 24;
+  constexpr int kSlack = 58;
+  constexpr double kShare = 0.2;
+  int retries = 0;
+  int firsts = 0;
+  for (int daemon = 0; daemon < kDaemons; ++daemon) {
+    RetryBudget budget;
+    for (int first = 0; first < 200; ++first) {
+      SetLimits(budget, kShare, kSlack, kDaemons);
+      RecordFirstAttempt(budget);
+      ++firsts;
+    }
+    // A quiet time, then a burst in which everything fails.
+    for (int first = 0; first < 20; ++first) {
+      RecordFirstAttempt(budget);
+      while (TakeRetry(budget, RepeatPolicy::kSafe, AttemptEnd::kFailed) ==
+             RetryVerdict::kAllowed) {
+        ++retries;
+      }
+    }
+  }
+  CHECK(retries <= kShare * 20 * kDaemons + kSlack);
+  CHECK(retries > 0);
+}
+
+// Guards against a retry that is paid for although no backend server got it.
+TEST_CASE("a retry that was not sent is given back") {
+  RetryBudget budget;
+  budget.percent = 100;
+  REQUIRE(TakeRetry(budget, RepeatPolicy::kSafe, AttemptEnd::kFailed) ==
+          RetryVerdict::kAllowed);
+  ReturnRetry(budget);
+  CHECK(budget.percent == 100);
+  budget.percent = budget.most_percent;
+  ReturnRetry(budget);
+  CHECK(budget.percent == budget.most_percent);
+}
+
 }  // namespace
 }  // namespace comfrey
--- a/Tests/daemon/backend_client_test.cc
+++ b/Tests/daemon/backend_client_test.cc
@@ -409,5 +409,106 @@
   ::close(listener);
 }
 
+BackendProtocol MarkedProtocol() {
+  BackendProtocol protocol;
+  protocol.headers.attempt_id = "X-Attempt";
+  protocol.headers.time_left = "X-Left";
+  protocol.headers.signature = "X-Mark";
+  protocol.close_delimited = true;
+  return protocol;
+}
+
+BackendResult CallMarked(const RawServer& server) {
+  TimerService timers;
+  CallWatchdog watchdog(timers);
+  BackendClient client(kIp, server.Port(), watchdog, MarkedProtocol());
+  HttpRequest request{"GET", "/a", {{"X-Attempt", "7"}}, ""};
+  return client.Call(
+      {&request, true, Clock::now() + kPatience, [] { return false; }});
+}
+
+// Guards invariant I2 where a late or additional response precedes the one to
+// the request, or a response is not that of the backend server.
+TEST_CASE("Responses are matched by attempt and mark", "[backend_client]") {
+  const std::string own =
+      "HTTP/1.1 200 OK\r\nX-Attempt: 7\r\nX-Mark: m\r\n"
+      "Content-Length: 3\r\n\r\nown";
+  const std::string other =
+      "HTTP/1.1 200 OK\r\nX-Attempt: 6\r\nX-Mark: m\r\n"
+      "Content-Length: 5\r\n\r\nother";
+  struct Case {
+    std::string name;
+    std::string reply;
+    BackendOutcome outcome;
+    std::string body;
+  };
+  const std::vector<Case> cases = {
+      {"own", own, BackendOutcome::kAnswered, "own"},
+      {"other first", other + own, BackendOutcome::kAnswered, "own"},
+      {"only others", other + other + other + other + own,
+       BackendOutcome::kFailed, ""},
+      {"no mark", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx",
+       BackendOutcome::kFailed, ""},
+      {"error without mark", "HTTP/1.1 500 E\r\nContent-Length: 1\r\n\r\nx",
+       BackendOutcome::kAnswered, "x"},
+      {"encoded",
+       "HTTP/1.1 200 OK\r\nX-Mark: m\r\nContent-Encoding: gzip\r\n"
+       "Content-Length: 1\r\n\r\nx",
+       BackendOutcome::kFailed, ""},
+      {"ends with the connection",
+       "HTTP/1.1 200 OK\r\nX-Mark: m\r\n\r\nall of it",
+       BackendOutcome::kAnswered, "all of it"},
+  };
+  for (const Case& c : cases) {
+    INFO(c.name);
+    const RawServer server(kIp, Answer(c.reply));
+    const BackendResult result = CallMarked(server);
+    CHECK(result.outcome == c.outcome);
+    CHECK(result.response.body == c.body);
+  }
+}
+
+// Guards against a cut response without a length that passes for a whole one.
+TEST_CASE("A reset does not end a response without a length",
+          "[backend_client]") {
+  const RawServer server(kIp, [](RawSocket& socket, int /*connection*/) {
+    bool closed = false;
+    socket.Receive(HasHead, kPatience, closed);
+    socket.Send("HTTP/1.1 200 OK\r\nX-Mark: m\r\n\r\npart");
+    socket.ResetOnClose();
+  });
+  CHECK(CallMarked(server).outcome == BackendOutcome::kFailed);
+}
+
+// Guards against a request on a connection that its backend server is about to
+// close.
+TEST_CASE("A connection is not reused at the end of its idle time",
+          "[backend_client]") {
+  std::atomic<int> connections{0};
+  const RawServer server(kIp, [&](RawSocket& socket, int /*connection*/) {
+    ++connections;
+    bool closed = false;
+    while (!closed) {
+      socket.Receive(HasHead, kPatience, closed);
+      socket.Send(
+          "HTTP/1.1 200 OK\r\nX-Mark: m\r\nX-Attempt: 7\r\n"
+          "Keep-Alive: timeout=1\r\nContent-Length: 0\r\n\r\n");
+      // The server serves one connection at a time.
+      closed = true;
+    }
+  });
+  TimerService timers;
+  CallWatchdog watchdog(timers);
+  BackendClient client(kIp, server.Port(), watchdog, MarkedProtocol());
+  HttpRequest request{"GET", "/a", {{"X-Attempt", "7"}}, ""};
+  for (int i = 0; i < 2; ++i) {
+    CHECK(client
+              .Call({&request, true, Clock::now() + kPatience,
+                     [] { return false; }})
+              .outcome == BackendOutcome::kAnswered);
+  }
+  CHECK(connections == 2);
+}
+
 }  // namespace
 }  // namespace comfrey
--- /dev/null
+++ b/Tests/daemon/owner_result_test.cc
@@ -0,0 +1,102 @@
+#include "daemon/owner_result.h"
+
+#include <string>
+#include <vector>
+
+#include "catch2/catch.hpp"
+
+namespace comfrey {
+namespace {
+
+HeaderNames MarkedNames() {
+  HeaderNames names;
+  names.not_executed = "X-Not-Run";
+  names.expected_instance = "X-Instance";
+  return names;
+}
+
+BackendResult Answer(int status, std::vector<HttpHeader> headers = {}) {
+  BackendResult result;
+  result.outcome = BackendOutcome::kAnswered;
+  result.response.status = status;
+  result.response.headers = std::move(headers);
+  return result;
+}
+
+// Guards invariant I3: only a marked refusal, or one of another backend server,
+// says that the request did not run.
+TEST_CASE("a refusal counts as not run only if it is marked") {
+  struct Case {
+    std::string name;
+    BackendResult result;
+    BackendReply reply;
+    rpc::Outcome outcome;
+  };
+  const std::vector<Case> cases = {
+      {"ok", Answer(200), BackendReply::kOk, rpc::OUTCOME_ANSWERED},
+      {"error", Answer(500), BackendReply::kServerError, rpc::OUTCOME_ANSWERED},
+      {"marked 503", Answer(503, {{"X-Not-Run", "1"}}),
+       BackendReply::kNotExecuted, rpc::OUTCOME_NOT_RUN},
+      {"marked 429", Answer(429, {{"x-not-run", "1"}}),
+       BackendReply::kNotExecuted, rpc::OUTCOME_NOT_RUN},
+      {"503", Answer(503), BackendReply::kUnmarkedRefusal,
+       rpc::OUTCOME_UNKNOWN},
+      {"503 with Retry-After", Answer(503, {{"Retry-After", "1"}}),
+       BackendReply::kUnmarkedRefusal, rpc::OUTCOME_UNKNOWN},
+      {"429", Answer(429), BackendReply::kUnmarkedRefusal,
+       rpc::OUTCOME_UNKNOWN},
+      {"408", Answer(408), BackendReply::kUnmarkedRefusal,
+       rpc::OUTCOME_UNKNOWN},
+      {"421", Answer(421), BackendReply::kOtherInstance, rpc::OUTCOME_NOT_RUN},
+      {"504", Answer(504), BackendReply::kServerError, rpc::OUTCOME_ANSWERED},
+  };
+  for (const Case& c : cases) {
+    INFO(c.name);
+    const BackendReply reply = ClassifyReply(c.result, MarkedNames());
+    CHECK(reply == c.reply);
+    const rpc::Result result = ToResult(c.result, reply);
+    CHECK(result.outcome() == c.outcome);
+    CHECK(result.sent_to_backend());
+  }
+}
+
+// Guards the interface of backend servers without marks.
+TEST_CASE("without marks, shedding is told by Retry-After") {
+  const HeaderNames names;
+  CHECK(ClassifyReply(Answer(503, {{"Retry-After", "1"}}), names) ==
+        BackendReply::kShed);
+  CHECK(ClassifyReply(Answer(503), names) == BackendReply::kServerError);
+  CHECK(ClassifyReply(Answer(503, {{"Draining", "true"}}), names) ==
+        BackendReply::kDraining);
+  CHECK(ClassifyReply(Answer(421), names) == BackendReply::kOk);
+}
+
+// Guards against a request that was not sent and is counted as a repeat, and
+// against load or a caller that is taken for a fault.
+TEST_CASE("only faults make an endpoint suspect") {
+  const SuspicionPolicy policy;
+  const auto now =
+      std::chrono::steady_clock::time_point(std::chrono::seconds(9));
+  const auto is_suspect = [&](BackendReply reply) {
+    FailureSuspicion suspicion;
+    RecordSuspicion(suspicion, policy, reply, now);
+    return IsSuspect(suspicion, policy, now);
+  };
+  for (const BackendReply fault :
+       {BackendReply::kServerError, BackendReply::kFailed,
+        BackendReply::kTimedOut, BackendReply::kNotSent,
+        BackendReply::kUnmarkedRefusal}) {
+    CHECK(is_suspect(fault));
+  }
+  for (const BackendReply other :
+       {BackendReply::kOk, BackendReply::kShed, BackendReply::kNotExecuted,
+        BackendReply::kOtherInstance, BackendReply::kDraining,
+        BackendReply::kCancelled}) {
+    CHECK_FALSE(is_suspect(other));
+  }
+  BackendResult not_sent;
+  CHECK_FALSE(ToResult(not_sent, BackendReply::kNotSent).sent_to_backend());
+}
+
+}  // namespace
+}  // namespace comfrey
--- a/Tests/daemon/raw_socket.cc
+++ b/Tests/daemon/raw_socket.cc
@@ -97,6 +97,11 @@
                     timeout, closed);
 }
 
+void RawSocket::ResetOnClose() const {
+  const linger reset{1, 0};
+  ::setsockopt(this->socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
 void RawSocket::ShutdownWrite() const {
   ::shutdown(this->socket, SHUT_WR);
 }
--- a/Tests/daemon/raw_socket.h
+++ b/Tests/daemon/raw_socket.h
@@ -34,6 +34,9 @@
   std::string ReceiveResponse(std::chrono::milliseconds timeout,
                               bool& closed) const;
 
+  /// \brief Makes the end of this object reset the connection.
+  void ResetOnClose() const;
+
   /// \brief Sends no more bytes; the peer reads an end of file.
   void ShutdownWrite() const;
 
--- /dev/null
+++ b/Tests/daemon/registry_watcher_test.cc
@@ -0,0 +1,155 @@
+#include "daemon/registry_watcher.h"
+
+#include <chrono>
+#include <condition_variable>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "catch2/catch.hpp"
+
+namespace comfrey {
+namespace {
+
+using std::chrono::milliseconds;
+using Clock = std::chrono::steady_clock;
+
+constexpr std::chrono::seconds kPatience{10};
+
+RegistryUpdate Listing(std::uint64_t version) {
+  RegistryUpdate update;
+  update.complete = true;
+  update.revision = 5;
+  update.config.emplace();
+  update.config->version = version;
+  return update;
+}
+
+// A registry whose answers are set by the test; a watch without one waits.
+class FakeRegistry {
+ public:
+  RegistrySource Source() {
+    return {[this] { return this->Read("list"); },
+            [this](std::uint64_t revision, milliseconds) {
+              return this->Read("watch " + std::to_string(revision));
+            },
+            [this] {
+              const std::lock_guard<std::mutex> lock(this->mutex);
+              this->stopped = true;
+              this->changed.notify_all();
+            }};
+  }
+
+  void Answer(absl::StatusOr<RegistryUpdate> answer) {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->answers.push_back(std::move(answer));
+    this->changed.notify_all();
+  }
+
+  std::vector<std::string> WaitForCalls(std::size_t count) {
+    std::unique_lock<std::mutex> lock(this->mutex);
+    this->changed.wait_for(lock, kPatience,
+                           [&] { return this->calls.size() >= count; });
+    return this->calls;
+  }
+
+ private:
+  absl::StatusOr<RegistryUpdate> Read(const std::string& call) {
+    std::unique_lock<std::mutex> lock(this->mutex);
+    this->calls.push_back(call);
+    this->changed.notify_all();
+    this->changed.wait(
+        lock, [this] { return this->stopped || !this->answers.empty(); });
+    if (this->answers.empty()) {
+      return absl::UnavailableError("stopped");
+    }
+    absl::StatusOr<RegistryUpdate> answer = std::move(this->answers.front());
+    this->answers.erase(this->answers.begin());
+    return answer;
+  }
+
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::vector<absl::StatusOr<RegistryUpdate>> answers;
+  std::vector<std::string> calls;
+  bool stopped = false;
+};
+
+struct Bench {
+  Bench()
+      : watcher(this->registry.Source(),
+                this->counters,
+                [this](const RegistryView& view) {
+                  const std::lock_guard<std::mutex> lock(this->mutex);
+                  this->versions.push_back(view.config->version);
+                }) {
+    this->watcher.Start();
+  }
+
+  std::vector<std::uint64_t> Versions() {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    return this->versions;
+  }
+
+  FakeRegistry registry;
+  CounterRegistry counters;
+  std::mutex mutex;
+  std::vector<std::uint64_t> versions;
+  RegistryWatcher watcher;
+};
+
+// Guards against changes that are lost between the listing and the watch.
+TEST_CASE("the listing is followed by watches from its revision",
+          "[registry_watcher]") {
+  Bench bench;
+  bench.registry.Answer(Listing(4));
+  RegistryUpdate change;
+  change.revision = 9;
+  change.config.emplace();
+  change.config->version = 6;
+  bench.registry.Answer(change);
+  CHECK(bench.registry.WaitForCalls(3) ==
+        std::vector<std::string>{"list", "watch 5", "watch 9"});
+  CHECK(bench.Versions() == std::vector<std::uint64_t>{4, 6});
+}
+
+// Guards against a watch that never recovers after the history was dropped.
+TEST_CASE("a lost history is followed by a listing at once",
+          "[registry_watcher]") {
+  Bench bench;
+  bench.registry.Answer(Listing(4));
+  bench.registry.Answer(absl::OutOfRangeError("the history is gone"));
+  CHECK(bench.registry.WaitForCalls(3) ==
+        std::vector<std::string>{"list", "watch 5", "list"});
+}
+
+// Guards against a fleet that floods a registry which refuses its calls, and
+// against a watch that starts over after a short fault.
+TEST_CASE("failed reads are repeated with growing pauses",
+          "[registry_watcher]") {
+  Bench bench;
+  bench.registry.Answer(Listing(4));
+  const Clock::time_point begin = Clock::now();
+  for (int i = 0; i < 5; ++i) {
+    bench.registry.Answer(absl::UnavailableError("away"));
+  }
+  const std::vector<std::string> calls = bench.registry.WaitForCalls(7);
+  CHECK(calls.back() == "watch 5");
+  // Pauses of at least half of 100, 200, 400, 800 and 1000 ms.
+  CHECK(Clock::now() - begin >= milliseconds(1250));
+  CHECK(bench.Versions() == std::vector<std::uint64_t>{4});
+}
+
+// Guards against a stop that waits for a watch.
+TEST_CASE("a stop ends a watch in progress", "[registry_watcher]") {
+  Bench bench;
+  bench.registry.Answer(Listing(4));
+  bench.registry.WaitForCalls(2);
+  const Clock::time_point begin = Clock::now();
+  bench.watcher.Stop();
+  CHECK(Clock::now() - begin < std::chrono::seconds(4));
+}
+
+}  // namespace
+}  // namespace comfrey
--- /dev/null
+++ b/Tests/platform/registry_client_test.cc
@@ -0,0 +1,222 @@
+#include "platform/registry_client.h"
+
+#include <httplib.h>
+
+#include <chrono>
+#include <functional>
+#include <string>
+#include <thread>
+
+#include "absl/strings/escaping.h"
+#include "catch2/catch.hpp"
+#include "nlohmann/json.hpp"
+
+namespace comfrey::platform {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using Clock = std::chrono::steady_clock;
+
+constexpr char kIp[] = "127.9.3.1";
+constexpr milliseconds kWait{200};
+
+json MakeServer(const std::string& key, int revision) {
+  const std::string value =
+      R"({"service":"huvo","address":"10.1.0.9:8080","zone":"a",)"
+      R"("version":"v1","slots":4,"state":"ready","cold_remaining":"0ms",)"
+      R"("sequence":7})";
+  return {{"key", key},
+          {"value", absl::Base64Escape(value)},
+          {"rev", revision},
+          {"create_revision", revision},
+          {"lease", 0}};
+}
+
+// A store whose answers are set by the test.
+class FakeStore {
+ public:
+  using Handler =
+      std::function<void(const httplib::Request&, httplib::Response&)>;
+
+  FakeStore() {
+    for (const char* path : {"/kv-key", "/kv-range", "/kv-watch"}) {
+      this->server.Get(path, [this](const auto& request, auto& response) {
+        this->handler(request, response);
+      });
+    }
+    this->port = this->server.bind_to_any_port(kIp);
+    this->thread = std::thread([this] { this->server.listen_after_bind(); });
+    while (!this->server.is_running()) {
+      std::this_thread::yield();
+    }
+  }
+  ~FakeStore() {
+    this->server.stop();
+    this->thread.join();
+  }
+
+  FakeStore(const FakeStore&) = delete;
+  FakeStore& operator=(const FakeStore&) = delete;
+
+  int port = 0;
+  Handler handler;
+
+ private:
+  httplib::Server server;
+  std::thread thread;
+};
+
+void Answer(httplib::Response& response, const json& body) {
+  response.set_content(body.dump(), "application/json");
+}
+
+// Guards against a listing that ends with its first page, or from which changes
+// made meanwhile are lost.
+TEST_CASE("all pages are listed, from the oldest revision") {
+  FakeStore store;
+  store.handler = [](const httplib::Request& request,
+                     httplib::Response& response) {
+    if (request.path == "/kv-key") {
+      CHECK(request.get_param_value("key") == "op/config");
+      response.status = 404;
+      Answer(response, {{"store_revision", 7}});
+      return;
+    }
+    CHECK(request.get_param_value("prefix") == "servers/");
+    const bool first = !request.has_param("after");
+    if (!first) {
+      CHECK(request.get_param_value("after") == "servers/i 1&x");
+    }
+    Answer(response,
+           {{"items", json::array({MakeServer(
+                          first ? "servers/i 1&x" : "servers/i-2", 5)})},
+            {"has_more", first},
+            {"store_revision", first ? 8 : 9}});
+  };
+  RegistryClient client(kIp, store.port);
+  const auto update = client.ReadAll();
+  REQUIRE(update.ok());
+  CHECK(update->complete);
+  CHECK(update->revision == 8);
+  CHECK_FALSE(update->config);
+  REQUIRE(update->registrations.size() == 2);
+  CHECK(update->registrations[0].instance == "i 1&x");
+  CHECK(update->registrations[1].instance == "i-2");
+}
+
+// Guards against an endless listing by a store that always has more.
+TEST_CASE("a page without items ends the listing") {
+  FakeStore store;
+  store.handler = [](const httplib::Request& request,
+                     httplib::Response& response) {
+    if (request.path == "/kv-key") {
+      response.status = 404;
+      return;
+    }
+    Answer(
+        response,
+        {{"items", json::array()}, {"has_more", true}, {"store_revision", 8}});
+  };
+  RegistryClient client(kIp, store.port);
+  CHECK(client.ReadAll().ok());
+}
+
+// Guards against changes that are missed or read again and again.
+TEST_CASE("a watch asks for changes after a revision") {
+  FakeStore store;
+  store.handler = [](const httplib::Request& request,
+                     httplib::Response& response) {
+    CHECK(request.get_param_value("after") == "41");
+    CHECK(request.get_param_value("wait_ms") == "200");
+    Answer(response,
+           {{"events",
+             json::array(
+                 {MakeServer("servers/i-1", 42),
+                  {{"key", "servers/i-2"}, {"rev", 43}, {"deleted", true}}})},
+            {"store_revision", 43}});
+  };
+  RegistryClient client(kIp, store.port);
+  const auto update = client.Watch(41, kWait);
+  REQUIRE(update.ok());
+  CHECK_FALSE(update->complete);
+  CHECK(update->revision == 43);
+  REQUIRE(update->registrations.size() == 2);
+  CHECK(update->registrations[0].endpoint);
+  CHECK_FALSE(update->registrations[1].endpoint);
+}
+
+// Guards against a refusal, a cut or malformed answer that passes for "nothing
+// is registered".
+TEST_CASE("what is no answer is an error") {
+  struct Case {
+    std::string name;
+    int status;
+    std::string body;
+    absl::StatusCode code;
+  };
+  const std::vector<Case> cases = {
+      {"history gone", 410, "{}", absl::StatusCode::kOutOfRange},
+      {"too many", 429, "{}", absl::StatusCode::kUnavailable},
+      {"busy", 503, "", absl::StatusCode::kUnavailable},
+      {"not JSON", 200, "{\"events\":[", absl::StatusCode::kUnavailable},
+      {"no events", 200, "{}", absl::StatusCode::kUnavailable},
+      {"other type", 200, "{\"events\":7}", absl::StatusCode::kUnavailable},
+      {"list", 200, "[]", absl::StatusCode::kUnavailable},
+  };
+  FakeStore store;
+  RegistryClient client(kIp, store.port);
+  for (const Case& c : cases) {
+    INFO(c.name);
+    store.handler = [&](const httplib::Request& request,
+                        httplib::Response& response) {
+      response.status = c.status;
+      response.set_content(c.body, "application/json");
+      if (request.path == "/kv-key") {
+        response.status = 404;
+      }
+    };
+    CHECK(client.Watch(1, kWait).status().code() == c.code);
+    CHECK_FALSE(client.ReadAll().ok());
+  }
+}
+
+// Guards against a store that answers no more and holds the reader for ever.
+TEST_CASE("a watch without an answer ends, by time or by a stop") {
+  FakeStore store;
+  std::atomic<bool> release{false};
+  store.handler = [&](const httplib::Request&, httplib::Response&) {
+    while (!release) {
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+  };
+  RegistryClient client(kIp, store.port);
+  const Clock::time_point begin = Clock::now();
+  CHECK_FALSE(client.Watch(1, kWait).ok());
+  CHECK(Clock::now() - begin < std::chrono::seconds(4));
+  std::thread stopper([&] {
+    std::this_thread::sleep_for(milliseconds(100));
+    client.Stop();
+  });
+  const Clock::time_point second = Clock::now();
+  CHECK_FALSE(client.Watch(1, std::chrono::seconds(20)).ok());
+  CHECK(Clock::now() - second < std::chrono::seconds(5));
+  stopper.join();
+  release = true;
+}
+
+// Guards against an error that does not tell which store is meant.
+TEST_CASE("an unreachable store is named") {
+  int port = 0;
+  {
+    const FakeStore store;
+    port = store.port;
+  }
+  RegistryClient client(kIp, port);
+  const auto update = client.ReadAll();
+  REQUIRE_FALSE(update.ok());
+  CHECK(std::string(update.status().message()).find(kIp) != std::string::npos);
+}
+
+}  // namespace
+}  // namespace comfrey::platform
