--- a/Source/config/registry_view.cc
+++ b/Source/config/registry_view.cc
@@ -16,6 +16,8 @@
 constexpr double kRankShare = 0.05;
 constexpr double kMaxSharesTotal = 0.5;
 constexpr int kMaxUrgency = 100;
+// About two rounds of the slots of an endpoint.
+constexpr int kLateLimit = 8;
 // Requests without a key are repeated by nobody; their records only have to
 // outlive a delayed forward, and a fence after a lost reply.
 constexpr std::chrono::seconds kAttemptRetention{24};
@@ -226,6 +228,7 @@
     service.name = published.name;
     service.endpoints = std::move(endpoints[published.name]);
     service.floor = settings.floor;
+    service.late_limit = kLateLimit;
     service.key_retention = kAttemptRetention;
     service.warmup = std::chrono::seconds(0);
     team.services.push_back(std::move(service));
--- a/Source/config/team_config.cc
+++ b/Source/config/team_config.cc
@@ -212,6 +212,7 @@
   ServiceConfig service;
   service.name = section.name;
   microseconds latency{0};
+  int late_limit = -1;
   ReadFields(
       reader.document, section,
       {{"endpoints", [](absl::string_view) { return std::nullopt; },
@@ -223,6 +224,7 @@
        {"keys_since",
         [&](absl::string_view v) { return ReadTime(v, service.keys_since); }},
        {"queue_limit", IntegerField(service.queue_limit, 0, kMaxQueueLimit)},
+       {"late_limit", IntegerField(late_limit, 0, kMaxQueueLimit)},
        {"detection", ChoiceField<Detection>(service.detection,
                                             {{"careful", Detection::kCareful},
                                              {"balanced", Detection::kBalanced},
@@ -231,6 +233,9 @@
         DurationField(latency, microseconds(100), minutes(10))},
        {"warmup", DurationField(service.warmup, seconds(0), hours(1))}},
       reader.errors);
+  if (late_limit >= 0) {
+    service.late_limit = late_limit;
+  }
   if (latency > microseconds(0)) {
     service.expected_latency = latency;
   }
--- a/Source/config/team_config.h
+++ b/Source/config/team_config.h
@@ -54,6 +54,9 @@
   std::optional<std::chrono::system_clock::time_point> keys_since;
   /// Queued requests per endpoint; 0 to 100000.
   int queue_limit = 64;
+  /// Of these, requests of a rank that will miss its target; 0 to 100000, and
+  /// all if absent.
+  std::optional<int> late_limit;
   Detection detection = Detection::kBalanced;
   /// Hint for a cold start; 100 us to 10 min.
   std::optional<std::chrono::microseconds> expected_latency;
--- a/Source/core/admission_queue.cc
+++ b/Source/core/admission_queue.cc
@@ -32,10 +32,13 @@
 // miss their target by a little.
 constexpr double kLateDeviations = 2.0;
 
-// Without new service times the estimate halves in this time. Otherwise one
-// slow period could make every deadline appear out of reach for good, as no
-// item would be started to prove otherwise.
+// Without new service times the estimate halves in this time, or in a multiple
+// of the estimate itself. Otherwise one slow period could make every deadline
+// appear out of reach for good, as no item would be started to prove otherwise.
+// A rank with long service times and few requests must not lose its estimate
+// between two of them.
 constexpr Seconds kEstimateHalfLife{1.0};
+constexpr double kHalfLifeItems = 5.0;
 
 // Reduction of the limit when the backend server sheds load, and the number of
 // full rounds of served requests per additional slot. Growing by one in each
@@ -104,8 +107,9 @@
 
 double ServiceEstimate(const RankState& rank, TimePoint now) {
   const double idle = ToSeconds(now - rank.last_sample);
-  return rank.service_mean *
-         std::exp2(-std::max(0.0, idle) / kEstimateHalfLife.count());
+  const double half_life =
+      std::max(kEstimateHalfLife.count(), kHalfLifeItems * rank.service_mean);
+  return rank.service_mean * std::exp2(-std::max(0.0, idle) / half_life);
 }
 
 void RecordServiceTime(RankState& rank, double seconds, TimePoint now) {
@@ -276,6 +280,24 @@
   }
 }
 
+// Gives up late items beyond the limit. Under a lasting overload they would
+// wait until their deadline behind new work, and be refused then.
+void DropExcessLate(AdmissionQueue& queue,
+                    TimePoint now,
+                    std::vector<WorkItem>& expired) {
+  for (RankState& rank : queue.ranks) {
+    MarkLate(rank, now);
+    auto next = rank.deadlines.begin();
+    while (rank.queued_late > queue.policy.late_limit &&
+           next != rank.deadlines.end()) {
+      QueuedItem& entry = *std::get<2>(*next++);
+      if (entry.late) {
+        expired.push_back(Drop(queue, entry));
+      }
+    }
+  }
+}
+
 // The rank to start next: the most urgent one below its share, otherwise the
 // most urgent one; of ranks of equal urgency, the one that started least
 // recently.
@@ -413,6 +435,22 @@
   return Length(last) > own_length ? last.late.front() : nullptr;
 }
 
+// Estimates the time until a slot becomes free, in seconds; 0 if one is. With
+// running items that started at random times, the first of n ends after
+// 1 / (n + 1) of the service time.
+double EstimateNextFree(const AdmissionQueue& queue, TimePoint now) {
+  const std::size_t running = queue.running.size();
+  if (running < ConcurrencyLimit(queue) || running == 0) {
+    return 0.0;
+  }
+  double service = 0.0;
+  for (const RankState& rank : queue.ranks) {
+    service += static_cast<double>(rank.running) * ServiceEstimate(rank, now);
+  }
+  const auto count = static_cast<double>(running);
+  return service / count / (count + 1.0);
+}
+
 // Estimates the wait of an arriving item, in seconds, from the work that is
 // queued ahead of it. Later urgent arrivals are not foreseen, so the estimate
 // tends to be low and refuses little work that could have run.
@@ -437,7 +475,8 @@
       urgent += static_cast<double>(other.queued) * ServiceEstimate(other, now);
     }
   }
-  return std::min((urgent + own) / limit, own / (rank.share * limit));
+  return EstimateNextFree(queue, now) +
+         std::min((urgent + own) / limit, own / (rank.share * limit));
 }
 
 // Raises small shares to the minimum. What then exceeds 100% is taken from the
@@ -468,7 +507,9 @@
   for (const RankPolicy& policy : queue.policy.ranks) {
     RankState& rank = queue.ranks.emplace_back();
     rank.policy = policy;
-    rank.service_mean = ToSeconds(queue.policy.expected_service);
+    rank.service_mean = ToSeconds(policy.expected_service > microseconds(0)
+                                      ? policy.expected_service
+                                      : queue.policy.expected_service);
     rank.service_deviation = rank.service_mean / 2;
     rank.last_sample = now;
     queue.by_urgency.push_back(queue.by_urgency.size());
@@ -577,6 +618,7 @@
     }
     progress.started.push_back(StartNext(queue, *rank, now));
   }
+  DropExcessLate(queue, now, progress.expired);
   return progress;
 }
 
@@ -611,7 +653,8 @@
     RecordServiceTime(rank, service, now);
   }
 
-  if (outcome == FinishOutcome::kShed && item.start >= queue.last_decrease) {
+  if (outcome == FinishOutcome::kShed && !queue.policy.fixed_slots &&
+      item.start >= queue.last_decrease) {
     // Requests sent before the last decrease say nothing about the new limit.
     queue.adaptive_limit = std::max(1.0, queue.adaptive_limit * kLimitDecrease);
     queue.last_decrease = now;
@@ -747,6 +790,19 @@
   return forecasts;
 }
 
+microseconds ExpectedWait(const AdmissionQueue& queue,
+                          std::size_t rank,
+                          const std::string& organisation,
+                          TimePoint now) {
+  if (rank >= queue.ranks.size()) {
+    return microseconds(0);
+  }
+  const RankState& state = queue.ranks[rank];
+  return ToMicroseconds(EstimateWait(queue, state,
+                                     OrganisationLength(state, organisation),
+                                     true, std::max(now, queue.last_update)));
+}
+
 const char* RefusalReasonName(RefusalReason reason) {
   switch (reason) {
     case RefusalReason::kNone:
--- a/Source/core/admission_queue.h
+++ b/Source/core/admission_queue.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <list>
 #include <memory>
 #include <optional>
@@ -25,6 +26,9 @@
   int urgency = 1;                      ///< 1 is the most urgent.
   double share = 0.0;                   ///< Guaranteed share of slots, 0 to 1.
   std::chrono::microseconds target{0};  ///< From arrival to response; 0: none.
+  /// Service time assumed until some have been measured; 0 for that of the
+  /// endpoint.
+  std::chrono::microseconds expected_service{0};
 };
 
 /// \brief The policy of one endpoint, from its `[service]` section.
@@ -36,6 +40,12 @@
   std::chrono::microseconds expected_service = std::chrono::milliseconds(40);
   /// Time over which unused or exceeded shares are remembered.
   std::chrono::microseconds share_window = std::chrono::seconds(1);
+  /// Whether the slots are exact: then shed requests are no sign that fewer
+  /// may run.
+  bool fixed_slots = false;
+  /// Queued items of a rank that are expected to miss its target. What exceeds
+  /// it is given up, the earliest deadline first, so that it may go elsewhere.
+  std::size_t late_limit = std::numeric_limits<std::size_t>::max();
 };
 
 /// \brief One request; `id` is unique among the items queued or running.
@@ -239,6 +249,16 @@
 std::vector<RefusalForecast> ForecastRefusals(const AdmissionQueue& queue,
                                               TimePoint now);
 
+/// \brief Time that the queue needs for the work ahead of a further item of
+/// the rank and organisation.
+///
+/// Work that will miss its target counts, although new work goes before it:
+/// where it is not served, the endpoint has no room for more.
+std::chrono::microseconds ExpectedWait(const AdmissionQueue& queue,
+                                       std::size_t rank,
+                                       const std::string& organisation,
+                                       TimePoint now);
+
 /// \brief Names a reason, for example "queue full".
 const char* RefusalReasonName(RefusalReason reason);
 
--- a/Source/core/failure_suspicion.cc
+++ b/Source/core/failure_suspicion.cc
@@ -10,7 +10,7 @@
 
 // Keeps the estimate able to move after a long run of equal outcomes.
 constexpr double kLowestProbability = 0.001;
-constexpr double kHighestProbability = 0.99;
+constexpr double kHighestProbability = 0.9;
 
 // The estimate at `now` if no request has ended since the last one: failures
 // begin and end by themselves, so old evidence fades.
@@ -43,6 +43,7 @@
   suspicion.probability = std::clamp(failing / (failing + sound),
                                      kLowestProbability, kHighestProbability);
   suspicion.updated = now;
+  suspicion.no_probe_until = failed ? now + policy.probe_interval : now;
 }
 
 bool IsSuspect(const FailureSuspicion& suspicion,
@@ -54,10 +55,11 @@
 bool TakeSuspicionProbe(FailureSuspicion& suspicion,
                         const SuspicionPolicy& policy,
                         TimePoint now) {
-  if (now - suspicion.last_probe < policy.probe_interval) {
+  if (now < suspicion.no_probe_until) {
     return false;
   }
-  suspicion.last_probe = now;
+  // Until the outcome of this one is known, no other is sent.
+  suspicion.no_probe_until = now + policy.probe_interval;
   return true;
 }
 
--- a/Source/core/failure_suspicion.h
+++ b/Source/core/failure_suspicion.h
@@ -11,15 +11,16 @@
   /// Share of requests that fail at a sound endpoint, 0 to 1.
   double sound_failure_share = 0.015;
   /// Share of requests that fail at a failing endpoint, 0 to 1.
-  double failing_failure_share = 0.6;
+  double failing_failure_share = 0.75;
   /// Share of time that endpoints fail, 0 to 1; the estimate returns to it.
   double failing_time_share = 0.05;
   /// Time constant of that return.
   std::chrono::milliseconds memory{6000};
   /// An endpoint is suspect above this probability of being in a failure.
   double suspect_above = 0.2;
-  /// Shortest time between two requests that test a suspect endpoint.
-  std::chrono::milliseconds probe_interval{400};
+  /// Shortest time between a failure and the next request that tests a suspect
+  /// endpoint; after a success, the next one may follow at once.
+  std::chrono::milliseconds probe_interval{700};
 };
 
 /// \brief Probability that an endpoint is in a failure, from its own requests.
@@ -29,7 +30,7 @@
 struct FailureSuspicion {
   double probability = 0;
   std::chrono::steady_clock::time_point updated;
-  std::chrono::steady_clock::time_point last_probe;
+  std::chrono::steady_clock::time_point no_probe_until;
 };
 
 /// \brief Records whether a request failed.
--- a/Source/core/placement.cc
+++ b/Source/core/placement.cc
@@ -34,7 +34,7 @@
 std::optional<std::uint32_t> FindFreeSlot(const Input& input,
                                           const Tier& tier) {
   std::optional<std::uint32_t> best;
-  std::tuple<std::uint32_t, std::uint64_t> best_key;
+  std::tuple<bool, std::uint32_t, std::uint64_t> best_key;
   for (const PlannedEndpoint& planned : tier) {
     const PlacementHint& hint = input.hints[planned.view];
     const EndpointView& view = input.views[planned.view];
@@ -43,8 +43,8 @@
         !IsDrawn(input, planned)) {
       continue;
     }
-    const auto key = std::make_tuple<std::uint32_t, std::uint64_t>(
-        hint.in_flight, input.rng());
+    const auto key = std::make_tuple<bool, std::uint32_t, std::uint64_t>(
+        !hint.standby, hint.in_flight, input.rng());
     if (!best || key < best_key) {
       best = planned.view;
       best_key = key;
@@ -80,6 +80,13 @@
       }));
 }
 
+// Whether an endpoint is not suspect, though it may have refused the request.
+bool HasSound(const Input& input, const Tier& tier) {
+  return std::any_of(tier.begin(), tier.end(), [&](const PlannedEndpoint& p) {
+    return !IsHintedSuspect(input, p.view);
+  });
+}
+
 Tier RegionOf(const CapacityPlan& plan) {
   Tier region = plan.same_failure_domain;
   region.insert(region.end(), plan.same_region.begin(), plan.same_region.end());
@@ -88,6 +95,20 @@
 
 }  // namespace
 
+const char* PlacementModeName(PlacementMode mode) {
+  switch (mode) {
+    case PlacementMode::kRunNow:
+      return "run now";
+    case PlacementMode::kSpare:
+      return "spare slot";
+    case PlacementMode::kQueue:
+      return "queue";
+    case PlacementMode::kForce:
+      break;
+  }
+  return "force";
+}
+
 std::optional<Placement> NextPlacement(const CapacityPlan& plan,
                                        const std::vector<EndpointView>& views,
                                        const std::vector<PlacementHint>& hints,
@@ -100,22 +121,29 @@
       return Placement{*free, PlacementMode::kRunNow};
     }
   }
-  const auto near = FindShortestWait(input, RegionOf(plan), false);
+  const Tier region = RegionOf(plan);
+  const auto near = FindShortestWait(input, region, false);
   const bool leave_region =
       !near || hints[*near].expected_wait > policy.remote_after;
   if (leave_region &&
       CountAsked(input, plan.other_regions) < policy.remote_asks) {
     if (const auto free = FindFreeSlot(input, plan.other_regions)) {
-      return Placement{*free, PlacementMode::kRunNow};
+      return Placement{*free, PlacementMode::kSpare};
     }
   }
   if (near) {
     return Placement{*near, PlacementMode::kQueue};
   }
+  if (HasSound(input, region)) {
+    return std::nullopt;
+  }
   if (const auto remote = FindShortestWait(input, plan.other_regions, false)) {
     return Placement{*remote, PlacementMode::kQueue};
   }
-  for (const Tier& tier : {RegionOf(plan), plan.other_regions}) {
+  if (HasSound(input, plan.other_regions)) {
+    return std::nullopt;
+  }
+  for (const Tier& tier : {region, plan.other_regions}) {
     if (const auto suspect = FindShortestWait(input, tier, true)) {
       return Placement{*suspect, PlacementMode::kForce};
     }
--- a/Source/core/placement.h
+++ b/Source/core/placement.h
@@ -14,6 +14,7 @@
 /// \brief What the owner of the chosen endpoint is asked to do.
 enum class PlacementMode : std::uint8_t {
   kRunNow,  ///< Run it if a slot is free and the endpoint is not suspect.
+  kSpare,   ///< As kRunNow, but only if a further slot stays free.
   kQueue,   ///< Queue it if it cannot run at once.
   kForce,   ///< Queue it even if the endpoint is suspect.
 };
@@ -33,19 +34,24 @@
   std::uint16_t in_flight = 0;
   /// The owner is known to refuse work there as suspect until this time.
   std::chrono::steady_clock::time_point suspect_until;
+  /// Preferred within its distance, since its owner is connected.
+  bool standby = false;
   /// Wait in the queue that the owner last expected for the rank.
   std::chrono::microseconds expected_wait{0};
 };
 
-/// \brief Constants of the placement.
+/// \brief Constants of the placement of one request.
 struct PlacementPolicy {
   /// Work leaves the region only if the wait in it exceeds this time: links
   /// between regions add a round trip and are billed by volume.
-  std::chrono::microseconds remote_after{std::chrono::milliseconds(250)};
-  /// Endpoints of other regions that are asked for a free slot.
-  std::size_t remote_asks = 2;
+  std::chrono::microseconds remote_after{std::chrono::milliseconds(150)};
+  /// Endpoints of other regions that are asked for a spare slot.
+  std::size_t remote_asks = 1;
 };
 
+/// \brief Names a mode, for example "run now".
+const char* PlacementModeName(PlacementMode mode);
+
 struct Placement {
   /// Index into the views.
   std::uint32_t view = 0;
@@ -57,7 +63,12 @@
 ///
 /// Answers a load near the capacity, with stale knowledge of it: each endpoint
 /// of the region is asked for a free slot, nearest first, before the request
-/// waits in the shortest queue or leaves the region.
+/// waits in the shortest queue or leaves the region. Another region gives only
+/// spare slots: if regions near their capacity took each other's last slots, all
+/// of their work would travel. Work is queued in another region only if its own
+/// has no sound endpoint. A suspect endpoint gets it
+/// only if all endpoints are suspect: a caller who is refused may come back,
+/// one whose order fails may not.
 std::optional<Placement> NextPlacement(
     const CapacityPlan& plan,
     const std::vector<EndpointView>& views,
--- a/Source/daemon/daemon.cc
+++ b/Source/daemon/daemon.cc
@@ -30,11 +30,15 @@
 constexpr std::chrono::milliseconds kDrainPollPeriod{20};
 // Suspect paths are tried by the daemon itself, not by requests of callers.
 constexpr std::chrono::milliseconds kPathTrialPeriod{200};
-constexpr std::chrono::milliseconds kPathTrialTimeout{400};
+constexpr std::chrono::milliseconds kPathTrialTimeout{600};
 constexpr int kNotFound = 404;
-// A daemon that stops goes on accepting callers for this time, while its
-// peers learn that it is leaving.
-constexpr std::chrono::milliseconds kLeavingNotice{1000};
+// A daemon that stops goes on accepting callers for this time, at most half of
+// the grace period, while its peers and the callers learn that it is leaving.
+constexpr std::chrono::milliseconds kLeavingNotice{2500};
+// Requests in flight are given up, and calls of peers cut, this long before the
+// end of the grace period, so that the process ends by itself.
+constexpr std::chrono::milliseconds kAbortMargin{600};
+constexpr std::chrono::milliseconds kCallCutTime{100};
 // By then the anti-entropy of the start has brought all members.
 constexpr std::chrono::seconds kMembershipSettleTime{5};
 
@@ -68,8 +72,10 @@
       started_at(Clock::now()),
       started_at_wall(std::chrono::system_clock::now()),
       watchdog(this->timers),
+      request_log(this->counters),
       channels(kMaxChannels),
-      directory({this->settings.region, this->settings.failure_domain},
+      directory(this->settings.name,
+                {this->settings.region, this->settings.failure_domain},
                 this->settings.repeats),
       journal(this->started_at),
       owner_client(this->channels, this->settings.peer_port),
@@ -78,6 +84,7 @@
            this->started_at_wall},
           this->watchdog,
           this->counters,
+          this->request_log,
           [this](const FenceKeyCall& call) { return this->FenceKey(call); },
           this->settings.backend),
       keeper(static_cast<std::size_t>(this->settings.bootstrap_peers),
@@ -101,7 +108,7 @@
       peer_server(this->owner, this->journal, this->runner),
       ingress({this->settings.name, incarnation},
               {this->keeper.Holder(), this->directory, this->owner_client,
-               this->journal, this->levels, this->counters,
+               this->journal, this->levels, this->counters, this->request_log,
                this->settings.backend.headers,
                [this] { return this->LocalService(); }}),
       pages({this->settings, incarnation, this->started_at, this->leaving,
@@ -284,10 +291,15 @@
 }
 
 void Daemon::TryPaths() {
-  for (const std::string& ip : this->directory.BeginDueTrials()) {
+  std::vector<std::string> ips = this->directory.BeginDueTrials();
+  for (std::string& ip : this->directory.UnconnectedStandbys()) {
+    ips.push_back(std::move(ip));
+  }
+  for (const std::string& ip : ips) {
     const TimePoint sent_at = Clock::now();
     const bool reached =
-        this->owner_client.RefreshStamp(ip, sent_at + kPathTrialTimeout)
+        this->owner_client
+            .RefreshStamp(ip, sent_at + kPathTrialTimeout, kPathTrialTimeout)
             .has_value();
     const TimePoint now = Clock::now();
     if (reached) {
@@ -312,17 +324,21 @@
   this->runner.BeginLeaving();
   this->owner.BeginStop();
   std::this_thread::sleep_for(std::min<std::chrono::microseconds>(
-      kLeavingNotice, this->settings.grace));
+      kLeavingNotice, this->settings.grace / 2));
+  const TimePoint abort_at = deadline - kAbortMargin;
+  const TimerService::SubscriptionId abort =
+      this->timers.Subscribe(kTickPeriod, [this, abort_at](TimePoint now) {
+        if (now >= abort_at) {
+          this->frontend.Abort();
+        }
+      });
   this->frontend.Stop();
-  this->WaitForForwards(deadline);
+  this->timers.Unsubscribe(abort);
+  this->WaitForForwards(abort_at);
   this->StopReaders();
   this->path_thread.Stop();
   this->timers.Stop();
-  this->peer_server.Shutdown(
-      std::chrono::system_clock::now() +
-      std::max(std::chrono::duration_cast<std::chrono::milliseconds>(
-                   deadline - Clock::now()),
-               kLeavingNotice));
+  this->peer_server.Shutdown(std::chrono::system_clock::now() + kCallCutTime);
   spdlog::info("daemon {} stopped", this->settings.name);
 }
 
@@ -356,6 +372,7 @@
 }
 
 void Daemon::SlowTick(TimePoint now) {
+  this->request_log.Tick(now);
   if (this->HasRegistry()) {
     return;
   }
--- a/Source/daemon/daemon.h
+++ b/Source/daemon/daemon.h
@@ -95,6 +95,7 @@
   CounterRegistry counters;
   TimerService timers;
   CallWatchdog watchdog;
+  RequestLog request_log;
   ChannelPool channels;
   EndpointDirectory directory;
   KeyJournal journal;
--- a/Source/daemon/endpoint_directory.cc
+++ b/Source/daemon/endpoint_directory.cc
@@ -22,6 +22,15 @@
 // simulation, older records that replaced newer ones hid ejections.
 constexpr std::chrono::seconds kReplyPrecedence{4};
 
+// A longer wait in the region would take most of what the target leaves beside
+// the service time.
+constexpr int kTargetPerRemoteWait = 2;
+
+// Endpoints of each service in other regions to which a connection is kept, and
+// the most owners that are connected for it.
+constexpr std::size_t kStandbys = 4;
+constexpr std::size_t kMaxStandbyOwners = 64;
+
 constexpr double kPercent = 100;
 
 // Each VM with an endpoint runs a daemon.
@@ -37,14 +46,23 @@
   return static_cast<int>(ips.size());
 }
 
+absl::string_view DistanceName(const EndpointView& view) {
+  return view.same_failure_domain ? "failure domain"
+         : view.same_region       ? "region"
+                                  : "other region";
+}
+
 std::uint16_t Clamp16(std::uint32_t value) {
   return static_cast<std::uint16_t>(std::min<std::uint32_t>(value, 0xFFFF));
 }
 
 }  // namespace
 
-EndpointDirectory::EndpointDirectory(Location location, RepeatLimit repeats)
-    : location(std::move(location)),
+EndpointDirectory::EndpointDirectory(std::string name,
+                                     Location location,
+                                     RepeatLimit repeats)
+    : name(std::move(name)),
+      location(std::move(location)),
       repeats(repeats),
       rng(std::random_device()()) {}
 
@@ -78,6 +96,7 @@
         service.endpoints.push_back(std::move(endpoint));
       }
       this->LimitRepeats(service, daemons);
+      this->ChooseStandbys(service);
       for (const auto& [ip, owner] : this->owners) {
         this->ApplyOwnerTo(owner, service);
       }
@@ -110,6 +129,24 @@
   }
 }
 
+// A first connection to another region takes several round trips, too long for
+// a request that needs a slot there. Few endpoints are kept connected, others
+// for each daemon, so that the number of connections stays bounded.
+void EndpointDirectory::ChooseStandbys(Service& service) const {
+  std::vector<std::pair<std::uint64_t, Endpoint*>> remote;
+  for (Endpoint& endpoint : service.endpoints) {
+    endpoint.standby = false;
+    if (!endpoint.view.same_region) {
+      const std::string pair = this->name + " " + endpoint.address;
+      remote.emplace_back(XXH64(pair.data(), pair.size(), 0), &endpoint);
+    }
+  }
+  std::sort(remote.begin(), remote.end());
+  for (std::size_t i = 0; i < std::min(remote.size(), kStandbys); ++i) {
+    remote[i].second->standby = true;
+  }
+}
+
 // The slack belongs to all daemons together.
 void EndpointDirectory::LimitRepeats(Service& service, int daemons) const {
   if (this->repeats.slack > 0) {
@@ -206,6 +243,7 @@
   PlacementHint hint;
   hint.in_flight = endpoint.in_flight;
   hint.suspect_until = endpoint.suspect_until;
+  hint.standby = endpoint.standby;
   const auto result = asked.find(endpoint.address);
   if (result != asked.end()) {
     hint.asked = result->second;
@@ -220,7 +258,7 @@
 
 std::optional<ChosenEndpoint> EndpointDirectory::Choose(
     const ServiceId& id,
-    const std::string& rank,
+    const RankConfig& rank,
     const AskedEndpoints& asked) {
   const std::lock_guard<std::mutex> lock(this->mutex);
   const auto found = this->services.find(id);
@@ -234,22 +272,33 @@
   hints.reserve(views.size());
   for (std::size_t i = 0; i < views.size(); ++i) {
     const Endpoint& endpoint = service.endpoints[i];
-    hints.push_back(this->HintFor(endpoint, rank, asked, now));
-    const auto forecast = endpoint.forecasts.find(rank);
+    hints.push_back(this->HintFor(endpoint, rank.name, asked, now));
+    const auto forecast = endpoint.forecasts.find(rank.name);
     if (forecast != endpoint.forecasts.end()) {
       views[i].full_until = forecast->second.full_until;
     }
   }
   this->UpdatePlan(service);
-  const std::optional<Placement> placement = NextPlacement(
-      service.plan, views, hints, this->placement, now, this->rng);
+  PlacementPolicy policy;
+  policy.remote_after = rank.target / kTargetPerRemoteWait;
+  const std::optional<Placement> placement =
+      NextPlacement(service.plan, views, hints, policy, now, this->rng);
   if (!placement) {
     return std::nullopt;
   }
   Endpoint& endpoint = service.endpoints[placement->view];
   ++endpoint.in_flight;
-  return ChosenEndpoint{endpoint.address, endpoint.ip, endpoint.instance,
-                        placement->mode};
+  ChosenEndpoint chosen;
+  chosen.address = endpoint.address;
+  chosen.ip = endpoint.ip;
+  chosen.instance = endpoint.instance;
+  chosen.mode = placement->mode;
+  chosen.distance = DistanceName(endpoint.view);
+  chosen.expected_wait = hints[placement->view].expected_wait;
+  if (endpoint.replied_at != TimePoint{}) {
+    chosen.knowledge_age = now - endpoint.replied_at;
+  }
+  return chosen;
 }
 
 void EndpointDirectory::Finish(const ServiceId& id,
@@ -283,6 +332,24 @@
   return shortest.value_or(std::chrono::microseconds(0));
 }
 
+std::vector<std::string> EndpointDirectory::UnconnectedStandbys() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  std::set<std::string> unconnected;
+  for (const auto& [id, service] : this->services) {
+    for (const Endpoint& endpoint : service.endpoints) {
+      const PathHealth& path = this->paths[endpoint.ip];
+      if (endpoint.standby && IsPathClear(path) &&
+          path.usual_accept_time.count() == 0) {
+        unconnected.insert(endpoint.ip);
+      }
+    }
+    if (unconnected.size() >= kMaxStandbyOwners) {
+      break;
+    }
+  }
+  return {unconnected.begin(), unconnected.end()};
+}
+
 std::vector<std::string> EndpointDirectory::BeginDueTrials() {
   const std::lock_guard<std::mutex> lock(this->mutex);
   const TimePoint now = Clock::now();
--- a/Source/daemon/endpoint_directory.h
+++ b/Source/daemon/endpoint_directory.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/strings/string_view.h"
 #include "config/config_store.h"
 #include "config/daemon_settings.h"
 #include "core/endpoint_selector.h"
@@ -55,6 +56,12 @@
   /// Empty if it is not known.
   std::string instance;
   PlacementMode mode = PlacementMode::kRunNow;
+  /// What the choice rests on, for the log: "failure domain", "region" or
+  /// "other region", the wait that its owner expected, and how old the last
+  /// reply of the owner is; 0 if there was none.
+  absl::string_view distance;
+  std::chrono::microseconds expected_wait{0};
+  std::chrono::steady_clock::duration knowledge_age{0};
 };
 
 /// \brief What became of one request at the endpoints that were asked, by
@@ -79,7 +86,9 @@
  public:
   using TimePoint = std::chrono::steady_clock::time_point;
 
-  explicit EndpointDirectory(Location location, RepeatLimit repeats = {});
+  EndpointDirectory(std::string name,
+                    Location location,
+                    RepeatLimit repeats = {});
 
   void ApplyConfig(const ConfigStore& store);
 
@@ -93,7 +102,7 @@
   /// \brief Chooses the endpoint to which a request is offered next, or nothing
   /// if none is left. The request counts as in progress there until `Finish`.
   std::optional<ChosenEndpoint> Choose(const ServiceId& service,
-                                       const std::string& rank,
+                                       const RankConfig& rank,
                                        const AskedEndpoints& asked);
   void Finish(const ServiceId& service, const std::string& address);
 
@@ -102,6 +111,11 @@
   std::chrono::microseconds ShortestWait(const ServiceId& service,
                                          const std::string& rank);
 
+  /// \brief Owners in other regions that are to be connected before work is
+  /// sent there, and are not yet; each trial ends with RecordAccepted or
+  /// RecordFailure.
+  std::vector<std::string> UnconnectedStandbys();
+
   /// \brief Owners whose path is suspect and is to be tried now; each trial
   /// ends with RecordAccepted or RecordFailure.
   std::vector<std::string> BeginDueTrials();
@@ -148,6 +162,8 @@
     EndpointView view;
     std::uint16_t in_flight = 0;
     TimePoint suspect_until;
+    /// Chosen as one of the endpoints of another region that get work first.
+    bool standby = false;
     VerdictReason reason = VerdictReason::kNone;
     std::chrono::microseconds latency{0};
     std::optional<EndpointSummary> summary;
@@ -176,11 +192,12 @@
                         const AskedEndpoints& asked,
                         TimePoint now) const;
   void ConfigureEndpointView(const EndpointConfig& config, Endpoint& endpoint);
+  void ChooseStandbys(Service& service) const;
   void LimitRepeats(Service& service, int daemons) const;
 
+  std::string name;
   Location location;
   RepeatLimit repeats;
-  PlacementPolicy placement;
   std::mutex mutex;
   std::mt19937_64 rng;
   std::map<ServiceId, Service> services;
--- a/Source/daemon/http_frontend.cc
+++ b/Source/daemon/http_frontend.cc
@@ -578,8 +578,9 @@
     reply = Refuse(kUnavailable, "the daemon has no configuration yet");
   } else {
     const int socket = exchange.socket;
-    reply =
-        this->handler(exchange.request, [socket] { return HasLeft(socket); });
+    reply = this->handler(exchange.request, [this, socket] {
+      return this->aborting || HasLeft(socket);
+    });
   }
   response.status = reply.response.status;
   if (response.status != kNoContent && response.status != kNotModified) {
--- a/Source/daemon/http_frontend.h
+++ b/Source/daemon/http_frontend.h
@@ -79,6 +79,9 @@
   /// more request within 1 s.
   void Stop();
 
+  /// \brief Gives up the requests in flight, so that a stop ends soon.
+  void Abort() { this->aborting = true; }
+
  private:
   struct Exchange;
 
@@ -105,6 +108,7 @@
   // Readable once the frontend stops; wakes idle connections.
   int stop_event;
   std::atomic<bool> stopping{false};
+  std::atomic<bool> aborting{false};
   std::atomic<std::chrono::steady_clock::time_point> stop_time{};
   std::unique_ptr<CallerServer> server;
   std::thread thread;
--- a/Source/daemon/ingress.cc
+++ b/Source/daemon/ingress.cc
@@ -5,6 +5,7 @@
 #include <thread>
 #include <utility>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
@@ -123,6 +124,18 @@
   }
 }
 
+absl::string_view OutcomeName(CallerOutcome outcome) {
+  switch (outcome) {
+    case CallerOutcome::kAnswered:
+      return "answered";
+    case CallerOutcome::kNotRun:
+      return "not run";
+    case CallerOutcome::kUnknown:
+      break;
+  }
+  return "unknown";
+}
+
 std::string FormatSeconds(std::chrono::microseconds time) {
   return absl::StrFormat("%.2f", std::chrono::duration<double>(time).count());
 }
@@ -140,6 +153,7 @@
   Clock::time_point read_at;
   Clock::time_point deadline;
   const CancelCheck& cancelled;
+  RequestTrace& trace;
 };
 
 // One attempt to run it, and what became of the attempt.
@@ -153,8 +167,8 @@
   std::string detail;
   /// Whether a backend server may have received the request.
   bool sent = false;
-  PlacementMode mode = PlacementMode::kQueue;
-  std::string instance;
+  ChosenEndpoint chosen;
+  Clock::time_point offered_at;
 
   void Set(CallerOutcome next, rpc::RefusalReason why, std::string text) {
     this->outcome = next;
@@ -239,6 +253,8 @@
   }
   match.service = SelectService(match, this->Draw());
   const std::string& team = match.team->team;
+  RequestTrace trace;
+  trace.id = this->TraceId(request);
   std::chrono::microseconds patience = match.route->deadline;
   if (const auto left = TimeLeft(request, this->parts.headers)) {
     patience = std::min<std::chrono::microseconds>(patience, *left);
@@ -251,11 +267,39 @@
                   std::string(FindHeader(request.headers, kOrganisationHeader)),
                   read_at,
                   read_at + patience,
-                  cancelled};
+                  cancelled,
+                  trace};
   context.request.target = match.target;
   SetOwnHeaders(context.request, this->parts.headers,
                 this->parts.local_service());
+  trace.Add("request_received")
+      .Add("route", match.route->name)
+      .Add("service", match.service->name)
+      .Add("rank", match.rank->name)
+      .AddFlag("idempotent", match.route->repeat_safe)
+      .Add("config", FormatConfigVersion(context.version))
+      .AddTime("time_left", patience);
   IngressReply reply = this->Forward(context);
+  this->Finish(context, reply);
+  return reply;
+}
+
+// The id that the caller gave its attempt, or one that is unique here.
+std::string Ingress::TraceId(const HttpRequest& request) {
+  const absl::string_view id =
+      this->parts.headers.attempt_id.empty()
+          ? absl::string_view()
+          : FindHeader(request.headers, this->parts.headers.attempt_id);
+  return id.empty() ? absl::StrCat(this->identity.name, "-",
+                                   this->identity.incarnation, "-",
+                                   this->next_sequence.load())
+                    : std::string(id);
+}
+
+// Counts and logs the end of a request.
+void Ingress::Finish(Context& context, const IngressReply& reply) {
+  const std::string& team = context.service.team;
+  const std::string& rank = context.match.rank->name;
   switch (reply.outcome) {
     case CallerOutcome::kAnswered:
       this->answered.Add();
@@ -267,16 +311,46 @@
       this->unknown.Add();
       break;
   }
-  if (reply.outcome == CallerOutcome::kAnswered &&
-      reply.response.status < kServerError) {
-    this->parts.levels.AddResponse(
-        team, match.rank->name,
-        std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() -
-                                                              read_at));
+  const auto took = std::chrono::duration_cast<std::chrono::microseconds>(
+      Clock::now() - context.read_at);
+  const bool served = reply.outcome == CallerOutcome::kAnswered &&
+                      reply.response.status < kServerError;
+  if (served) {
+    this->parts.levels.AddResponse(team, rank, took);
   } else {
-    this->parts.levels.AddMiss(team, match.rank->name);
+    this->parts.levels.AddMiss(team, rank);
+  }
+  const std::size_t offers = context.trace.events.size() - 1;
+  LogEvent& event = context.trace.Add("request_finished");
+  event.Add("outcome", OutcomeName(reply.outcome))
+      .Add("status", reply.response.status)
+      .Add("offers", static_cast<std::int64_t>(offers))
+      .AddTime("took", took);
+  if (reply.outcome != CallerOutcome::kAnswered) {
+    event.Add("detail", absl::StripAsciiWhitespace(reply.response.body));
+  }
+  this->parts.log.Write(context.trace, !served || offers > 1);
+}
+
+// Logs where the request was offered, on which knowledge, and with what result.
+void Ingress::TraceOffer(const Context& context, const Attempt& attempt) {
+  const ChosenEndpoint& chosen = attempt.chosen;
+  LogEvent& event = context.trace.Add("request_offered");
+  event.Add("endpoint", attempt.endpoint)
+      .Add("instance", chosen.instance)
+      .Add("mode", PlacementModeName(chosen.mode))
+      .Add("distance", chosen.distance)
+      .AddTime("expected_wait", chosen.expected_wait)
+      .AddTime("knowledge_age", chosen.knowledge_age)
+      .Add("outcome", OutcomeName(attempt.outcome))
+      .AddFlag("sent", attempt.sent)
+      .AddTime("took", Clock::now() - attempt.offered_at);
+  if (attempt.outcome == CallerOutcome::kAnswered) {
+    event.Add("status", attempt.response.status);
+  } else {
+    event.Add("reason", rpc::RefusalReason_Name(attempt.reason))
+        .Add("detail", attempt.detail);
   }
-  return reply;
 }
 
 IngressReply Ingress::Forward(Context& context) {
@@ -304,15 +378,14 @@
   Progress progress;
   while (this->MayOffer(context, progress)) {
     const std::optional<ChosenEndpoint> chosen = this->parts.directory.Choose(
-        context.service, context.match.rank->name, progress.asked);
+        context.service, *context.match.rank, progress.asked);
     if (!chosen) {
       break;
     }
     Attempt attempt;
     attempt.endpoint = chosen->address;
     attempt.ip = chosen->ip;
-    attempt.instance = chosen->instance;
-    attempt.mode = chosen->mode;
+    attempt.chosen = *chosen;
     this->Offer(context, progress, attempt);
     this->parts.directory.Finish(context.service, chosen->address);
     const bool answered = attempt.outcome == CallerOutcome::kAnswered &&
@@ -353,14 +426,20 @@
 void Ingress::Offer(const Context& context,
                     Progress& progress,
                     Attempt& attempt) {
+  attempt.offered_at = Clock::now();
   this->FillMessage(context, attempt);
-  attempt.message.set_run_now(attempt.mode == PlacementMode::kRunNow);
-  attempt.message.set_accept_suspect(attempt.mode == PlacementMode::kForce);
+  const bool spare = attempt.chosen.mode == PlacementMode::kSpare;
+  attempt.message.set_run_now(spare ||
+                              attempt.chosen.mode == PlacementMode::kRunNow);
+  attempt.message.set_spare_only(spare);
+  attempt.message.set_accept_suspect(attempt.chosen.mode ==
+                                     PlacementMode::kForce);
   if (context.match.route->repeat_safe) {
     this->Send(context, attempt);
   } else {
     this->SendNonIdempotent(context, attempt);
   }
+  this->TraceOffer(context, attempt);
   if (attempt.sent) {
     if (++progress.sent > 1) {
       this->retries.Add();
@@ -455,26 +534,28 @@
   }
   RequestToProto(context.request, message);
   const std::string& expected = this->parts.headers.expected_instance;
-  if (!expected.empty() && !attempt.instance.empty()) {
+  if (!expected.empty() && !attempt.chosen.instance.empty()) {
     rpc::Header& header = *message.add_headers();
     header.set_name(expected);
-    header.set_value(attempt.instance);
+    header.set_value(attempt.chosen.instance);
   }
   this->parts.directory.AddSiblings(context.service, message);
 }
 
 // Gets a stamp that may be sent with the request; false if there is none.
 bool Ingress::PrepareStamp(const Context& context, Attempt& attempt) {
-  std::optional<ReceivedStamp> stamp =
-      this->parts.owners.StampOf(attempt.ip, context.deadline);
+  std::optional<ReceivedStamp> stamp = this->parts.owners.StampOf(attempt.ip);
+  // Half of what the owner accepts, so that the forward has time to arrive.
   const std::chrono::microseconds retention =
-      context.match.service->key_retention;
+      context.match.service->key_retention / 2;
   const auto usable = [&] {
     return stamp && this->parts.journal.MaySend(retention, context.read_at,
                                                 stamp->received_at);
   };
   if (!usable()) {
-    stamp = this->parts.owners.RefreshStamp(attempt.ip, context.deadline);
+    stamp = this->parts.owners.RefreshStamp(
+        attempt.ip, context.deadline,
+        this->parts.directory.AcceptTimeoutOf(attempt.ip));
   }
   if (!usable()) {
     return false;
--- a/Source/daemon/ingress.h
+++ b/Source/daemon/ingress.h
@@ -16,6 +16,7 @@
 #include "daemon/endpoint_directory.h"
 #include "daemon/key_journal.h"
 #include "daemon/owner_client.h"
+#include "daemon/request_log.h"
 #include "daemon/service_levels.h"
 
 namespace comfrey {
@@ -51,6 +52,7 @@
   KeyJournal& journal;
   ServiceLevels& levels;
   CounterRegistry& counters;
+  RequestLog& log;
   HeaderNames headers;
   /// Service whose backend server runs on this VM; may be empty.
   std::function<std::string()> local_service = [] { return std::string(); };
@@ -79,11 +81,14 @@
   void Offer(const Context& context, Progress& progress, Attempt& attempt);
   IngressReply GiveUp(const Context& context, const Progress& progress);
   double Draw();
+  std::string TraceId(const HttpRequest& request);
   bool PrepareStamp(const Context& context, Attempt& attempt);
   void SendNonIdempotent(const Context& context, Attempt& attempt);
   void Send(const Context& context, Attempt& attempt);
   void FenceAfterFailure(const Context& context, Attempt& attempt);
   void FillMessage(const Context& context, Attempt& attempt);
+  void TraceOffer(const Context& context, const Attempt& attempt);
+  void Finish(Context& context, const IngressReply& reply);
 
   IngressIdentity identity;
   IngressParts parts;
--- a/Source/daemon/main.cc
+++ b/Source/daemon/main.cc
@@ -1,4 +1,3 @@
-#include <spdlog/sinks/stdout_color_sinks.h>
 #include <spdlog/spdlog.h>
 #include <sys/stat.h>
 
@@ -14,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/log_event.h"
 #include "config/daemon_settings.h"
 #include "daemon/daemon.h"
 #include "gflags/gflags.h"
@@ -125,7 +125,7 @@
   if (!settings) {
     return 1;
   }
-  spdlog::set_default_logger(spdlog::stderr_color_mt("comfreyd"));
+  comfrey::StartEventLog(settings->name);
 
   sigset_t signals;
   sigemptyset(&signals);
@@ -140,10 +140,12 @@
                          std::move(registry));
   const absl::Status started = daemon.Start();
   if (!started.ok()) {
+    comfrey::StopEventLog();
     std::cerr << "comfreyd: " << started.message() << "\n";
     return 1;
   }
   WaitForStopSignal(signals, daemon);
   daemon.Stop();
+  comfrey::StopEventLog();
   return 0;
 }
--- a/Source/daemon/owned_endpoint.cc
+++ b/Source/daemon/owned_endpoint.cc
@@ -12,6 +12,9 @@
 // the target size at 512 KiB take 7 MB of the 32 MB limit.
 constexpr std::size_t kLedgerBytes = std::size_t{512} << 10;
 
+// A target leaves room for a wait and a repeat.
+constexpr int kTargetPerService = 4;
+
 AdmissionPolicy MakeAdmissionPolicy(const EndpointConfig& endpoint,
                                     const ServiceConfig& service,
                                     const std::vector<RankConfig>& ranks) {
@@ -19,11 +22,23 @@
   policy.slots = static_cast<std::size_t>(endpoint.slots > 0 ? endpoint.slots
                                                              : service.slots);
   policy.queue_limit = static_cast<std::size_t>(service.queue_limit);
+  policy.fixed_slots = endpoint.slots > 0;
+  if (service.late_limit) {
+    policy.late_limit = static_cast<std::size_t>(*service.late_limit);
+  }
   if (service.expected_latency) {
     policy.expected_service = *service.expected_latency;
   }
   for (const RankConfig& rank : ranks) {
-    policy.ranks.push_back({rank.name, rank.urgency, rank.share, rank.target});
+    RankPolicy rank_policy;
+    rank_policy.name = rank.name;
+    rank_policy.urgency = rank.urgency;
+    rank_policy.share = rank.share;
+    rank_policy.target = rank.target;
+    if (!service.expected_latency) {
+      rank_policy.expected_service = rank.target / kTargetPerService;
+    }
+    policy.ranks.push_back(std::move(rank_policy));
   }
   return policy;
 }
--- a/Source/daemon/owner_client.cc
+++ b/Source/daemon/owner_client.cc
@@ -63,24 +63,28 @@
   return call;
 }
 
-std::optional<ReceivedStamp> OwnerClient::StampOf(const std::string& ip,
-                                                  TimePoint deadline) {
-  {
-    const std::lock_guard<std::mutex> lock(this->mutex);
-    const auto found = this->stamps.find(ip);
-    if (found != this->stamps.end()) {
-      return found->second;
-    }
-  }
-  return this->RefreshStamp(ip, deadline);
+std::optional<ReceivedStamp> OwnerClient::StampOf(const std::string& ip) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const auto found = this->stamps.find(ip);
+  return found == this->stamps.end() ? std::nullopt
+                                     : std::make_optional(found->second);
 }
 
-std::optional<ReceivedStamp> OwnerClient::RefreshStamp(const std::string& ip,
-                                                       TimePoint deadline) {
+// Asks once: a connection to another region may take most of the time, and a
+// second one would start over.
+std::optional<ReceivedStamp> OwnerClient::RefreshStamp(
+    const std::string& ip,
+    TimePoint deadline,
+    std::chrono::microseconds timeout) {
+  const std::shared_ptr<PeerChannel> channel =
+      this->channels.Get(this->AddressOf(ip));
+  grpc::ClientContext context;
+  context.set_deadline(
+      ToSystemTime(std::min<TimePoint>(deadline, Clock::now() + timeout)));
+  context.set_wait_for_ready(true);
   rpc::OwnerStamp stamp;
-  if (!CallOwner(this->channels, this->AddressOf(ip),
-                 &rpc::Peer::Stub::GetStamp, rpc::StampRequest(), stamp,
-                 deadline)) {
+  if (!channel->stub->GetStamp(&context, rpc::StampRequest(), &stamp).ok()) {
+    this->channels.Drop(channel);
     return std::nullopt;
   }
   this->KeepStamp(ip, stamp);
--- a/Source/daemon/owner_client.h
+++ b/Source/daemon/owner_client.h
@@ -34,13 +34,13 @@
                             const rpc::ForwardRequest& request,
                             const ForwardLimits& limits);
 
-  /// \brief The newest stamp of the owner; asks for one if none is known.
-  std::optional<ReceivedStamp> StampOf(const std::string& ip,
-                                       TimePoint deadline);
+  /// \brief The newest stamp of the owner, if one is known.
+  std::optional<ReceivedStamp> StampOf(const std::string& ip);
 
-  /// \brief Asks the owner for a new stamp.
+  /// \brief Asks the owner for a new stamp, for at most `timeout`.
   std::optional<ReceivedStamp> RefreshStamp(const std::string& ip,
-                                            TimePoint deadline);
+                                            TimePoint deadline,
+                                            std::chrono::microseconds timeout);
 
   /// \brief Fences an attempt; FENCE_UNSPECIFIED if the owner is not reached.
   rpc::FenceReply FenceAttempt(const std::string& ip,
--- a/Source/daemon/owner_result.cc
+++ b/Source/daemon/owner_result.cc
@@ -99,6 +99,34 @@
   return rpc::REFUSAL_DEADLINE;
 }
 
+const char* BackendReplyName(BackendReply reply) {
+  switch (reply) {
+    case BackendReply::kOk:
+      return "ok";
+    case BackendReply::kServerError:
+      return "server error";
+    case BackendReply::kShed:
+      return "shed";
+    case BackendReply::kNotExecuted:
+      return "not executed";
+    case BackendReply::kOtherInstance:
+      return "other instance";
+    case BackendReply::kDraining:
+      return "draining";
+    case BackendReply::kUnmarkedRefusal:
+      return "unmarked refusal";
+    case BackendReply::kNotSent:
+      return "not sent";
+    case BackendReply::kFailed:
+      return "failed";
+    case BackendReply::kTimedOut:
+      return "timed out";
+    case BackendReply::kCancelled:
+      break;
+  }
+  return "cancelled";
+}
+
 BackendReply ClassifyReply(const BackendResult& result,
                            const HeaderNames& names) {
   switch (result.outcome) {
--- a/Source/daemon/owner_result.h
+++ b/Source/daemon/owner_result.h
@@ -29,6 +29,9 @@
   kCancelled,
 };
 
+/// \brief Names a reply, for example "server error".
+const char* BackendReplyName(BackendReply reply);
+
 /// \brief Classifies the end of a call.
 BackendReply ClassifyReply(const BackendResult& result,
                            const HeaderNames& names);
--- a/Source/daemon/owner_service.cc
+++ b/Source/daemon/owner_service.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <utility>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "daemon/message_conversion.h"
 #include "daemon/owner_result.h"
@@ -25,7 +26,10 @@
     std::chrono::milliseconds(30);
 // An ingress that was refused asks a suspect endpoint again after this time.
 constexpr std::chrono::microseconds kSuspectTime =
-    std::chrono::milliseconds(300);
+    std::chrono::milliseconds(500);
+
+// Slots that work from other regions leaves free.
+constexpr std::size_t kReservedSlots = 1;
 
 std::string EndpointKey(absl::string_view team,
                         absl::string_view service,
@@ -33,6 +37,22 @@
   return absl::StrCat(team, "/", service, "/", address);
 }
 
+constexpr int kServerError = 500;
+
+// The id by which the logs of all daemons name the request.
+std::string TraceIdOf(const rpc::ForwardRequest& message,
+                      const BackendProtocol& protocol) {
+  const std::string& name = protocol.headers.attempt_id;
+  for (const rpc::Header& header : message.headers()) {
+    if (!name.empty() && absl::EqualsIgnoreCase(header.name(), name)) {
+      return header.value();
+    }
+  }
+  return absl::StrCat(message.attempt().ingress(), "-",
+                      message.attempt().incarnation(), "-",
+                      message.attempt().sequence());
+}
+
 std::size_t RankIndex(const AdmissionQueue& queue, const std::string& rank) {
   const std::vector<RankPolicy>& ranks = queue.policy.ranks;
   const auto found =
@@ -53,15 +73,20 @@
   KeyedExecution execution;
   std::uint64_t item = 0;
   rpc::Result result;
+  Clock::time_point received;
+  Clock::time_point started;
+  std::chrono::microseconds service_time{0};
 };
 
 OwnerService::OwnerService(OwnerIdentity identity,
                            CallWatchdog& watchdog,
                            CounterRegistry& counters,
+                           RequestLog& log,
                            FenceKeyFunction fence_key,
                            BackendProtocol protocol)
     : identity(std::move(identity)),
       watchdog(watchdog),
+      log(log),
       fence_key(std::move(fence_key)),
       protocol(std::move(protocol)),
       attempts(counters.Counter("comfrey_owner_attempts_total")),
@@ -117,11 +142,14 @@
         absl::StrCat("endpoint ", request.endpoint(),
                      " is not configured at its owner ", this->identity.ip));
   } else {
-    Call call{request, hooks, *endpoint, deadline, RequestFromProto(request),
-              {},      0,     {}};
+    Call call{
+        request, hooks, *endpoint, deadline,     RequestFromProto(request),
+        {},      0,     {},        Clock::now(), {},
+        {}};
     result = this->Run(call);
     this->FillStatus(*endpoint, result);
-    this->FillForecast(*endpoint, request.rank(), result);
+    this->LogEnd(call, *endpoint, result);
+    this->FillForecast(*endpoint, request, result);
   }
   if (result.outcome() == rpc::OUTCOME_NOT_RUN) {
     this->refusals.Add();
@@ -271,6 +299,14 @@
 // Waits until the request holds a slot; if it gets none, sets the result.
 bool OwnerService::WaitForSlot(Call& call, std::unique_lock<std::mutex>& lock) {
   OwnedEndpoint& endpoint = call.endpoint;
+  if (call.message.spare_only() &&
+      endpoint.queue.running.size() + kReservedSlots >=
+          ConcurrencyLimit(endpoint.queue)) {
+    call.result =
+        NotRun(rpc::REFUSAL_BUSY,
+               absl::StrCat(call.message.endpoint(), ": no slot to spare"));
+    return false;
+  }
   call.item = endpoint.next_item_id++;
   WorkItem item;
   item.id = call.item;
@@ -344,6 +380,7 @@
   // Cancelling a non-idempotent request would only make its outcome unknown.
   backend_call.cancelled =
       repeatable ? call.hooks.cancelled : [] { return false; };
+  call.started = Clock::now();
   const std::string instance = endpoint.identity.endpoint.instance;
   const BackendResult backend = endpoint.client.Call(backend_call);
   this->backend_calls.Add();
@@ -355,9 +392,9 @@
   const Clock::time_point now = Clock::now();
   const BackendReply reply = ClassifyReply(backend, this->protocol.headers);
   Finish(endpoint.queue, call.item, FinishOutcomeOf(reply), now);
+  call.service_time = backend.latency;
   if (instance == endpoint.identity.endpoint.instance) {
-    RecordHealth(endpoint.health, reply, backend.latency, now);
-    RecordSuspicion(endpoint.suspicion, this->suspicion, reply, now);
+    this->RecordReply(call, reply, now);
   }
   if (reply == BackendReply::kDraining) {
     endpoint.drain.backend_server = true;
@@ -380,6 +417,55 @@
   endpoint.changed.notify_all();
 }
 
+// Records what a reply says about its endpoint, and logs a change of belief.
+void OwnerService::RecordReply(Call& call,
+                               BackendReply reply,
+                               Clock::time_point now) {
+  OwnedEndpoint& endpoint = call.endpoint;
+  RecordHealth(endpoint.health, reply, call.service_time, now);
+  const bool was_suspect = IsSuspect(endpoint.suspicion, this->suspicion, now);
+  RecordSuspicion(endpoint.suspicion, this->suspicion, reply, now);
+  const bool is_suspect = IsSuspect(endpoint.suspicion, this->suspicion, now);
+  if (was_suspect != is_suspect) {
+    WriteEvent(LogEvent(is_suspect ? "endpoint_suspect" : "endpoint_cleared")
+                   .Add("endpoint", endpoint.identity.endpoint.address)
+                   .Add("instance", endpoint.identity.endpoint.instance)
+                   .Add("request", TraceIdOf(call.message, this->protocol))
+                   .Add("reply", BackendReplyName(reply))
+                   .AddShare("probability", endpoint.suspicion.probability));
+  }
+}
+
+// Logs how a forward ended, with what the endpoint looked like.
+void OwnerService::LogEnd(const Call& call,
+                          const OwnedEndpoint& endpoint,
+                          const rpc::Result& result) const {
+  const std::string id = TraceIdOf(call.message, this->protocol);
+  const bool ran = result.sent_to_backend();
+  LogEvent event(ran ? "attempt_finished" : "attempt_refused");
+  event.Add("request", id)
+      .Add("ingress", call.message.attempt().ingress())
+      .Add("endpoint", call.message.endpoint())
+      .Add("instance", endpoint.identity.endpoint.instance)
+      .Add("rank", call.message.rank())
+      .Add("load", result.status().load())
+      .Add("limit", result.status().limit())
+      .AddShare("failure_probability", endpoint.suspicion.probability);
+  if (ran) {
+    event.AddTime("queued", call.started - call.received)
+        .AddTime("service", call.service_time);
+  }
+  if (result.outcome() == rpc::OUTCOME_ANSWERED) {
+    event.Add("status", result.answer().status());
+  } else {
+    event.Add("reason", rpc::RefusalReason_Name(result.reason()))
+        .Add("detail", result.detail());
+  }
+  const bool served = result.outcome() == rpc::OUTCOME_ANSWERED &&
+                      result.answer().status() < kServerError;
+  this->log.Write(id, event, !served);
+}
+
 rpc::FenceReply OwnerService::FenceAttempt(
     const rpc::FenceAttemptRequest& request) {
   const std::shared_ptr<OwnedEndpoint> endpoint =
@@ -514,7 +600,7 @@
 
 // Tells the ingress for how long it need not ask again.
 void OwnerService::FillForecast(OwnedEndpoint& endpoint,
-                                const std::string& rank,
+                                const rpc::ForwardRequest& request,
                                 rpc::Result& result) const {
   rpc::EndpointStatus& status = *result.mutable_status();
   const std::lock_guard<std::mutex> lock(endpoint.mutex);
@@ -522,19 +608,22 @@
   if (IsSuspect(endpoint.suspicion, this->suspicion, now)) {
     status.set_suspect_for_us(kSuspectTime.count());
   }
-  const std::size_t index = RankIndex(endpoint.queue, rank);
+  const std::size_t rank = RankIndex(endpoint.queue, request.rank());
+  const std::chrono::microseconds wait =
+      ExpectedWait(endpoint.queue, rank, request.organisation(), now);
+  status.set_expected_wait_us(wait.count());
+  if (result.reason() == rpc::REFUSAL_BUSY) {
+    status.set_full_for_us(std::min(wait, kMaxBusyTime).count());
+    return;
+  }
+  if (result.reason() != rpc::REFUSAL_QUEUE_FULL) {
+    return;
+  }
   for (const RefusalForecast& forecast :
        ForecastRefusals(endpoint.queue, now)) {
-    if (forecast.rank != index) {
-      continue;
-    }
-    status.set_expected_wait_us(forecast.expected_wait.count());
-    if (result.reason() == rpc::REFUSAL_QUEUE_FULL) {
+    if (forecast.rank == rank) {
       status.set_full_for_us(
           std::min(forecast.refused_for, kMaxFullTime).count());
-    } else if (result.reason() == rpc::REFUSAL_BUSY) {
-      status.set_full_for_us(
-          std::min(forecast.expected_wait, kMaxBusyTime).count());
     }
   }
 }
--- a/Source/daemon/owner_service.h
+++ b/Source/daemon/owner_service.h
@@ -16,6 +16,8 @@
 #include "config/config_store.h"
 #include "daemon/call_watchdog.h"
 #include "daemon/owned_endpoint.h"
+#include "daemon/owner_result.h"
+#include "daemon/request_log.h"
 #include "peer.pb.h"
 
 namespace comfrey {
@@ -54,9 +56,12 @@
 /// \brief Runs forwarded requests at the backend servers of this VM.
 class OwnerService {
  public:
+  using Clock = std::chrono::steady_clock;
+
   OwnerService(OwnerIdentity identity,
                CallWatchdog& watchdog,
                CounterRegistry& counters,
+               RequestLog& log,
                FenceKeyFunction fence_key,
                BackendProtocol protocol = {});
   ~OwnerService();
@@ -108,13 +113,18 @@
                         std::unique_lock<std::mutex>& lock);
   bool WaitForSlot(Call& call, std::unique_lock<std::mutex>& lock);
   void CallBackend(Call& call, std::unique_lock<std::mutex>& lock);
+  void LogEnd(const Call& call,
+              const OwnedEndpoint& endpoint,
+              const rpc::Result& result) const;
+  void RecordReply(Call& call, BackendReply reply, Clock::time_point now);
   void FillForecast(OwnedEndpoint& endpoint,
-                    const std::string& rank,
+                    const rpc::ForwardRequest& request,
                     rpc::Result& result) const;
   void FillStatus(OwnedEndpoint& endpoint, rpc::Result& result) const;
 
   OwnerIdentity identity;
   CallWatchdog& watchdog;
+  RequestLog& log;
   FenceKeyFunction fence_key;
   BackendProtocol protocol;
   SuspicionPolicy suspicion;
--- a/Source/daemon/registry_watcher.cc
+++ b/Source/daemon/registry_watcher.cc
@@ -78,14 +78,9 @@
               : this->source.watch(this->view.revision, AnyMissing(this->view)
                                                             ? kMissingWatchTime
                                                             : kWatchTime);
-  if (absl::IsOutOfRange(update.status())) {
-    spdlog::warn("registry: {}; all entries are read again",
-                 std::string(update.status().message()));
-    this->listed = false;
-    return milliseconds(0);
-  }
   if (!update.ok()) {
-    return this->NoteFailure(update.status());
+    const milliseconds delay = this->NoteFailure(update.status());
+    return absl::IsOutOfRange(update.status()) ? milliseconds(0) : delay;
   }
   this->listed = true;
   this->retry_delay = kMinRetryDelay;
@@ -124,6 +119,9 @@
     spdlog::warn("registry: {}", std::string(status.message()));
   }
   NoteRegistryLost(this->view);
+  // A watch that is sent while the registry drops its history may wait without
+  // an answer for changes that happened before; a listing shows them.
+  this->listed = false;
   const milliseconds delay = this->retry_delay;
   this->retry_delay = std::min(2 * this->retry_delay, kMaxRetryDelay);
   // Spread, so that the fleet does not return to the registry at once.
--- a/Tests/core/admission_queue_test.cc
+++ b/Tests/core/admission_queue_test.cc
@@ -667,5 +667,60 @@
   }));
 }
 
+// Guards against a long queue that is announced as a short wait, so that work
+// goes on to it although others are free: the queue of the own organisation and
+// the running items count.
+TEST_CASE("the expected wait covers the queue of the own organisation") {
+  AdmissionQueue queue(MakePolicy(3, 64), kStart);
+  CHECK(ExpectedWait(queue, 0, "a", kStart).count() == 0);
+  FillSlots(queue, 0);
+  const auto first = ExpectedWait(queue, 0, "a", kStart);
+  CHECK(first.count() > 0);
+  for (std::uint64_t id = 1; id <= 30; id++) {
+    Offer(queue, MakeItem(id, 0, "a", kStart, seconds(60)), kStart);
+  }
+  const auto service = queue.policy.expected_service;
+  // 30 items in 3 slots take 10 service times.
+  CHECK(ExpectedWait(queue, 0, "a", kStart) >= 9 * service);
+  CHECK(ExpectedWait(queue, 0, "b", kStart) < 3 * service);
+  CHECK(ExpectedWait(queue, 99, "a", kStart).count() == 0);
+}
+
+// Guards against a backend server that refuses requests at random and is then
+// given one request at a time, although its slots are known.
+TEST_CASE("shed requests do not change exact slots") {
+  for (const bool fixed : {false, true}) {
+    AdmissionPolicy policy = MakePolicy(4, 64);
+    policy.fixed_slots = fixed;
+    AdmissionQueue queue(policy, kStart);
+    TimePoint now = kStart;
+    for (std::uint64_t id = 1; id <= 20; id++) {
+      now += milliseconds(20);
+      Offer(queue, MakeItem(id, 0, "a", now, seconds(60)), now);
+      Finish(queue, id, FinishOutcome::kShed, now + milliseconds(1));
+    }
+    CHECK(ConcurrencyLimit(queue) == (fixed ? 4 : 1));
+  }
+}
+
+// Guards against work that waits until its deadline behind newer work in a
+// lasting overload, although it could be refused at once and go elsewhere.
+TEST_CASE("late work beyond its limit is given up while it has time left") {
+  AdmissionPolicy policy = MakePolicy(1, 64);
+  policy.late_limit = 2;
+  policy.ranks[0].target = milliseconds(200);
+  AdmissionQueue queue(policy, kStart);
+  FillSlots(queue, 0);
+  for (std::uint64_t id = 1; id <= 6; id++) {
+    const TimePoint now = kStart + milliseconds(10 * static_cast<int>(id));
+    Offer(queue, MakeItem(id, 0, "a", now, seconds(60)), now);
+    Advance(queue, now);
+  }
+  CHECK(queue.queued.size() == 6);
+  const AdmissionProgress progress = Advance(queue, kStart + seconds(1));
+  CHECK(Ids(progress.expired) == IdList{1, 2, 3, 4});
+  CHECK(queue.queued.size() == 2);
+}
+
 }  // namespace
 }  // namespace comfrey
