Block signals before the log's thread starts; send fresh stamps only

A stamp that was received before the request was read counted as usable at any age; its owner refused the forward, and the caller of an order that did not run was told that the outcome is unknown. Stamps are now refreshed at half of the age that owners accept, and such a refusal of an attempt without a key is reported as not run.

--- a/Source/core/attempt_journal.cc
+++ b/Source/core/attempt_journal.cc
@@ -181,4 +181,11 @@
          now - read_at <= ForwardAgeLimit(times);
 }
 
+// Half of the limit of the owner is left for the forward to arrive.
+bool IsStampFresh(const KeyTimes& times,
+                  steady_clock::time_point received_at,
+                  steady_clock::time_point now) {
+  return now - received_at <= ForwardAgeLimit(times) / 2;
+}
+
 }  // namespace comfrey
--- a/Source/core/attempt_journal.h
+++ b/Source/core/attempt_journal.h
@@ -91,6 +91,12 @@
                            std::uint64_t owner_incarnation,
                            std::chrono::steady_clock::time_point now);
 
+/// \brief Whether a stamp is recent enough that its owner accepts a forward
+/// which is sent with it now.
+bool IsStampFresh(const KeyTimes& times,
+                  std::chrono::steady_clock::time_point received_at,
+                  std::chrono::steady_clock::time_point now);
+
 /// \brief Whether a non-idempotent request that the ingress read at `read_at`
 /// may be sent with a stamp that arrived at `stamp_received_at`.
 ///
--- a/Source/ctl/command_line.cc
+++ b/Source/ctl/command_line.cc
@@ -10,6 +10,7 @@
 #include "ctl/counters_command.h"
 #include "ctl/drain_command.h"
 #include "ctl/explain_command.h"
+#include "ctl/explain_request_command.h"
 #include "ctl/status_command.h"
 
 namespace comfrey {
@@ -52,8 +53,9 @@
 
 const std::vector<Command>& Commands() {
   static const auto& commands = *new std::vector<Command>{
-      CheckCommand(),   StatusCommand(), DrainCommand(),   UndrainCommand(),
-      ExplainCommand(), BurnCommand(),   CountersCommand()};
+      CheckCommand(),   StatusCommand(),  DrainCommand(),
+      UndrainCommand(), ExplainCommand(), ExplainRequestCommand(),
+      BurnCommand(),    CountersCommand()};
   return commands;
 }
 
--- a/Source/daemon/ingress.cc
+++ b/Source/daemon/ingress.cc
@@ -11,6 +11,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include "config/route_table.h"
+#include "core/attempt_journal.h"
 #include "core/key_placement.h"
 #include "daemon/message_conversion.h"
 
@@ -66,6 +67,13 @@
                });
 }
 
+KeyTimes MakeKeyTimes(std::chrono::microseconds retention) {
+  KeyTimes times;
+  times.key_retention =
+      std::chrono::duration_cast<std::chrono::milliseconds>(retention);
+  return times;
+}
+
 std::string IpOf(const ServiceConfig& service, const std::string& address) {
   const auto found = std::find_if(
       service.endpoints.begin(), service.endpoints.end(),
@@ -545,12 +553,14 @@
 // Gets a stamp that may be sent with the request; false if there is none.
 bool Ingress::PrepareStamp(const Context& context, Attempt& attempt) {
   std::optional<ReceivedStamp> stamp = this->parts.owners.StampOf(attempt.ip);
-  // Half of what the owner accepts, so that the forward has time to arrive.
   const std::chrono::microseconds retention =
-      context.match.service->key_retention / 2;
+      context.match.service->key_retention;
   const auto usable = [&] {
-    return stamp && this->parts.journal.MaySend(retention, context.read_at,
-                                                stamp->received_at);
+    return stamp &&
+           IsStampFresh(MakeKeyTimes(retention), stamp->received_at,
+                        Clock::now()) &&
+           this->parts.journal.MaySend(retention, context.read_at,
+                                       stamp->received_at);
   };
   if (!usable()) {
     stamp = this->parts.owners.RefreshStamp(
@@ -583,10 +593,13 @@
     return;
   }
   this->Send(context, attempt);
-  if (attempt.outcome == CallerOutcome::kUnknown &&
-      attempt.reason == rpc::REFUSAL_INCARNATION) {
-    // The attempt was sent once, and it reached another incarnation than the
-    // one that it was meant for; so it ran at neither.
+  // The attempt was sent once. If it reached another incarnation than the one
+  // that it was meant for, it ran at neither; and without a key, no other
+  // attempt can have run it before its stamp became too old.
+  const bool refused_unseen =
+      attempt.reason == rpc::REFUSAL_INCARNATION ||
+      (attempt.reason == rpc::REFUSAL_STALE_FORWARD && !context.key);
+  if (attempt.outcome == CallerOutcome::kUnknown && refused_unseen) {
     attempt.outcome = CallerOutcome::kNotRun;
   }
   if (context.key) {
--- a/Source/daemon/main.cc
+++ b/Source/daemon/main.cc
@@ -125,8 +125,8 @@
   if (!settings) {
     return 1;
   }
-  comfrey::StartEventLog(settings->name);
-
+  // Blocked before any thread starts: a signal would otherwise end the process
+  // in a thread that does not block it.
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
@@ -134,6 +134,7 @@
   sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
+  comfrey::StartEventLog(settings->name);
 
   comfrey::RegistrySource registry = MakeRegistrySource(*settings);
   comfrey::Daemon daemon(*std::move(settings), NewIncarnation(),
--- /dev/null
+++ b/Tests/base/log_event_test.cc
@@ -0,0 +1,30 @@
+#include "base/log_event.h"
+
+#include <string>
+
+#include "catch2/catch.hpp"
+
+namespace comfrey {
+namespace {
+
+// Guards against a line that a program cannot read, whatever a caller sent.
+TEST_CASE("an event is one line of JSON") {
+  const std::string text = LogEvent("offered")
+                               .Add("request", "a\"b\\c\n\xff")
+                               .Add("load", 7)
+                               .AddShare("probability", 0.25)
+                               .AddFlag("sent", true)
+                               .AddTime("took", std::chrono::microseconds(1500))
+                               .Text();
+  CHECK(text.rfind("{\"time\":\"", 0) == 0);
+  CHECK(text.find("\"event\":\"offered\"") != std::string::npos);
+  CHECK(text.find(R"("request":"a\"b\\c\u000a\u00ff")") != std::string::npos);
+  CHECK(text.find("\"load\":7") != std::string::npos);
+  CHECK(text.find("\"probability\":0.250") != std::string::npos);
+  CHECK(text.find("\"sent\":true") != std::string::npos);
+  CHECK(text.find("\"took_ms\":1.5}") != std::string::npos);
+  CHECK(text.find('\n') == std::string::npos);
+}
+
+}  // namespace
+}  // namespace comfrey
--- a/Tests/core/key_recovery_test.cc
+++ b/Tests/core/key_recovery_test.cc
@@ -157,5 +157,13 @@
   CHECK(StampUsable(kTimes, pauses, At(65), At(70), At(70)));
 }
 
+// Guards against a forward that its owner refuses because of its stamp, so that
+// an order which did not run is reported as unknown.
+TEST_CASE("a stamp is fresh for half of the time that its owner accepts") {
+  // The owner accepts stamps of up to 1 s.
+  CHECK(IsStampFresh(kTimes, At(0), At(500)));
+  CHECK_FALSE(IsStampFresh(kTimes, At(0), At(501)));
+}
+
 }  // namespace
 }  // namespace comfrey
