--- a/Source/core/placement.h
+++ b/Source/core/placement.h
@@ -64,11 +64,11 @@
 /// Answers a load near the capacity, with stale knowledge of it: each endpoint
 /// of the region is asked for a free slot, nearest first, before the request
 /// waits in the shortest queue or leaves the region. Another region gives only
-/// spare slots: if regions near their capacity took each other's last slots, all
-/// of their work would travel. Work is queued in another region only if its own
-/// has no sound endpoint. A suspect endpoint gets it
-/// only if all endpoints are suspect: a caller who is refused may come back,
-/// one whose order fails may not.
+/// spare slots: if regions near their capacity took each other's last slots,
+/// all of their work would travel. Work is queued in another region only if its
+/// own has no sound endpoint. A suspect endpoint gets it only if all endpoints
+/// are suspect: a caller who is refused may come back, one whose order fails
+/// may not.
 std::optional<Placement> NextPlacement(
     const CapacityPlan& plan,
     const std::vector<EndpointView>& views,
