Test the registry with real processes; lint

A stand-in of the users' store and of marked backend servers, with two daemons: routes, headers, draining, an absent store, reload and stop.

--- a/Source/daemon/daemon.cc
+++ b/Source/daemon/daemon.cc
@@ -202,7 +202,7 @@
     if (!listener.address) {
       continue;
     }
-    const absl::Status status =
+    absl::Status status =
         listener.frontend.Start(listener.address->ip, listener.address->port);
     if (!status.ok()) {
       return status;
--- a/Source/daemon/owner_service.cc
+++ b/Source/daemon/owner_service.cc
@@ -402,10 +402,10 @@
   }
   call.result = ToResult(backend, reply);
   if (!repeatable) {
-    if (reply == BackendReply::kNotExecuted ||
-        reply == BackendReply::kOtherInstance) {
-      LoseAttempt(endpoint.keyed.ledger, ledger_request, now);
-    } else if (backend.outcome == BackendOutcome::kAnswered) {
+    const bool answered = backend.outcome == BackendOutcome::kAnswered &&
+                          reply != BackendReply::kNotExecuted &&
+                          reply != BackendReply::kOtherInstance;
+    if (answered) {
       FinishAttempt(endpoint.keyed.ledger, ledger_request,
                     std::make_shared<const HttpResponse>(backend.response),
                     now);
--- a/Source/platform/registry_decoder.cc
+++ b/Source/platform/registry_decoder.cc
@@ -116,10 +116,11 @@
 
 template <typename T>
 absl::Status Assign(absl::StatusOr<T> read, T& value) {
-  if (read.ok()) {
-    value = *std::move(read);
+  if (!read.ok()) {
+    return read.status();
   }
-  return read.status();
+  value = *std::move(read);
+  return absl::OkStatus();
 }
 
 absl::StatusOr<PublishedRoute> ReadRoute(const json& spec, std::string name) {
@@ -189,13 +190,13 @@
   if (*kind == "services") {
     PublishedService service;
     service.name = *std::move(name);
-    const absl::Status status =
+    absl::Status status =
         Assign(ReadText(*spec, "health_path"), service.health_path);
     config.services.push_back(std::move(service));
     return status;
   }
   PublishedRoute route;
-  const absl::Status status = Assign(ReadRoute(*spec, *name), route);
+  absl::Status status = Assign(ReadRoute(*spec, *name), route);
   if (!status.ok()) {
     return absl::InvalidArgumentError(
         absl::StrCat("route ", *name, ": ", status.message()));
--- /dev/null
+++ b/Tests/stand_ins/fake_registry.cc
@@ -0,0 +1,133 @@
+#include "stand_ins/fake_registry.h"
+
+#include <chrono>
+
+#include "absl/strings/escaping.h"
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+
+namespace comfrey {
+namespace {
+
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+constexpr int kThreads = 16;
+
+void Answer(httplib::Response& response, const std::string& body) {
+  response.set_content(body, "application/json");
+}
+
+}  // namespace
+
+FakeRegistry::FakeRegistry(const std::string& ip, int port) {
+  this->server.new_task_queue = [] {
+    return new httplib::ThreadPool(kThreads);
+  };
+  this->server.Get("/kv-key", [this](const auto& request, auto& response) {
+    this->Read(request, response);
+  });
+  this->server.Get("/kv-range", [this](const auto& request, auto& response) {
+    this->List(request, response);
+  });
+  this->server.Get("/kv-watch", [this](const auto& request, auto& response) {
+    this->Watch(request, response);
+  });
+  this->server.bind_to_port(ip, port);
+  this->thread = std::thread([this] { this->server.listen_after_bind(); });
+}
+
+FakeRegistry::~FakeRegistry() {
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->stopping = true;
+    this->changed.notify_all();
+  }
+  this->server.stop();
+  this->thread.join();
+}
+
+void FakeRegistry::Put(const std::string& key, const std::string& value) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->items[key] = {value, ++this->revision};
+  this->changed.notify_all();
+}
+
+void FakeRegistry::SetAway(bool next) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->away = next;
+  this->changed.notify_all();
+}
+
+std::string FakeRegistry::Render(const std::string& key,
+                                 const Item& item) const {
+  return absl::StrCat("{\"key\":\"", key, "\",\"value\":\"",
+                      absl::Base64Escape(item.value),
+                      "\",\"rev\":", item.revision,
+                      ",\"create_revision\":", item.revision, ",\"lease\":0");
+}
+
+bool FakeRegistry::Refuse(httplib::Response& response) const {
+  if (this->away) {
+    response.status = kUnavailable;
+  }
+  return this->away;
+}
+
+void FakeRegistry::Read(const httplib::Request& request,
+                        httplib::Response& response) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const std::string key = request.get_param_value("key");
+  const auto found = this->items.find(key);
+  if (this->Refuse(response)) {
+    return;
+  }
+  if (found == this->items.end()) {
+    response.status = kNotFound;
+    return;
+  }
+  Answer(response, absl::StrCat(this->Render(key, found->second),
+                                ",\"store_revision\":", this->revision, "}"));
+}
+
+void FakeRegistry::List(const httplib::Request& request,
+                        httplib::Response& response) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  if (this->Refuse(response)) {
+    return;
+  }
+  std::string rendered;
+  for (const auto& [key, item] : this->items) {
+    if (absl::StartsWith(key, request.get_param_value("prefix"))) {
+      absl::StrAppend(&rendered, rendered.empty() ? "" : ",",
+                      this->Render(key, item), "}");
+    }
+  }
+  Answer(response, absl::StrCat("{\"items\":[", rendered,
+                                "],\"has_more\":false,\"store_revision\":",
+                                this->revision, "}"));
+}
+
+void FakeRegistry::Watch(const httplib::Request& request,
+                         httplib::Response& response) {
+  const std::uint64_t after = std::stoull(request.get_param_value("after"));
+  const std::chrono::milliseconds wait(
+      std::stoi(request.get_param_value("wait_ms")));
+  std::unique_lock<std::mutex> lock(this->mutex);
+  this->changed.wait_for(lock, wait, [&] {
+    return this->stopping || this->away || this->revision > after;
+  });
+  if (this->Refuse(response)) {
+    return;
+  }
+  std::string rendered;
+  for (const auto& [key, item] : this->items) {
+    if (item.revision > after) {
+      absl::StrAppend(&rendered, rendered.empty() ? "" : ",",
+                      this->Render(key, item), "}");
+    }
+  }
+  Answer(response, absl::StrCat("{\"events\":[", rendered,
+                                "],\"store_revision\":", this->revision, "}"));
+}
+
+}  // namespace comfrey
--- /dev/null
+++ b/Tests/stand_ins/fake_registry.h
@@ -0,0 +1,55 @@
+#ifndef TESTS_STAND_INS_FAKE_REGISTRY_H_
+#define TESTS_STAND_INS_FAKE_REGISTRY_H_
+
+#include <httplib.h>
+
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace comfrey {
+
+/// \brief Stand-in for the users' metadata store: items under keys, read by
+/// key, by prefix, or by a watch.
+class FakeRegistry {
+ public:
+  FakeRegistry(const std::string& ip, int port);
+  ~FakeRegistry();
+
+  FakeRegistry(const FakeRegistry&) = delete;
+  FakeRegistry& operator=(const FakeRegistry&) = delete;
+
+  /// \brief Writes an item; each write is a new revision.
+  void Put(const std::string& key, const std::string& value);
+
+  /// \brief While it is away, all calls get 503 and waiting watches end.
+  void SetAway(bool next);
+
+ private:
+  struct Item {
+    std::string value;
+    std::uint64_t revision = 0;
+  };
+
+  std::string Render(const std::string& key, const Item& item) const;
+  void Read(const httplib::Request& request, httplib::Response& response);
+  void List(const httplib::Request& request, httplib::Response& response);
+  void Watch(const httplib::Request& request, httplib::Response& response);
+  bool Refuse(httplib::Response& response) const;
+
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::map<std::string, Item> items;
+  std::uint64_t revision = 1;
+  bool away = false;
+  bool stopping = false;
+  httplib::Server server;
+  std::thread thread;
+};
+
+}  // namespace comfrey
+
+#endif  // TESTS_STAND_INS_FAKE_REGISTRY_H_
--- /dev/null
+++ b/Tests/system/registry_test.cc
@@ -0,0 +1,241 @@
+#include <httplib.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "absl/strings/str_cat.h"
+#include "catch2/catch.hpp"
+#include "stand_ins/fake_registry.h"
+#include "system/process.h"
+
+namespace comfrey {
+namespace {
+
+using std::chrono::milliseconds;
+using Clock = std::chrono::steady_clock;
+
+constexpr int kRegistryPort = 7300;
+constexpr int kCallerPort = 8080;
+constexpr int kReadyPort = 8082;
+constexpr int kBackendPort = 8081;
+constexpr std::chrono::seconds kPatience{20};
+
+std::string AddressOf(int vm) {
+  constexpr int kOctet = 250;
+  return absl::StrCat("127.", 1 + getpid() % kOctet, ".201.", vm);
+}
+
+bool WaitFor(const std::function<bool()>& condition) {
+  const Clock::time_point begin = Clock::now();
+  while (!condition()) {
+    if (Clock::now() - begin > kPatience) {
+      return false;
+    }
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+  return true;
+}
+
+// A backend server that marks its responses and runs only what is meant for it.
+class MarkedBackend {
+ public:
+  explicit MarkedBackend(int vm) : instance(absl::StrCat("i-", vm)) {
+    const auto work = [this](const httplib::Request& request,
+                             httplib::Response& response) {
+      if (request.get_header_value("X-Instance") != this->instance) {
+        response.status = 421;
+        return;
+      }
+      ++this->runs;
+      std::this_thread::sleep_for(milliseconds(this->delay_ms));
+      response.set_header("X-Mark", this->instance);
+      response.set_header("X-Attempt", request.get_header_value("X-Attempt"));
+      response.set_content(
+          absl::StrCat(this->instance, " ", request.target, " ",
+                       request.get_header_value("X-Caller"), " ",
+                       request.get_header_value("X-Left").empty() ? "" : "left",
+                       " ", request.body),
+          "text/plain");
+    };
+    this->server.Get(".*", work);
+    this->server.Post(".*", work);
+    this->server.bind_to_port(AddressOf(vm), kBackendPort);
+    this->thread = std::thread([this] { this->server.listen_after_bind(); });
+  }
+  ~MarkedBackend() {
+    this->server.stop();
+    this->thread.join();
+  }
+
+  std::string instance;
+  std::atomic<int> runs{0};
+  std::atomic<int> delay_ms{0};
+
+ private:
+  httplib::Server server;
+  std::thread thread;
+};
+
+std::string Registration(int vm, const std::string& state) {
+  return absl::StrCat(R"({"service":"booking","address":")", AddressOf(vm), ":",
+                      kBackendPort,
+                      R"(","zone":"a","version":"v1","slots":4,"state":")",
+                      state, R"(","cold_remaining":"0ms","sequence":1})");
+}
+
+std::string Configuration(int version, const std::string& prefix) {
+  return absl::StrCat(
+      R"({"version":"r)", version, R"(","resources":[)",
+      R"({"entry_kind":"routes","metadata":{"name":"x"},"spec":{)",
+      R"("host":"shop.example","prefix":")", prefix,
+      R"(","kind":"unsafe","timeout":"5s","target_latency":"1s",)",
+      R"("priority":0,"service":"booking","max_attempts":2}},)",
+      R"({"entry_kind":"services","metadata":{"name":"booking"},)",
+      R"("spec":{"health_path":"/health"}}]})");
+}
+
+// Two VMs with a backend server and a daemon each, and a registry.
+struct Platform {
+  Platform()
+      : registry(AddressOf(250), kRegistryPort),
+        directory(std::filesystem::temp_directory_path() /
+                  absl::StrCat("comfrey-registry-", getpid())) {
+    std::filesystem::create_directories(this->directory);
+    this->registry.Put("op/config", Configuration(3, "/a/"));
+    for (int vm = 1; vm <= 2; ++vm) {
+      this->registry.Put(absl::StrCat("servers/i-", vm),
+                         Registration(vm, "ready"));
+      this->WriteSettings(vm, "booking");
+    }
+    this->registry.Put("servers/i-9", "no registration");
+    this->first = this->StartDaemon(1);
+    this->second = this->StartDaemon(2);
+  }
+  ~Platform() { std::filesystem::remove_all(this->directory); }
+
+  std::string SettingsFile(int vm) const {
+    return (this->directory / absl::StrCat(vm, ".ini")).string();
+  }
+
+  void WriteSettings(int vm, const std::string& local_service) const {
+    const std::string ip = AddressOf(vm);
+    std::ofstream(this->SettingsFile(vm))
+        << "[daemon]\nname = vm-" << vm << "\naddress = " << ip
+        << "\nregion = r\nfailure_domain = a\nready_listen = " << ip << ":"
+        << kReadyPort
+        << "\nready_path = /ready\nlocal_service = " << local_service
+        << "\n[registry]\naddress = " << AddressOf(250) << ":" << kRegistryPort
+        << "\nregions = a r\n[headers]\n"
+        << "attempt_id = X-Attempt\ntime_left = X-Left\n"
+        << "expected_instance = X-Instance\nnot_executed = X-Not-Run\n"
+        << "caller_service = X-Caller\nsignature = X-Mark\n"
+        << "[shutdown]\ngrace = 6s\n";
+  }
+
+  std::unique_ptr<Process> StartDaemon(int vm) const {
+    return std::make_unique<Process>(
+        "Source/daemon/comfreyd", std::vector<std::string>{absl::StrCat(
+                                      "--settings=", this->SettingsFile(vm))});
+  }
+
+  static bool IsReady(int vm) {
+    httplib::Client client(AddressOf(vm), kReadyPort);
+    const httplib::Result result = client.Get("/ready");
+    return result && result->status == 200;
+  }
+
+  static httplib::Result Send(int vm,
+                              const std::string& target,
+                              const std::string& host = "shop.example") {
+    httplib::Client client(AddressOf(vm), kCallerPort);
+    client.set_read_timeout(kPatience);
+    return client.Post(target,
+                       {{"Host", host},
+                        {"X-Attempt", "7"},
+                        {"X-Left", "4000"},
+                        {"X-Caller", "forged"}},
+                       "body", "text/plain");
+  }
+
+  MarkedBackend backend_one{1};
+  MarkedBackend backend_two{2};
+  FakeRegistry registry;
+  std::filesystem::path directory;
+  std::unique_ptr<Process> first;
+  std::unique_ptr<Process> second;
+};
+
+// Guards against headers that are missing or forged, a route that is not in
+// force, an endpoint that leaves and still gets work, and a daemon that forgets
+// what it knows when the registry goes away.
+TEST_CASE("a fleet with a registry serves what is published") {
+  Platform platform;
+  REQUIRE(WaitFor([] { return Platform::IsReady(1) && Platform::IsReady(2); }));
+
+  const httplib::Result served = Platform::Send(1, "/a/b?c=d");
+  REQUIRE(served);
+  CHECK(served->status == 200);
+  CHECK_THAT(served->body, Catch::Contains("/a/b?c=d booking left body"));
+  CHECK(served->get_header_value("X-Mark") == served->body.substr(0, 3));
+  CHECK(Platform::Send(1, "/b/x")->status == 404);
+  CHECK(Platform::Send(1, "/a/x", "other.example")->status == 404);
+
+  platform.registry.Put("op/config", Configuration(5, "/b/"));
+  CHECK(WaitFor([] { return Platform::Send(2, "/b/x")->status == 200; }));
+  CHECK(Platform::Send(2, "/a/x")->status == 404);
+
+  platform.registry.Put("servers/i-1", Registration(1, "draining"));
+  std::this_thread::sleep_for(milliseconds(2500));
+  const int runs = platform.backend_one.runs;
+  for (int i = 0; i < 10; ++i) {
+    CHECK(Platform::Send(1, "/b/x")->status == 200);
+  }
+  CHECK(platform.backend_one.runs == runs);
+
+  platform.registry.SetAway(true);
+  std::this_thread::sleep_for(milliseconds(1500));
+  CHECK(Platform::Send(1, "/b/x")->status == 200);
+  platform.registry.SetAway(false);
+}
+
+// Guards against a stop that ends the process at once (a signal that reaches a
+// thread which does not block it), one that goes on to invite callers, and one
+// that outlasts its grace period; and against a reload that loses requests.
+TEST_CASE(
+    "a daemon with a registry reloads and stops without losing requests") {
+  Platform platform;
+  REQUIRE(WaitFor([] { return Platform::IsReady(1) && Platform::IsReady(2); }));
+  platform.WriteSettings(1, "survey");
+  platform.first->Signal(SIGHUP);
+  CHECK(WaitFor([] {
+    return Platform::Send(1, "/a/x")->body.find(" survey ") !=
+           std::string::npos;
+  }));
+
+  platform.backend_one.delay_ms = 1500;
+  platform.backend_two.delay_ms = 1500;
+  auto in_flight = std::async(std::launch::async,
+                              [] { return Platform::Send(1, "/a/slow"); });
+  std::this_thread::sleep_for(milliseconds(300));
+  const Clock::time_point begin = Clock::now();
+  platform.first->Signal(SIGTERM);
+  CHECK(WaitFor([] { return !Platform::IsReady(1); }));
+  CHECK(Clock::now() - begin < std::chrono::seconds(1));
+  const httplib::Result result = in_flight.get();
+  REQUIRE(result);
+  CHECK(result->status == 200);
+  CHECK(platform.first->Wait(std::chrono::seconds(10)) == 0);
+  CHECK(Clock::now() - begin < std::chrono::seconds(6));
+}
+
+}  // namespace
+}  // namespace comfrey
