Wait for each owner in the keyed test; keep wire names of tests in one folder

Each owner confirms its configuration by itself; the test waited for a key with another home. A pause of the owner is ruled out, as it would have had to last 500 ms within 24 ms. The test now waits until a key has run at each owner, and checks the same as before.

The stand-in of the registry and the documents that it serves move to Tests/platform. The start of a registration is a time point.

--- a/Source/config/registry.h
+++ b/Source/config/registry.h
@@ -20,8 +20,8 @@
   /// Concurrent requests; at least 1.
   int slots = 1;
   bool draining = false;
-  /// Start of the backend server, in milliseconds of Unix time; 0 if unknown.
-  std::int64_t started_ms = 0;
+  /// Start of the backend server; the epoch if it is not known.
+  std::chrono::system_clock::time_point started_at;
 };
 
 /// \brief A route as it was published.
--- a/Source/config/registry_view.cc
+++ b/Source/config/registry_view.cc
@@ -46,9 +46,9 @@
 
 bool SameUse(const RegisteredEndpoint& a, const RegisteredEndpoint& b) {
   return std::tie(a.service, a.address.ip, a.address.port, a.failure_domain,
-                  a.slots, a.draining, a.started_ms) ==
+                  a.slots, a.draining, a.started_at) ==
          std::tie(b.service, b.address.ip, b.address.port, b.failure_domain,
-                  b.slots, b.draining, b.started_ms);
+                  b.slots, b.draining, b.started_at);
 }
 
 bool ApplyRegistration(RegistryView& view,
@@ -120,7 +120,7 @@
     const Holder*& holder =
         holders[FormatSocketAddress(entry.second.endpoint.address)];
     const auto age = [](const Holder& h) {
-      return std::make_tuple(h.second.endpoint.started_ms,
+      return std::make_tuple(h.second.endpoint.started_at,
                              h.second.created_revision);
     };
     if (holder == nullptr || age(*holder) < age(entry)) {
--- a/Source/platform/registry_decoder.cc
+++ b/Source/platform/registry_decoder.cc
@@ -342,11 +342,12 @@
     return FieldError("address", "an IP number and a port");
   }
   if (object->contains("born")) {
-    const absl::Status status =
-        Assign(ReadNumber(*object, "born", 0), endpoint.started_ms);
-    if (!status.ok()) {
-      return status;
+    const absl::StatusOr<std::int64_t> started = ReadNumber(*object, "born", 0);
+    if (!started.ok()) {
+      return started.status();
     }
+    endpoint.started_at =
+        std::chrono::system_clock::time_point(milliseconds(*started));
   }
   return endpoint;
 }
--- a/Tests/config/registry_view_test.cc
+++ b/Tests/config/registry_view_test.cc
@@ -167,9 +167,9 @@
 TEST_CASE("the last started backend server holds an address") {
   RegistryView view;
   RegistrationChange first = Registered("i-1", "10.1.0.1", 30);
-  first.endpoint->started_ms = 1'000;
+  first.endpoint->started_at += seconds(1);
   RegistrationChange second = Registered("i-2", "10.1.0.1", 20);
-  second.endpoint->started_ms = 2'000;
+  second.endpoint->started_at += seconds(2);
   second.endpoint->service = "survey";
   ApplyUpdate(view, Listing({first, second}), kNow);
   const auto team = BuildTeam(view, kSettings);
--- a/Tests/stand_ins/fake_registry.cc
+++ b/Tests/platform/fake_registry.cc
@@ -1,4 +1,4 @@
-#include "stand_ins/fake_registry.h"
+#include "fake_registry.h"
 
 #include <chrono>
 
--- a/Tests/stand_ins/fake_registry.h
+++ b/Tests/platform/fake_registry.h
@@ -1,5 +1,5 @@
-#ifndef TESTS_STAND_INS_FAKE_REGISTRY_H_
-#define TESTS_STAND_INS_FAKE_REGISTRY_H_
+#ifndef TESTS_PLATFORM_FAKE_REGISTRY_H_
+#define TESTS_PLATFORM_FAKE_REGISTRY_H_
 
 #include <httplib.h>
 
@@ -52,4 +52,4 @@
 
 }  // namespace comfrey
 
-#endif  // TESTS_STAND_INS_FAKE_REGISTRY_H_
+#endif  // TESTS_PLATFORM_FAKE_REGISTRY_H_
--- /dev/null
+++ b/Tests/platform/published_documents.h
@@ -0,0 +1,26 @@
+#ifndef TESTS_PLATFORM_PUBLISHED_DOCUMENTS_H_
+#define TESTS_PLATFORM_PUBLISHED_DOCUMENTS_H_
+
+#include <string>
+
+#include "platform/registry_decoder.h"
+
+namespace comfrey {
+
+/// \brief Key of the registration of a backend server.
+std::string InstanceKey(const std::string& instance);
+
+/// \brief Registration of a backend server with 4 slots; `address` is
+/// "ip:port".
+std::string MakeRegistration(const std::string& service,
+                             const std::string& address,
+                             const std::string& failure_domain,
+                             bool draining);
+
+/// \brief Configuration with one non-idempotent route of host shop.example to
+/// the service booking.
+std::string MakeConfiguration(int version, const std::string& prefix);
+
+}  // namespace comfrey
+
+#endif  // TESTS_PLATFORM_PUBLISHED_DOCUMENTS_H_
--- a/Tests/platform/registry_decoder_test.cc
+++ b/Tests/platform/registry_decoder_test.cc
@@ -51,7 +51,7 @@
   CHECK(endpoint->failure_domain == "a");
   CHECK(endpoint->slots == 4);
   CHECK_FALSE(endpoint->draining);
-  CHECK(endpoint->started_ms == 1700000000123);
+  CHECK(endpoint->started_at.time_since_epoch() == milliseconds(1700000000123));
   const auto draining = DecodeEndpoint(
       absl::StrReplaceAll(kEndpoint, {{"\"ready\"", "\"draining\""}}));
   REQUIRE(draining.ok());
--- a/Tests/system/at_most_once_test.cc
+++ b/Tests/system/at_most_once_test.cc
@@ -100,10 +100,15 @@
   Fleet fleet(3);
   fleet.Publish("demo", KeyedConfig(fleet, 3));
   REQUIRE(fleet.WaitReady());
+  // Each owner confirms its configuration by itself, and until then refuses the
+  // keys that are homed there; so a key must have run at each of them.
+  int keys = 0;
   REQUIRE(WaitFor(
       [&] {
-        return fleet.Send(1, {"POST", "/demo/visits", "first", "k0", "x"})
-                   .status == 200;
+        const std::string key = "k" + std::to_string(keys++);
+        fleet.Send(1, {"POST", "/demo/visits", key, key, "x"});
+        return fleet.AllRuns(1) > 0 && fleet.AllRuns(2) > 0 &&
+               fleet.AllRuns(3) > 0;
       },
       seconds(20)));
   const TestResponse first =
--- a/Tests/system/registry_test.cc
+++ b/Tests/system/registry_test.cc
@@ -14,7 +14,8 @@
 
 #include "absl/strings/str_cat.h"
 #include "catch2/catch.hpp"
-#include "stand_ins/fake_registry.h"
+#include "fake_registry.h"
+#include "published_documents.h"
 #include "system/process.h"
 
 namespace comfrey {
@@ -85,22 +86,9 @@
   std::thread thread;
 };
 
-std::string Registration(int vm, const std::string& state) {
-  return absl::StrCat(R"({"service":"booking","address":")", AddressOf(vm), ":",
-                      kBackendPort,
-                      R"(","zone":"a","version":"v1","slots":4,"state":")",
-                      state, R"(","cold_remaining":"0ms","sequence":1})");
-}
-
-std::string Configuration(int version, const std::string& prefix) {
-  return absl::StrCat(
-      R"({"version":"r)", version, R"(","resources":[)",
-      R"({"entry_kind":"routes","metadata":{"name":"x"},"spec":{)",
-      R"("host":"shop.example","prefix":")", prefix,
-      R"(","kind":"unsafe","timeout":"5s","target_latency":"1s",)",
-      R"("priority":0,"service":"booking","max_attempts":2}},)",
-      R"({"entry_kind":"services","metadata":{"name":"booking"},)",
-      R"("spec":{"health_path":"/health"}}]})");
+std::string RegistrationOf(int vm, bool draining) {
+  return MakeRegistration(
+      "booking", absl::StrCat(AddressOf(vm), ":", kBackendPort), "a", draining);
 }
 
 // Two VMs with a backend server and a daemon each, and a registry.
@@ -110,13 +98,13 @@
         directory(std::filesystem::temp_directory_path() /
                   absl::StrCat("comfrey-registry-", getpid())) {
     std::filesystem::create_directories(this->directory);
-    this->registry.Put("op/config", Configuration(3, "/a/"));
+    this->registry.Put(platform::kConfigKey, MakeConfiguration(3, "/a/"));
     for (int vm = 1; vm <= 2; ++vm) {
-      this->registry.Put(absl::StrCat("servers/i-", vm),
-                         Registration(vm, "ready"));
+      this->registry.Put(InstanceKey(absl::StrCat("i-", vm)),
+                         RegistrationOf(vm, false));
       this->WriteSettings(vm, "booking");
     }
-    this->registry.Put("servers/i-9", "no registration");
+    this->registry.Put(InstanceKey("i-9"), "no registration");
     this->first = this->StartDaemon(1);
     this->second = this->StartDaemon(2);
   }
@@ -178,7 +166,7 @@
 // force, an endpoint that leaves and still gets work, and a daemon that forgets
 // what it knows when the registry goes away.
 TEST_CASE("a fleet with a registry serves what is published") {
-  Platform platform;
+  Platform fleet;
   REQUIRE(WaitFor([] { return Platform::IsReady(1) && Platform::IsReady(2); }));
 
   const httplib::Result served = Platform::Send(1, "/a/b?c=d");
@@ -189,22 +177,22 @@
   CHECK(Platform::Send(1, "/b/x")->status == 404);
   CHECK(Platform::Send(1, "/a/x", "other.example")->status == 404);
 
-  platform.registry.Put("op/config", Configuration(5, "/b/"));
+  fleet.registry.Put(platform::kConfigKey, MakeConfiguration(5, "/b/"));
   CHECK(WaitFor([] { return Platform::Send(2, "/b/x")->status == 200; }));
   CHECK(Platform::Send(2, "/a/x")->status == 404);
 
-  platform.registry.Put("servers/i-1", Registration(1, "draining"));
+  fleet.registry.Put(InstanceKey("i-1"), RegistrationOf(1, true));
   std::this_thread::sleep_for(milliseconds(2500));
-  const int runs = platform.backend_one.runs;
+  const int runs = fleet.backend_one.runs;
   for (int i = 0; i < 10; ++i) {
     CHECK(Platform::Send(1, "/b/x")->status == 200);
   }
-  CHECK(platform.backend_one.runs == runs);
+  CHECK(fleet.backend_one.runs == runs);
 
-  platform.registry.SetAway(true);
+  fleet.registry.SetAway(true);
   std::this_thread::sleep_for(milliseconds(1500));
   CHECK(Platform::Send(1, "/b/x")->status == 200);
-  platform.registry.SetAway(false);
+  fleet.registry.SetAway(false);
 }
 
 // Guards against a stop that ends the process at once (a signal that reaches a
@@ -212,28 +200,28 @@
 // that outlasts its grace period; and against a reload that loses requests.
 TEST_CASE(
     "a daemon with a registry reloads and stops without losing requests") {
-  Platform platform;
+  Platform fleet;
   REQUIRE(WaitFor([] { return Platform::IsReady(1) && Platform::IsReady(2); }));
-  platform.WriteSettings(1, "survey");
-  platform.first->Signal(SIGHUP);
+  fleet.WriteSettings(1, "survey");
+  fleet.first->Signal(SIGHUP);
   CHECK(WaitFor([] {
     return Platform::Send(1, "/a/x")->body.find(" survey ") !=
            std::string::npos;
   }));
 
-  platform.backend_one.delay_ms = 1500;
-  platform.backend_two.delay_ms = 1500;
+  fleet.backend_one.delay_ms = 1500;
+  fleet.backend_two.delay_ms = 1500;
   auto in_flight = std::async(std::launch::async,
                               [] { return Platform::Send(1, "/a/slow"); });
   std::this_thread::sleep_for(milliseconds(300));
   const Clock::time_point begin = Clock::now();
-  platform.first->Signal(SIGTERM);
+  fleet.first->Signal(SIGTERM);
   CHECK(WaitFor([] { return !Platform::IsReady(1); }));
   CHECK(Clock::now() - begin < std::chrono::seconds(1));
   const httplib::Result result = in_flight.get();
   REQUIRE(result);
   CHECK(result->status == 200);
-  CHECK(platform.first->Wait(std::chrono::seconds(10)) == 0);
+  CHECK(fleet.first->Wait(std::chrono::seconds(10)) == 0);
   CHECK(Clock::now() - begin < std::chrono::seconds(6));
 }
 
