Accept late work in short overloads only, and ask few other regions

Cause: requests that were accepted although expected late waited until their deadline behind later arrivals (holds of 2.5 to 3 s before `removed from the queue`), and then visited up to ten endpoints of other regions, 65 ms each.

Change: no late work is accepted where work has been queued without a break for longer than the target. At most four endpoints of other regions are asked, and none after an owner has refused for the deadline in the last quarter of the time.

It stays since callers that cannot be served are told sooner.

--- a/Source/core/admission_queue.cc
+++ b/Source/core/admission_queue.cc
@@ -598,6 +598,17 @@
                      });
 }
 
+// Whether an arriving item that is expected to miss its target is refused. In a
+// lasting overload, later arrivals that can meet theirs go ahead of it until
+// its deadline; in a short one it is served at the end.
+bool RefusesLate(const AdmissionQueue& queue,
+                 const RankState& rank,
+                 TimePoint now) {
+  const bool lasting = now - queue.nothing_queued_at > rank.policy.target;
+  const std::size_t limit = lasting ? 0 : queue.policy.early_refusal_limit;
+  return rank.queued_late >= limit && !HasLessUrgentWork(queue, rank);
+}
+
 AdmissionDecision Refuse(AdmissionDecision decision, RefusalReason reason) {
   decision.verdict = AdmissionVerdict::kRefused;
   decision.reason = reason;
@@ -636,6 +647,9 @@
   RankState& rank = queue.ranks[item.rank];
   rank.last_arrival = now;
   const double service = ServiceEstimate(rank, now);
+  if (queue.queued.empty()) {
+    queue.nothing_queued_at = now;
+  }
   if (queue.queued.empty() && queue.running.size() < ConcurrencyLimit(queue) &&
       !LeavesSlots(queue, rank, item.arrival, now)) {
     if (now + ToClock(service) > item.deadline) {
@@ -655,11 +669,10 @@
   }
   // In a lasting overload, a rank without this check serves each item just
   // before or after its target, and gives up others that have waited for long.
+  const bool refuses_early = queue.policy.early_refusal_limit < kUnlimited;
   const bool expected_late =
-      late || (queue.policy.early_refusal_limit < kUnlimited &&
-               IsLate(rank, item, now + ToClock(wait)));
-  if (expected_late && rank.queued_late >= queue.policy.early_refusal_limit &&
-      !HasLessUrgentWork(queue, rank)) {
+      late || (refuses_early && IsLate(rank, item, now + ToClock(wait)));
+  if (expected_late && refuses_early && RefusesLate(queue, rank, now)) {
     return Refuse(std::move(decision), RefusalReason::kQueueFull);
   }
   std::optional<WorkItem> left_out =
@@ -686,6 +699,9 @@
     progress.started.push_back(StartNext(queue, *rank, now));
   }
   DropExcessLate(queue, now, progress.expired);
+  if (queue.queued.empty()) {
+    queue.nothing_queued_at = now;
+  }
   return progress;
 }
 
--- a/Source/core/admission_queue.h
+++ b/Source/core/admission_queue.h
@@ -52,7 +52,8 @@
   std::size_t late_limit = kUnlimited;
   /// Queued late items of a rank above which an arriving item that is expected
   /// to miss its target is refused at once, unless less urgent work is here
-  /// that it goes ahead of.
+  /// that it goes ahead of. The limit is 0 where work has been queued without
+  /// a break for longer than the target.
   std::size_t early_refusal_limit = kUnlimited;
   /// Slots that work leaves free for more urgent ranks while it can wait; at
   /// least one slot is used in any case.
@@ -203,6 +204,7 @@
   std::optional<std::size_t> external_limit;
   TimePoint last_decrease;
   bool leaving = false;
+  TimePoint nothing_queued_at;  ///< Last time at which no item was queued.
   TimePoint epoch;
   TimePoint last_update;
   std::uint64_t next_sequence = 1;
--- a/Source/core/placement.cc
+++ b/Source/core/placement.cc
@@ -140,6 +140,9 @@
   if (HasSound(input, region)) {
     return std::nullopt;
   }
+  if (CountAsked(input, plan.other_regions) >= policy.most_remote_asks) {
+    return std::nullopt;
+  }
   if (const auto remote = FindShortestWait(input, plan.other_regions, false)) {
     return Placement{*remote, PlacementMode::kQueue};
   }
--- a/Source/core/placement.h
+++ b/Source/core/placement.h
@@ -48,6 +48,8 @@
   std::chrono::microseconds remote_after{std::chrono::milliseconds(150)};
   /// Endpoints of other regions that are asked for a spare slot.
   std::size_t remote_asks = 1;
+  /// Endpoints of other regions that are asked in all.
+  std::size_t most_remote_asks = 4;
   /// Longest expected wait for which work is queued in another region.
   std::chrono::microseconds remote_wait_limit{std::chrono::milliseconds(75)};
 };
--- a/Source/daemon/ingress.cc
+++ b/Source/daemon/ingress.cc
@@ -24,6 +24,9 @@
 // round trip within the region.
 constexpr int kMaxAsks = 16;
 constexpr int kMaxKeyedAttempts = 3;
+// An owner that refuses a request because of its deadline has the last word
+// when less than this part of the time is left: the others need about as long.
+constexpr int kLastPartOfTime = 4;
 // How long an attempt with a lost reply is fenced, so that the caller can be
 // told for certain that it did not run. An owner that cannot be reached for
 // this long has failed, and the caller is told that the outcome is unknown.
@@ -404,7 +407,11 @@
     if (final) {
       return attempt.ToReply();
     }
+    const bool too_late = IsTooLate(context, attempt);
     progress.Keep(std::move(attempt));
+    if (too_late) {
+      break;
+    }
   }
   if (progress.holds_retry) {
     this->parts.directory.ReturnRetryOf(context.service);
@@ -499,6 +506,14 @@
   return reply;
 }
 
+// Whether no endpoint can serve the request in time any more.
+bool Ingress::IsTooLate(const Context& context, const Attempt& attempt) {
+  const Clock::time_point now = Clock::now();
+  return attempt.reason == rpc::REFUSAL_DEADLINE &&
+         context.deadline - now <
+             (context.deadline - context.read_at) / kLastPartOfTime;
+}
+
 // Only the home of a key may run it; it is asked again only where the refusal
 // was about the incarnation, of which the reply has brought a new stamp.
 IngressReply Ingress::ForwardKeyed(Context& context) {
--- a/Source/daemon/ingress.h
+++ b/Source/daemon/ingress.h
@@ -79,6 +79,7 @@
   IngressReply ForwardKeyed(Context& context);
   bool MayOffer(const Context& context, Progress& progress);
   void Offer(const Context& context, Progress& progress, Attempt& attempt);
+  static bool IsTooLate(const Context& context, const Attempt& attempt);
   IngressReply GiveUp(const Context& context, const Progress& progress);
   double Draw();
   std::string TraceId(const HttpRequest& request);
--- a/Tests/core/admission_queue_test.cc
+++ b/Tests/core/admission_queue_test.cc
@@ -752,6 +752,27 @@
   CHECK(with.held.count() < without.held.count() / 2);
 }
 
+// Guards against late work that waits until its deadline behind later arrivals,
+// as long as an overload lasts.
+TEST_CASE("late work is accepted in a short overload only") {
+  AdmissionPolicy policy = MakePolicy(1, 64);
+  policy.early_refusal_limit = 4;
+  policy.ranks[0].target = milliseconds(70);
+  for (const milliseconds overload : {milliseconds(60), milliseconds(80)}) {
+    AdmissionQueue queue(policy, kStart);
+    FillSlots(queue, 0);
+    Offer(queue, MakeItem(1, 0), kStart);
+    Offer(queue, MakeItem(2, 0), kStart);
+    const TimePoint now = kStart + overload;
+    Advance(queue, now);
+    const AdmissionDecision decision =
+        Offer(queue, MakeItem(3, 0, "org", now), now);
+    CHECK(decision.verdict == (overload < policy.ranks[0].target
+                                   ? AdmissionVerdict::kQueued
+                                   : AdmissionVerdict::kRefused));
+  }
+}
+
 // Guards against the refusal of urgent work that would soon take the next slot
 // of less urgent work.
 TEST_CASE("urgent work is not refused early while less urgent work runs") {
--- a/Tests/core/placement_test.cc
+++ b/Tests/core/placement_test.cc
@@ -101,6 +101,21 @@
   CHECK(placements[4].view == 5);
 }
 
+// Guards against a request that visits all endpoints of other regions, a round
+// trip each, where its own region has no sound one.
+TEST_CASE("few endpoints of other regions are asked") {
+  Bench bench;
+  bench.policy.most_remote_asks = 1;
+  for (std::size_t i = 0; i < 4; ++i) {
+    bench.hints[i].asked = AskResult::kSuspect;
+  }
+  const auto first = bench.Next();
+  REQUIRE(first);
+  CHECK(first->view >= 4);
+  bench.hints[first->view].asked = AskResult::kExcluded;
+  CHECK_FALSE(bench.Next());
+}
+
 // Guards against questions to other regions, of which the answer is known and
 // each byte is billed.
 TEST_CASE("a region with a long queue is not asked for a slot") {
