Ask for the load before a body travels to another region

Change: an owner in another region is asked for the load of its endpoint first, where the round trip is at most a sixteenth of the target.

--- a/Source/core/placement.cc
+++ b/Source/core/placement.cc
@@ -157,4 +157,21 @@
   return std::nullopt;
 }
 
+bool MayTravelTo(const EndpointLoad& load,
+                 PlacementMode mode,
+                 std::chrono::microseconds longest_wait) {
+  switch (mode) {
+    case PlacementMode::kForce:
+      return true;
+    case PlacementMode::kQueue:
+      return !load.suspect;
+    case PlacementMode::kRunNow:
+    case PlacementMode::kSpare:
+      break;
+  }
+  const bool has_spare_slot = load.in_progress + 1 < load.limit;
+  return !load.suspect &&
+         (has_spare_slot || load.expected_wait <= longest_wait);
+}
+
 }  // namespace comfrey
--- a/Source/core/placement.h
+++ b/Source/core/placement.h
@@ -84,6 +84,20 @@
     std::chrono::steady_clock::time_point now,
     std::mt19937_64& rng);
 
+/// \brief Load of an endpoint, as its owner has just stated it.
+struct EndpointLoad {
+  std::size_t in_progress = 0;  ///< Running and queued.
+  std::size_t limit = 0;        ///< Requests that may run at once.
+  std::chrono::microseconds expected_wait{0};
+  bool suspect = false;
+};
+
+/// \brief Whether an endpoint of another region with this load would accept
+/// the request in the given mode.
+bool MayTravelTo(const EndpointLoad& load,
+                 PlacementMode mode,
+                 std::chrono::microseconds longest_wait);
+
 }  // namespace comfrey
 
 #endif  // CORE_PLACEMENT_H_
--- a/Source/daemon/endpoint_directory.h
+++ b/Source/daemon/endpoint_directory.h
@@ -62,6 +62,9 @@
   /// "other region", the wait that its owner expected, and how old the last
   /// reply of the owner is; 0 if there was none.
   absl::string_view distance;
+  bool remote = false;  ///< In another region.
+  /// Usual time until its owner accepts a request; 0 if it is not known.
+  std::chrono::microseconds round_trip{0};
   std::chrono::microseconds expected_wait{0};
   std::chrono::steady_clock::duration knowledge_age{0};
 };
--- a/Source/daemon/ingress.cc
+++ b/Source/daemon/ingress.cc
@@ -27,6 +27,9 @@
 // An owner that refuses a request because of its deadline has the last word
 // when less than this part of the time is left: the others need about as long.
 constexpr int kLastPartOfTime = 4;
+// A question for the load takes a round trip more than the request itself, so
+// it is asked only if that is at most this part of the target.
+constexpr int kTargetPerQuestion = 16;
 // How long an attempt with a lost reply is fenced, so that the caller can be
 // told for certain that it did not run. An owner that cannot be reached for
 // this long has failed, and the caller is told that the outcome is unknown.
@@ -450,10 +453,12 @@
   attempt.message.set_max_wait_us(attempt.chosen.longest_wait.count());
   attempt.message.set_accept_suspect(attempt.chosen.mode ==
                                      PlacementMode::kForce);
-  if (context.match.route->repeat_safe) {
-    this->Send(context, attempt);
-  } else {
-    this->SendNonIdempotent(context, attempt);
+  if (this->MayTravel(context, attempt)) {
+    if (context.match.route->repeat_safe) {
+      this->Send(context, attempt);
+    } else {
+      this->SendNonIdempotent(context, attempt);
+    }
   }
   this->TraceOffer(context, attempt);
   if (attempt.sent) {
@@ -472,6 +477,69 @@
   }
 }
 
+// Asks for the load of an endpoint in another region before a body travels
+// there, since most of such endpoints refuse in an overload and links between
+// regions are billed. If the request is not worth sending, sets the outcome of
+// the attempt.
+bool Ingress::MayTravel(const Context& context, Attempt& attempt) {
+  if (!attempt.chosen.remote || context.request.body.empty() ||
+      attempt.chosen.round_trip >
+          context.match.rank->target / kTargetPerQuestion) {
+    return true;
+  }
+  rpc::LoadRequest request;
+  request.set_endpoint(attempt.endpoint);
+  request.set_team(context.service.team);
+  request.set_service(context.service.service);
+  request.set_rank(context.match.rank->name);
+  request.set_organisation(context.organisation);
+  const Clock::time_point sent_at = Clock::now();
+  const std::optional<rpc::LoadReply> reply = this->parts.owners.AskLoad(
+      attempt.ip, request, context.deadline,
+      this->parts.directory.AcceptTimeoutOf(attempt.ip));
+  const Clock::time_point now = Clock::now();
+  if (!reply) {
+    this->NoteUnreached(attempt, sent_at, now);
+    return false;
+  }
+  this->parts.directory.RecordAccepted(attempt.ip, sent_at, now);
+  if (!reply->has_status()) {
+    attempt.Set(
+        CallerOutcome::kNotRun, rpc::REFUSAL_NOT_OWNER,
+        absl::StrCat("the owner does not know endpoint ", attempt.endpoint));
+    return false;
+  }
+  rpc::Result result;
+  *result.mutable_status() = reply->status();
+  this->parts.directory.RecordReply(context.service, context.match.rank->name,
+                                    result, now);
+  const EndpointLoad load = {
+      reply->status().load(), reply->status().limit(),
+      std::chrono::microseconds(reply->status().expected_wait_us()),
+      reply->status().suspect_for_us() > 0};
+  if (MayTravelTo(load, attempt.chosen.mode, attempt.chosen.longest_wait)) {
+    return true;
+  }
+  attempt.Set(
+      CallerOutcome::kNotRun,
+      load.suspect ? rpc::REFUSAL_SUSPECT : rpc::REFUSAL_BUSY,
+      absl::StrCat(attempt.endpoint,
+                   load.suspect ? " probably fails" : ": no slot to spare"));
+  return false;
+}
+
+// Records that the owner of the endpoint was not reached, so that nothing was
+// sent to it.
+void Ingress::NoteUnreached(Attempt& attempt,
+                            Clock::time_point sent_at,
+                            Clock::time_point now) {
+  this->parts.directory.RecordFailure(attempt.ip, PathFailure::kTransport,
+                                      sent_at, now);
+  attempt.Set(
+      CallerOutcome::kNotRun, rpc::REFUSAL_NONE,
+      absl::StrCat("the owner of ", attempt.endpoint, " is not reached"));
+}
+
 // The reply where no attempt was answered.
 IngressReply Ingress::GiveUp(const Context& context, const Progress& progress) {
   IngressReply reply;
@@ -594,11 +662,7 @@
 void Ingress::SendNonIdempotent(const Context& context, Attempt& attempt) {
   if (!this->PrepareStamp(context, attempt)) {
     const auto now = Clock::now();
-    this->parts.directory.RecordFailure(attempt.ip, PathFailure::kTransport,
-                                        now, now);
-    attempt.Set(
-        CallerOutcome::kNotRun, rpc::REFUSAL_NONE,
-        absl::StrCat("the owner of ", attempt.endpoint, " is not reached"));
+    this->NoteUnreached(attempt, now, now);
     return;
   }
   const LedgerRequest ledger_request = LedgerRequestFromProto(attempt.message);
--- a/Source/daemon/ingress.h
+++ b/Source/daemon/ingress.h
@@ -79,6 +79,8 @@
   IngressReply ForwardKeyed(Context& context);
   bool MayOffer(const Context& context, Progress& progress);
   void Offer(const Context& context, Progress& progress, Attempt& attempt);
+  bool MayTravel(const Context& context, Attempt& attempt);
+  void NoteUnreached(Attempt& attempt, TimePoint sent_at, TimePoint now);
   static bool IsTooLate(const Context& context, const Attempt& attempt);
   IngressReply GiveUp(const Context& context, const Progress& progress);
   double Draw();
--- a/Source/daemon/owner_client.cc
+++ b/Source/daemon/owner_client.cc
@@ -15,27 +15,48 @@
 // A unary call that got no reply by then is repeated over a new connection.
 constexpr std::chrono::milliseconds kCallTimeout{250};
 
-// Performs a unary call over the pooled channel, and once more over a new one.
 template <typename Request, typename Reply>
-bool CallOwner(ChannelPool& channels,
+using UnaryCall = grpc::Status (rpc::Peer::Stub::*)(grpc::ClientContext*,
+                                                    const Request&,
+                                                    Reply*);
+
+// Performs a unary call over the pooled channel; one that fails is not used
+// again.
+template <typename Request, typename Reply>
+bool CallOnce(ChannelPool& channels,
+              const std::string& address,
+              UnaryCall<Request, Reply> method,
+              const Request& request,
+              Reply& reply,
+              Clock::time_point deadline) {
+  const std::shared_ptr<PeerChannel> channel = channels.Get(address);
+  grpc::ClientContext context;
+  context.set_deadline(ToSystemTime(deadline));
+  context.set_wait_for_ready(true);
+  if (((*channel->stub).*method)(&context, request, &reply).ok()) {
+    return true;
+  }
+  channels.Drop(channel);
+  return false;
+}
+
+// The same, and once more over a new connection. Calls to other regions are
+// made once: a connection there may take most of the time, and a second one
+// would start over.
+template <typename Request, typename Reply>
+bool CallTwice(ChannelPool& channels,
                const std::string& address,
-               grpc::Status (rpc::Peer::Stub::*method)(grpc::ClientContext*,
-                                                       const Request&,
-                                                       Reply*),
+               UnaryCall<Request, Reply> method,
                const Request& request,
                Reply& reply,
                Clock::time_point deadline) {
   constexpr int kTries = 2;
   for (int i = 0; i < kTries && Clock::now() < deadline; ++i) {
-    const std::shared_ptr<PeerChannel> channel = channels.Get(address);
-    const Clock::time_point now = Clock::now();
-    grpc::ClientContext context;
-    context.set_deadline(ToSystemTime(std::min(deadline, now + kCallTimeout)));
-    context.set_wait_for_ready(true);
-    if (((*channel->stub).*method)(&context, request, &reply).ok()) {
+    const Clock::time_point end =
+        std::min<Clock::time_point>(deadline, Clock::now() + kCallTimeout);
+    if (CallOnce(channels, address, method, request, reply, end)) {
       return true;
     }
-    channels.Drop(channel);
   }
   return false;
 }
@@ -70,33 +91,40 @@
                                      : std::make_optional(found->second);
 }
 
-// Asks once: a connection to another region may take most of the time, and a
-// second one would start over.
 std::optional<ReceivedStamp> OwnerClient::RefreshStamp(
     const std::string& ip,
     TimePoint deadline,
     std::chrono::microseconds timeout) {
-  const std::shared_ptr<PeerChannel> channel =
-      this->channels.Get(this->AddressOf(ip));
-  grpc::ClientContext context;
-  context.set_deadline(
-      ToSystemTime(std::min<TimePoint>(deadline, Clock::now() + timeout)));
-  context.set_wait_for_ready(true);
   rpc::OwnerStamp stamp;
-  if (!channel->stub->GetStamp(&context, rpc::StampRequest(), &stamp).ok()) {
-    this->channels.Drop(channel);
+  if (!CallOnce(this->channels, this->AddressOf(ip), &rpc::Peer::Stub::GetStamp,
+                rpc::StampRequest(), stamp,
+                std::min(deadline, Clock::now() + timeout))) {
     return std::nullopt;
   }
   this->KeepStamp(ip, stamp);
   return ReceivedStamp{FromProto(stamp), Clock::now()};
 }
 
+std::optional<rpc::LoadReply> OwnerClient::AskLoad(
+    const std::string& ip,
+    const rpc::LoadRequest& request,
+    TimePoint deadline,
+    std::chrono::microseconds timeout) {
+  rpc::LoadReply reply;
+  if (!CallOnce(this->channels, this->AddressOf(ip), &rpc::Peer::Stub::GetLoad,
+                request, reply, std::min(deadline, Clock::now() + timeout))) {
+    return std::nullopt;
+  }
+  this->KeepStamp(ip, reply.stamp());
+  return reply;
+}
+
 rpc::FenceReply OwnerClient::FenceAttempt(
     const std::string& ip,
     const rpc::FenceAttemptRequest& request,
     TimePoint deadline) {
   rpc::FenceReply reply;
-  if (!CallOwner(this->channels, this->AddressOf(ip),
+  if (!CallTwice(this->channels, this->AddressOf(ip),
                  &rpc::Peer::Stub::FenceAttempt, request, reply, deadline)) {
     reply.set_state(rpc::FENCE_UNSPECIFIED);
   }
@@ -112,7 +140,7 @@
   request.mutable_version()->set_generation(call.version.generation);
   request.mutable_version()->set_revision(call.version.revision);
   rpc::FenceReply reply;
-  if (!CallOwner(this->channels, this->AddressOf(IpOf(call.endpoint)),
+  if (!CallTwice(this->channels, this->AddressOf(IpOf(call.endpoint)),
                  &rpc::Peer::Stub::FenceKey, request, reply, call.deadline)) {
     return {};
   }
--- a/Source/daemon/owner_client.h
+++ b/Source/daemon/owner_client.h
@@ -42,6 +42,13 @@
                                             TimePoint deadline,
                                             std::chrono::microseconds timeout);
 
+  /// \brief Asks the owner for the load of an endpoint, for at most `timeout`;
+  /// nothing if it is not reached. The reply brings a new stamp.
+  std::optional<rpc::LoadReply> AskLoad(const std::string& ip,
+                                        const rpc::LoadRequest& request,
+                                        TimePoint deadline,
+                                        std::chrono::microseconds timeout);
+
   /// \brief Fences an attempt; FENCE_UNSPECIFIED if the owner is not reached.
   rpc::FenceReply FenceAttempt(const std::string& ip,
                                const rpc::FenceAttemptRequest& request,
--- a/Source/daemon/owner_service.cc
+++ b/Source/daemon/owner_service.cc
@@ -149,7 +149,8 @@
     result = this->Run(call);
     this->FillStatus(*endpoint, result);
     this->LogEnd(call, *endpoint, result);
-    this->FillForecast(*endpoint, request, result);
+    this->FillForecast(*endpoint, request.rank(), request.organisation(),
+                       result);
   }
   if (result.outcome() == rpc::OUTCOME_NOT_RUN) {
     this->refusals.Add();
@@ -522,6 +523,21 @@
   return stamp;
 }
 
+rpc::LoadReply OwnerService::Load(const rpc::LoadRequest& request) const {
+  rpc::LoadReply reply;
+  *reply.mutable_stamp() = this->Stamp();
+  const std::shared_ptr<OwnedEndpoint> endpoint =
+      this->Find(request.team(), request.service(), request.endpoint());
+  if (endpoint) {
+    rpc::Result result;
+    this->FillStatus(*endpoint, result);
+    this->FillForecast(*endpoint, request.rank(), request.organisation(),
+                       result);
+    *reply.mutable_status() = std::move(*result.mutable_status());
+  }
+  return reply;
+}
+
 absl::StatusOr<std::size_t> OwnerService::Drain(const std::string& endpoint,
                                                 DrainSource source,
                                                 bool draining) {
@@ -605,7 +621,8 @@
 
 // Tells the ingress for how long it need not ask again.
 void OwnerService::FillForecast(OwnedEndpoint& endpoint,
-                                const rpc::ForwardRequest& request,
+                                const std::string& rank_name,
+                                const std::string& organisation,
                                 rpc::Result& result) const {
   rpc::EndpointStatus& status = *result.mutable_status();
   const std::lock_guard<std::mutex> lock(endpoint.mutex);
@@ -613,9 +630,9 @@
   if (IsSuspect(endpoint.suspicion, this->suspicion, now)) {
     status.set_suspect_for_us(kSuspectTime.count());
   }
-  const std::size_t rank = RankIndex(endpoint.queue, request.rank());
+  const std::size_t rank = RankIndex(endpoint.queue, rank_name);
   const std::chrono::microseconds wait =
-      ExpectedWait(endpoint.queue, rank, request.organisation(), now);
+      ExpectedWait(endpoint.queue, rank, organisation, now);
   status.set_expected_wait_us(wait.count());
   if (result.reason() == rpc::REFUSAL_BUSY) {
     status.set_full_for_us(std::min(wait, kMaxBusyTime).count());
--- a/Source/daemon/owner_service.h
+++ b/Source/daemon/owner_service.h
@@ -80,6 +80,7 @@
   rpc::FenceReply FenceAttempt(const rpc::FenceAttemptRequest& request);
   rpc::FenceReply FenceKey(const rpc::FenceKeyRequest& request);
   rpc::OwnerStamp Stamp() const;
+  rpc::LoadReply Load(const rpc::LoadRequest& request) const;
 
   /// \brief Drains or undrains an endpoint "ip:port", or all if it is empty.
   /// Returns the requests in flight there, or NotFound.
@@ -118,7 +119,8 @@
               const rpc::Result& result) const;
   void RecordReply(Call& call, BackendReply reply, Clock::time_point now);
   void FillForecast(OwnedEndpoint& endpoint,
-                    const rpc::ForwardRequest& request,
+                    const std::string& rank_name,
+                    const std::string& organisation,
                     rpc::Result& result) const;
   void FillStatus(OwnedEndpoint& endpoint, rpc::Result& result) const;
 
--- a/Source/daemon/peer_server.cc
+++ b/Source/daemon/peer_server.cc
@@ -131,6 +131,13 @@
   return grpc::Status::OK;
 }
 
+grpc::Status PeerServer::GetLoad(grpc::ServerContext*,
+                                 const rpc::LoadRequest* request,
+                                 rpc::LoadReply* reply) {
+  *reply = this->owner.Load(*request);
+  return grpc::Status::OK;
+}
+
 grpc::Status PeerServer::FenceAttempt(grpc::ServerContext*,
                                       const rpc::FenceAttemptRequest* request,
                                       rpc::FenceReply* reply) {
--- a/Source/daemon/peer_server.h
+++ b/Source/daemon/peer_server.h
@@ -35,6 +35,9 @@
   grpc::Status GetStamp(grpc::ServerContext* context,
                         const rpc::StampRequest* request,
                         rpc::OwnerStamp* reply) override;
+  grpc::Status GetLoad(grpc::ServerContext* context,
+                       const rpc::LoadRequest* request,
+                       rpc::LoadReply* reply) override;
   grpc::Status FenceAttempt(grpc::ServerContext* context,
                             const rpc::FenceAttemptRequest* request,
                             rpc::FenceReply* reply) override;
--- a/Tests/core/placement_test.cc
+++ b/Tests/core/placement_test.cc
@@ -135,6 +135,24 @@
   CHECK(placements.back().mode == PlacementMode::kQueue);
 }
 
+// Guards against requests whose bytes travel to another region to be refused.
+TEST_CASE("a request travels only where it would be accepted") {
+  constexpr milliseconds kLongestWait{100};
+  const auto may_travel = [&](const EndpointLoad& load, PlacementMode mode) {
+    return MayTravelTo(load, mode, kLongestWait);
+  };
+  const EndpointLoad spare{2, 4, milliseconds(0), false};
+  const EndpointLoad short_wait{9, 4, kLongestWait, false};
+  const EndpointLoad long_wait{9, 4, milliseconds(101), false};
+  const EndpointLoad suspect{0, 4, milliseconds(0), true};
+  CHECK(may_travel(spare, PlacementMode::kSpare));
+  CHECK(may_travel(short_wait, PlacementMode::kSpare));
+  CHECK_FALSE(may_travel(long_wait, PlacementMode::kSpare));
+  CHECK(may_travel(long_wait, PlacementMode::kQueue));
+  CHECK_FALSE(may_travel(suspect, PlacementMode::kQueue));
+  CHECK(may_travel(suspect, PlacementMode::kForce));
+}
+
 // Guards against queueing behind the longest queue.
 TEST_CASE("work is queued where the wait is shortest") {
   Bench bench;
