Leave a slot for short urgent work as long as the other can meet its target

The question for the load was seldom asked: the usual accept time of a path that is seldom used consists of connections that are set up.

Change: the slot stays free until the waiting work would be late, and the estimated wait counts the other slots only, so that the excess is refused when it arrives. The round trip to another region is the least accept time.

--- a/Source/core/admission_queue.cc
+++ b/Source/core/admission_queue.cc
@@ -51,9 +51,6 @@
 // it takes to reach the ingress; no capacity is lost while the rest is queued.
 constexpr double kDrainedPart = 0.25;
 
-// Work waits for this part of the time that its target leaves before it takes a
-// slot that is left for more urgent ranks.
-constexpr int kSlackPerPatience = 2;
 // A slot is left for work that takes at most this part of the time of the work
 // that would use it. With service times of 260 and 350 ms, the slots that
 // stayed free cost a tenth of what an endpoint served.
@@ -324,6 +321,18 @@
       });
 }
 
+// The slots that work of the rank may use while it can wait.
+std::size_t SlotsOf(const AdmissionQueue& queue,
+                    const RankState& rank,
+                    TimePoint now) {
+  const std::size_t limit = ConcurrencyLimit(queue);
+  if (limit < 2 || queue.policy.urgent_slots == 0 ||
+      !ExpectsShortUrgent(queue, rank, now)) {
+    return limit;
+  }
+  return limit - std::min(queue.policy.urgent_slots, limit - 1);
+}
+
 // Whether work of the rank leaves the free slots to more urgent work for now.
 // Calls that backend servers make for a request are short and urgent, and the
 // request holds a slot of another service meanwhile: on the heaviest days, it
@@ -333,17 +342,12 @@
                  const RankState& rank,
                  const WorkItem& item,
                  TimePoint now) {
-  const std::size_t limit = ConcurrencyLimit(queue);
-  if (queue.policy.urgent_slots == 0 || limit < 2) {
-    return false;
-  }
-  const std::size_t left = std::min(queue.policy.urgent_slots, limit - 1);
   const auto slack = std::min<std::chrono::steady_clock::duration>(
       SlackOf(rank),
       item.deadline - item.arrival - ToClock(ServiceEstimate(rank, now)));
-  return queue.running.size() + left >= limit &&
-         now < item.arrival + slack / kSlackPerPatience &&
-         ExpectsShortUrgent(queue, rank, now);
+  return now < item.arrival + slack &&
+         queue.running.size() < ConcurrencyLimit(queue) &&
+         queue.running.size() >= SlotsOf(queue, rank, now);
 }
 
 bool LeavesSlots(const AdmissionQueue& queue,
@@ -491,12 +495,15 @@
   return Length(last) > own_length ? last.late.front() : nullptr;
 }
 
-// Estimates the time until a slot becomes free, in seconds; 0 if one is. With
+// Estimates the time until one of so many slots becomes free, in seconds; 0 if
+// one is. With
 // running items that started at random times, the first of n ends after
 // 1 / (n + 1) of the service time.
-double EstimateNextFree(const AdmissionQueue& queue, TimePoint now) {
+double EstimateNextFree(const AdmissionQueue& queue,
+                        std::size_t slots,
+                        TimePoint now) {
   const std::size_t running = queue.running.size();
-  if (running < ConcurrencyLimit(queue) || running == 0) {
+  if (running < slots || running == 0) {
     return 0.0;
   }
   double service = 0.0;
@@ -515,10 +522,11 @@
                     std::size_t own_length,
                     bool late,
                     TimePoint now) {
-  const auto limit = static_cast<double>(ConcurrencyLimit(queue));
-  if (limit == 0.0) {
+  const std::size_t slots = SlotsOf(queue, rank, now);
+  if (slots == 0) {
     return 0.0;
   }
+  const auto limit = static_cast<double>(slots);
   const std::size_t same_rank =
       late ? rank.queued : rank.queued - rank.queued_late;
   // Fair queuing serves the other organisations as often as the own one.
@@ -531,7 +539,7 @@
       urgent += static_cast<double>(other.queued) * ServiceEstimate(other, now);
     }
   }
-  return EstimateNextFree(queue, now) +
+  return EstimateNextFree(queue, slots, now) +
          std::min((urgent + own) / limit, own / (rank.share * limit));
 }
 
--- a/Source/core/path_health.cc
+++ b/Source/core/path_health.cc
@@ -67,10 +67,18 @@
     // The reply may have left before the path failed in that direction.
     return;
   }
+  if (path.state != PathState::kClear) {
+    path.least_accept_time = microseconds(0);
+  }
   path.state = PathState::kClear;
   path.failures = 0;
   const auto measured = std::min<microseconds>(
       std::chrono::duration_cast<microseconds>(now - sent_at), kMaxUsualTime);
+  // The usual time includes the set-up of connections, of which a path that is
+  // seldom used sees many.
+  path.least_accept_time = path.least_accept_time == microseconds(0)
+                               ? measured
+                               : std::min(path.least_accept_time, measured);
   path.usual_accept_time =
       path.usual_accept_time == microseconds(0)
           ? measured
--- a/Source/core/path_health.h
+++ b/Source/core/path_health.h
@@ -24,6 +24,8 @@
   PathState state = PathState::kClear;
   std::uint8_t failures = 0;  ///< consecutive
   std::chrono::microseconds usual_accept_time{0};
+  /// Shortest time since the path became clear, about a round trip; 0 if none.
+  std::chrono::microseconds least_accept_time{0};
   std::chrono::steady_clock::time_point suspect_since;
   std::chrono::steady_clock::time_point retry_at;
   std::chrono::steady_clock::time_point trial_since;
--- a/Source/daemon/endpoint_directory.cc
+++ b/Source/daemon/endpoint_directory.cc
@@ -304,7 +304,7 @@
   }
   chosen.distance = DistanceName(endpoint.view);
   chosen.remote = !endpoint.view.same_region;
-  chosen.round_trip = this->paths[endpoint.ip].usual_accept_time;
+  chosen.round_trip = this->paths[endpoint.ip].least_accept_time;
   chosen.expected_wait = hints[placement->view].expected_wait;
   if (endpoint.replied_at != TimePoint{}) {
     chosen.knowledge_age = now - endpoint.replied_at;
--- a/Source/daemon/endpoint_directory.h
+++ b/Source/daemon/endpoint_directory.h
@@ -63,7 +63,7 @@
   /// reply of the owner is; 0 if there was none.
   absl::string_view distance;
   bool remote = false;  ///< In another region.
-  /// Usual time until its owner accepts a request; 0 if it is not known.
+  /// Round trip to its owner; 0 if it is not known.
   std::chrono::microseconds round_trip{0};
   std::chrono::microseconds expected_wait{0};
   std::chrono::steady_clock::duration knowledge_age{0};
--- a/Tests/core/path_health_test.cc
+++ b/Tests/core/path_health_test.cc
@@ -113,5 +113,19 @@
   CHECK(AcceptTimeout(bench.path) < milliseconds(600));
 }
 
+// Guards against a round trip that seems long because connections were set up,
+// after which no question is asked before a body travels.
+TEST_CASE("the least accept time is about a round trip") {
+  Bench bench;
+  RecordAcceptance(bench.path, kStart, kStart + milliseconds(200));
+  RecordAcceptance(bench.path, kStart, kStart + milliseconds(62));
+  RecordAcceptance(bench.path, kStart, kStart + milliseconds(90));
+  CHECK(bench.path.least_accept_time == milliseconds(62));
+  bench.Fail(PathFailure::kTransport, kStart, kStart + seconds(1));
+  RecordAcceptance(bench.path, kStart + seconds(2),
+                   kStart + seconds(2) + milliseconds(80));
+  CHECK(bench.path.least_accept_time == milliseconds(80));
+}
+
 }  // namespace
 }  // namespace comfrey
