Split the ingress by its jobs: requests, attempts, replies

ingress.cc had grown to 800 lines. The reply of a caller and one attempt at one owner have modules of their own now; no behaviour changes.

--- a/Source/daemon/ingress.cc
+++ b/Source/daemon/ingress.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <optional>
-#include <thread>
 #include <utility>
 
 #include "absl/strings/ascii.h"
@@ -27,15 +26,6 @@
 // An owner that refuses a request because of its deadline has the last word
 // when less than this part of the time is left: the others need about as long.
 constexpr int kLastPartOfTime = 4;
-// A question for the load takes a round trip more than the request itself, so
-// it is asked only if that is at most this part of the target.
-constexpr int kTargetPerQuestion = 16;
-// How long an attempt with a lost reply is fenced, so that the caller can be
-// told for certain that it did not run. An owner that cannot be reached for
-// this long has failed, and the caller is told that the outcome is unknown.
-constexpr std::chrono::milliseconds kFenceTime{1000};
-constexpr std::chrono::milliseconds kFenceGrace{100};
-constexpr std::chrono::milliseconds kFencePollPeriod{50};
 // Bounds of the time after which a refused caller may come back.
 constexpr std::chrono::milliseconds kMinRetryAfter{100};
 constexpr std::chrono::milliseconds kMaxRetryAfter{1000};
@@ -46,11 +36,8 @@
 
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
-constexpr int kUnprocessable = 422;
 constexpr int kServerError = 500;
-constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
 
 IngressReply RefuseUnmatched(MatchStatus status) {
   if (status == MatchStatus::kBadTarget) {
@@ -73,13 +60,6 @@
                });
 }
 
-KeyTimes MakeKeyTimes(std::chrono::microseconds retention) {
-  KeyTimes times;
-  times.key_retention =
-      std::chrono::duration_cast<std::chrono::milliseconds>(retention);
-  return times;
-}
-
 std::string IpOf(const ServiceConfig& service, const std::string& address) {
   const auto found = std::find_if(
       service.endpoints.begin(), service.endpoints.end(),
@@ -96,16 +76,6 @@
   return PlaceKey(key, placed).home;
 }
 
-int StatusOf(CallerOutcome outcome, rpc::RefusalReason reason) {
-  if (reason == rpc::REFUSAL_OTHER_REQUEST) {
-    return kUnprocessable;
-  }
-  if (outcome == CallerOutcome::kNotRun) {
-    return kUnavailable;
-  }
-  return reason == rpc::REFUSAL_DEADLINE ? kGatewayTimeout : kBadGateway;
-}
-
 bool HasName(const HttpHeader& header, const std::string& name) {
   return !name.empty() && absl::EqualsIgnoreCase(header.name, name);
 }
@@ -138,67 +108,12 @@
   }
 }
 
-absl::string_view OutcomeName(CallerOutcome outcome) {
-  switch (outcome) {
-    case CallerOutcome::kAnswered:
-      return "answered";
-    case CallerOutcome::kNotRun:
-      return "not run";
-    case CallerOutcome::kUnknown:
-      break;
-  }
-  return "unknown";
-}
-
 std::string FormatSeconds(std::chrono::microseconds time) {
   return absl::StrFormat("%.2f", std::chrono::duration<double>(time).count());
 }
 
 }  // namespace
 
-// One request of a caller.
-struct Ingress::Context {
-  HttpRequest request;
-  const RouteMatch& match;
-  ServiceId service;
-  ConfigVersion version;
-  std::optional<KeyId> key;
-  std::string organisation;
-  Clock::time_point read_at;
-  Clock::time_point deadline;
-  const CancelCheck& cancelled;
-  RequestTrace& trace;
-};
-
-// One attempt to run it, and what became of the attempt.
-struct Ingress::Attempt {
-  std::string endpoint;
-  std::string ip;
-  rpc::ForwardRequest message;
-  CallerOutcome outcome = CallerOutcome::kNotRun;
-  rpc::RefusalReason reason = rpc::REFUSAL_NONE;
-  HttpResponse response;
-  std::string detail;
-  /// Whether a backend server may have received the request.
-  bool sent = false;
-  ChosenEndpoint chosen;
-  Clock::time_point offered_at;
-
-  void Set(CallerOutcome next, rpc::RefusalReason why, std::string text) {
-    this->outcome = next;
-    this->reason = why;
-    this->detail = std::move(text);
-  }
-
-  IngressReply ToReply() {
-    if (this->outcome == CallerOutcome::kAnswered) {
-      return {this->outcome, std::move(this->response)};
-    }
-    return OwnReply(this->outcome, StatusOf(this->outcome, this->reason),
-                    this->detail);
-  }
-};
-
 // What one request has met so far.
 struct Ingress::Progress {
   AskedEndpoints asked;
@@ -208,9 +123,9 @@
   /// A retry of the budget was taken and not yet sent.
   bool holds_retry = false;
   /// The attempt that decides the reply if no other one is answered.
-  std::optional<Attempt> best;
+  std::optional<IngressAttempt> best;
 
-  void Keep(Attempt attempt) {
+  void Keep(IngressAttempt attempt) {
     // An attempt that may have run makes the outcome unknown, whatever becomes
     // of the others.
     if (!this->best || this->best->outcome == CallerOutcome::kNotRun ||
@@ -220,35 +135,16 @@
   }
 };
 
-IngressReply OwnReply(CallerOutcome outcome,
-                      int status,
-                      const std::string& text) {
-  IngressReply reply;
-  reply.outcome = outcome;
-  reply.response.status = status;
-  reply.response.headers = {
-      {"Comfrey-Outcome",
-       outcome == CallerOutcome::kNotRun ? "not-run" : "unknown"},
-      {"Content-Type", "text/plain"}};
-  if (status == kUnavailable) {
-    reply.response.headers.push_back({"Retry-After", "1"});
-  }
-  reply.response.body = text + "\n";
-  return reply;
-}
-
 Ingress::Ingress(IngressIdentity identity, const IngressParts& parts)
     : identity(std::move(identity)),
       parts(parts),
+      sender(this->identity, parts),
       rng(std::random_device()()),
       requests(parts.counters.Counter("comfrey_ingress_requests_total")),
       answered(parts.counters.Counter("comfrey_ingress_answered_total")),
       not_run(parts.counters.Counter("comfrey_ingress_not_run_total")),
       unknown(parts.counters.Counter("comfrey_ingress_unknown_total")),
-      retries(parts.counters.Counter("comfrey_ingress_retries_total")),
-      fences(parts.counters.Counter("comfrey_ingress_fences_total")),
-      path_failures(
-          parts.counters.Counter("comfrey_ingress_path_failures_total")) {}
+      retries(parts.counters.Counter("comfrey_ingress_retries_total")) {}
 
 double Ingress::Draw() {
   const std::lock_guard<std::mutex> lock(this->draw_mutex);
@@ -273,18 +169,19 @@
   if (const auto left = TimeLeft(request, this->parts.headers)) {
     patience = std::min<std::chrono::microseconds>(patience, *left);
   }
-  Context context{request,
-                  match,
-                  {team, match.service->name},
-                  store->subtrees.find(team)->second->version,
-                  std::nullopt,
-                  std::string(FindHeader(request.headers, kOrganisationHeader)),
-                  read_at,
-                  read_at + patience,
-                  cancelled,
-                  trace};
-  context.request.target = match.target;
-  SetOwnHeaders(context.request, this->parts.headers,
+  IngressRequest context{
+      request,
+      match,
+      {team, match.service->name},
+      store->subtrees.find(team)->second->version,
+      std::nullopt,
+      std::string(FindHeader(request.headers, kOrganisationHeader)),
+      read_at,
+      read_at + patience,
+      cancelled,
+      trace};
+  context.message.target = match.target;
+  SetOwnHeaders(context.message, this->parts.headers,
                 this->parts.local_service());
   trace.Add("request_received")
       .Add("route", match.route->name)
@@ -306,12 +203,12 @@
           : FindHeader(request.headers, this->parts.headers.attempt_id);
   return id.empty() ? absl::StrCat(this->identity.name, "-",
                                    this->identity.incarnation, "-",
-                                   this->next_sequence.load())
+                                   this->sender.NextSequence())
                     : std::string(id);
 }
 
 // Counts and logs the end of a request.
-void Ingress::Finish(Context& context, const IngressReply& reply) {
+void Ingress::Finish(IngressRequest& context, const IngressReply& reply) {
   const std::string& team = context.service.team;
   const std::string& rank = context.match.rank->name;
   switch (reply.outcome) {
@@ -347,7 +244,8 @@
 }
 
 // Logs where the request was offered, on which knowledge, and with what result.
-void Ingress::TraceOffer(const Context& context, const Attempt& attempt) {
+void Ingress::TraceOffer(const IngressRequest& context,
+                         const IngressAttempt& attempt) {
   const ChosenEndpoint& chosen = attempt.chosen;
   LogEvent& event = context.trace.Add("request_offered");
   event.Add("endpoint", attempt.endpoint)
@@ -367,12 +265,12 @@
   }
 }
 
-IngressReply Ingress::Forward(Context& context) {
+IngressReply Ingress::Forward(IngressRequest& context) {
   this->parts.directory.CountFirstAttempt(context.service);
   if (context.match.route->repeat_safe) {
     return this->ForwardPlaced(context);
   }
-  const std::string key(FindHeader(context.request.headers, kKeyHeader));
+  const std::string key(FindHeader(context.message.headers, kKeyHeader));
   if (key.size() > kMaxKeyLength) {
     return OwnReply(CallerOutcome::kNotRun, kBadRequest,
                     absl::StrCat("Idempotency-Key is longer than ",
@@ -387,7 +285,7 @@
 
 // Offers the request to one endpoint after the other, until it is answered or
 // must not be sent again.
-IngressReply Ingress::ForwardPlaced(Context& context) {
+IngressReply Ingress::ForwardPlaced(IngressRequest& context) {
   const bool idempotent = context.match.route->repeat_safe;
   Progress progress;
   while (this->MayOffer(context, progress)) {
@@ -396,7 +294,7 @@
     if (!chosen) {
       break;
     }
-    Attempt attempt;
+    IngressAttempt attempt;
     attempt.endpoint = chosen->address;
     attempt.ip = chosen->ip;
     attempt.chosen = *chosen;
@@ -423,7 +321,7 @@
 }
 
 // Whether the request may be offered once more.
-bool Ingress::MayOffer(const Context& context, Progress& progress) {
+bool Ingress::MayOffer(const IngressRequest& context, Progress& progress) {
   if (++progress.asks > kMaxAsks || Clock::now() >= context.deadline ||
       context.cancelled()) {
     return false;
@@ -441,11 +339,11 @@
 }
 
 // Sends the attempt and records what became of it.
-void Ingress::Offer(const Context& context,
+void Ingress::Offer(const IngressRequest& context,
                     Progress& progress,
-                    Attempt& attempt) {
+                    IngressAttempt& attempt) {
   attempt.offered_at = Clock::now();
-  this->FillMessage(context, attempt);
+  this->sender.Fill(context, attempt);
   const bool spare = attempt.chosen.mode == PlacementMode::kSpare;
   attempt.message.set_run_now(spare ||
                               attempt.chosen.mode == PlacementMode::kRunNow);
@@ -453,11 +351,11 @@
   attempt.message.set_max_wait_us(attempt.chosen.longest_wait.count());
   attempt.message.set_accept_suspect(attempt.chosen.mode ==
                                      PlacementMode::kForce);
-  if (this->MayTravel(context, attempt)) {
+  if (this->sender.MayTravel(context, attempt)) {
     if (context.match.route->repeat_safe) {
-      this->Send(context, attempt);
+      this->sender.Send(context, attempt);
     } else {
-      this->SendNonIdempotent(context, attempt);
+      this->sender.SendNonIdempotent(context, attempt);
     }
   }
   this->TraceOffer(context, attempt);
@@ -477,74 +375,12 @@
   }
 }
 
-// Asks for the load of an endpoint in another region before a body travels
-// there, since most of such endpoints refuse in an overload and links between
-// regions are billed. If the request is not worth sending, sets the outcome of
-// the attempt.
-bool Ingress::MayTravel(const Context& context, Attempt& attempt) {
-  if (!attempt.chosen.remote || context.request.body.empty() ||
-      attempt.chosen.round_trip >
-          context.match.rank->target / kTargetPerQuestion) {
-    return true;
-  }
-  rpc::LoadRequest request;
-  request.set_endpoint(attempt.endpoint);
-  request.set_team(context.service.team);
-  request.set_service(context.service.service);
-  request.set_rank(context.match.rank->name);
-  request.set_organisation(context.organisation);
-  const Clock::time_point sent_at = Clock::now();
-  const std::optional<rpc::LoadReply> reply = this->parts.owners.AskLoad(
-      attempt.ip, request, context.deadline,
-      this->parts.directory.AcceptTimeoutOf(attempt.ip));
-  const Clock::time_point now = Clock::now();
-  if (!reply) {
-    this->NoteUnreached(attempt, sent_at, now);
-    return false;
-  }
-  this->parts.directory.RecordAccepted(attempt.ip, sent_at, now);
-  if (!reply->has_status()) {
-    attempt.Set(
-        CallerOutcome::kNotRun, rpc::REFUSAL_NOT_OWNER,
-        absl::StrCat("the owner does not know endpoint ", attempt.endpoint));
-    return false;
-  }
-  rpc::Result result;
-  *result.mutable_status() = reply->status();
-  this->parts.directory.RecordReply(context.service, context.match.rank->name,
-                                    result, now);
-  const EndpointLoad load = {
-      reply->status().load(), reply->status().limit(),
-      std::chrono::microseconds(reply->status().expected_wait_us()),
-      reply->status().suspect_for_us() > 0};
-  if (MayTravelTo(load, attempt.chosen.mode, attempt.chosen.longest_wait)) {
-    return true;
-  }
-  attempt.Set(
-      CallerOutcome::kNotRun,
-      load.suspect ? rpc::REFUSAL_SUSPECT : rpc::REFUSAL_BUSY,
-      absl::StrCat(attempt.endpoint,
-                   load.suspect ? " probably fails" : ": no slot to spare"));
-  return false;
-}
-
-// Records that the owner of the endpoint was not reached, so that nothing was
-// sent to it.
-void Ingress::NoteUnreached(Attempt& attempt,
-                            Clock::time_point sent_at,
-                            Clock::time_point now) {
-  this->parts.directory.RecordFailure(attempt.ip, PathFailure::kTransport,
-                                      sent_at, now);
-  attempt.Set(
-      CallerOutcome::kNotRun, rpc::REFUSAL_NONE,
-      absl::StrCat("the owner of ", attempt.endpoint, " is not reached"));
-}
-
 // The reply where no attempt was answered.
-IngressReply Ingress::GiveUp(const Context& context, const Progress& progress) {
+IngressReply Ingress::GiveUp(const IngressRequest& context,
+                             const Progress& progress) {
   IngressReply reply;
   if (progress.best) {
-    Attempt best = *progress.best;
+    IngressAttempt best = *progress.best;
     if (best.outcome == CallerOutcome::kUnknown &&
         Clock::now() >= context.deadline) {
       best.reason = rpc::REFUSAL_DEADLINE;
@@ -575,7 +411,8 @@
 }
 
 // Whether no endpoint can serve the request in time any more.
-bool Ingress::IsTooLate(const Context& context, const Attempt& attempt) {
+bool Ingress::IsTooLate(const IngressRequest& context,
+                        const IngressAttempt& attempt) {
   const Clock::time_point now = Clock::now();
   return attempt.reason == rpc::REFUSAL_DEADLINE &&
          context.deadline - now <
@@ -584,21 +421,21 @@
 
 // Only the home of a key may run it; it is asked again only where the refusal
 // was about the incarnation, of which the reply has brought a new stamp.
-IngressReply Ingress::ForwardKeyed(Context& context) {
+IngressReply Ingress::ForwardKeyed(IngressRequest& context) {
   const std::string home = HomeOf(*context.match.service, *context.key);
   if (home.empty()) {
     return this->GiveUp(context, {});
   }
-  Attempt attempt;
+  IngressAttempt attempt;
   for (int i = 0; i < kMaxKeyedAttempts; ++i) {
     if (i > 0) {
       this->retries.Add();
     }
-    attempt = Attempt();
+    attempt = IngressAttempt();
     attempt.endpoint = home;
     attempt.ip = IpOf(*context.match.service, home);
-    this->FillMessage(context, attempt);
-    this->SendNonIdempotent(context, attempt);
+    this->sender.Fill(context, attempt);
+    this->sender.SendNonIdempotent(context, attempt);
     if (attempt.outcome != CallerOutcome::kNotRun ||
         attempt.reason != rpc::REFUSAL_INCARNATION ||
         Clock::now() >= context.deadline) {
@@ -608,194 +445,4 @@
   return attempt.ToReply();
 }
 
-void Ingress::FillMessage(const Context& context, Attempt& attempt) {
-  rpc::ForwardRequest& message = attempt.message;
-  ToProto(AttemptId{this->identity.name, this->identity.incarnation,
-                    this->next_sequence++},
-          *message.mutable_attempt());
-  message.set_endpoint(attempt.endpoint);
-  message.set_team(context.service.team);
-  message.set_service(context.service.service);
-  message.mutable_config_version()->set_generation(context.version.generation);
-  message.mutable_config_version()->set_revision(context.version.revision);
-  message.set_rank(context.match.rank->name);
-  message.set_organisation(context.organisation);
-  message.set_repeatable(context.match.route->repeat_safe);
-  if (context.key) {
-    message.set_idempotency_key(context.key->key);
-  }
-  RequestToProto(context.request, message);
-  const std::string& expected = this->parts.headers.expected_instance;
-  if (!expected.empty() && !attempt.chosen.instance.empty()) {
-    rpc::Header& header = *message.add_headers();
-    header.set_name(expected);
-    header.set_value(attempt.chosen.instance);
-  }
-  this->parts.directory.AddSiblings(context.service, message);
-}
-
-// Gets a stamp that may be sent with the request; false if there is none.
-bool Ingress::PrepareStamp(const Context& context, Attempt& attempt) {
-  std::optional<ReceivedStamp> stamp = this->parts.owners.StampOf(attempt.ip);
-  const std::chrono::microseconds retention =
-      context.match.service->key_retention;
-  const auto usable = [&] {
-    return stamp &&
-           IsStampFresh(MakeKeyTimes(retention), stamp->received_at,
-                        Clock::now()) &&
-           this->parts.journal.MaySend(retention, context.read_at,
-                                       stamp->received_at);
-  };
-  if (!usable()) {
-    stamp = this->parts.owners.RefreshStamp(
-        attempt.ip, context.deadline,
-        this->parts.directory.AcceptTimeoutOf(attempt.ip));
-  }
-  if (!usable()) {
-    return false;
-  }
-  ToProto(stamp->stamp, *attempt.message.mutable_stamp());
-  attempt.message.set_owner_incarnation(stamp->stamp.incarnation);
-  return true;
-}
-
-void Ingress::SendNonIdempotent(const Context& context, Attempt& attempt) {
-  if (!this->PrepareStamp(context, attempt)) {
-    const auto now = Clock::now();
-    this->NoteUnreached(attempt, now, now);
-    return;
-  }
-  const LedgerRequest ledger_request = LedgerRequestFromProto(attempt.message);
-  if (context.key && !this->parts.journal.EnterAttempt(
-                         attempt.endpoint, ledger_request, Clock::now())) {
-    attempt.Set(CallerOutcome::kNotRun, rpc::REFUSAL_LEDGER_FULL,
-                "the journal of keyed attempts is full");
-    return;
-  }
-  this->Send(context, attempt);
-  // The attempt was sent once. If it reached another incarnation than the one
-  // that it was meant for, it ran at neither; and without a key, no other
-  // attempt can have run it before its stamp became too old.
-  const bool refused_unseen =
-      attempt.reason == rpc::REFUSAL_INCARNATION ||
-      (attempt.reason == rpc::REFUSAL_STALE_FORWARD && !context.key);
-  if (attempt.outcome == CallerOutcome::kUnknown && refused_unseen) {
-    attempt.outcome = CallerOutcome::kNotRun;
-  }
-  if (context.key) {
-    const bool responded = attempt.outcome == CallerOutcome::kAnswered;
-    this->parts.journal.EnterOutcome(
-        ledger_request.attempt,
-        responded                                   ? JournalOutcome::kResponded
-        : attempt.outcome == CallerOutcome::kNotRun ? JournalOutcome::kNotRun
-                                                    : JournalOutcome::kUnknown,
-        responded ? std::make_shared<const HttpResponse>(attempt.response)
-                  : nullptr,
-        Clock::now());
-  }
-}
-
-// Sends the attempt once and sets its outcome.
-void Ingress::Send(const Context& context, Attempt& attempt) {
-  const Clock::time_point sent_at = Clock::now();
-  attempt.message.set_time_left_us(
-      std::chrono::duration_cast<std::chrono::microseconds>(context.deadline -
-                                                            sent_at)
-          .count());
-  attempt.message.set_age_us(
-      std::chrono::duration_cast<std::chrono::microseconds>(sent_at -
-                                                            context.read_at)
-          .count());
-  const ForwardCallResult call = this->parts.owners.Forward(
-      attempt.ip, attempt.message,
-      {context.deadline, this->parts.directory.AcceptTimeoutOf(attempt.ip),
-       context.cancelled});
-  const Clock::time_point now = Clock::now();
-  if (call.accepted || call.transport == ForwardTransport::kReplied) {
-    this->parts.directory.RecordAccepted(attempt.ip, sent_at,
-                                         sent_at + call.accept_time);
-  } else {
-    this->path_failures.Add();
-    this->parts.directory.RecordFailure(
-        attempt.ip,
-        call.transport == ForwardTransport::kNotAccepted
-            ? PathFailure::kAcceptTimeout
-            : PathFailure::kTransport,
-        sent_at, now);
-  }
-  if (call.transport == ForwardTransport::kReplied) {
-    this->parts.directory.RecordReply(context.service, context.match.rank->name,
-                                      call.result, now);
-    attempt.reason = call.result.reason();
-    attempt.sent = call.result.sent_to_backend();
-    attempt.detail = call.result.detail();
-    switch (call.result.outcome()) {
-      case rpc::OUTCOME_ANSWERED:
-        attempt.outcome = CallerOutcome::kAnswered;
-        attempt.response = FromProto(call.result.answer());
-        return;
-      case rpc::OUTCOME_NOT_RUN:
-        attempt.outcome = CallerOutcome::kNotRun;
-        return;
-      default:
-        attempt.outcome = CallerOutcome::kUnknown;
-        return;
-    }
-  }
-  const std::string error(call.error.message());
-  if (call.transport == ForwardTransport::kNotSent) {
-    attempt.Set(CallerOutcome::kNotRun, rpc::REFUSAL_NONE, error);
-    return;
-  }
-  attempt.Set(CallerOutcome::kUnknown, rpc::REFUSAL_NONE, error);
-  attempt.sent = true;
-  if (!context.match.route->repeat_safe &&
-      call.transport != ForwardTransport::kCancelled) {
-    this->FenceAfterFailure(context, attempt);
-  }
-}
-
-// Finds out over a new connection what became of an attempt whose reply was
-// lost, and prevents it from running if it has not started.
-void Ingress::FenceAfterFailure(const Context& context, Attempt& attempt) {
-  this->fences.Add();
-  rpc::FenceAttemptRequest request;
-  *request.mutable_attempt() = attempt.message.attempt();
-  request.set_endpoint(attempt.endpoint);
-  request.set_idempotency_key(attempt.message.idempotency_key());
-  request.set_owner_incarnation(attempt.message.owner_incarnation());
-  request.set_team(context.service.team);
-  request.set_service(context.service.service);
-  request.set_request_hash(
-      LedgerRequestFromProto(attempt.message).request_hash);
-  *request.mutable_stamp() = attempt.message.stamp();
-  const Clock::time_point now = Clock::now();
-  Clock::time_point give_up = std::max<Clock::time_point>(
-      std::min<Clock::time_point>(context.deadline, now + kFenceTime),
-      now + kFenceGrace);
-  while (Clock::now() < give_up) {
-    const rpc::FenceReply reply =
-        this->parts.owners.FenceAttempt(attempt.ip, request, give_up);
-    switch (reply.state()) {
-      case rpc::FENCE_FENCED:
-        attempt.outcome = CallerOutcome::kNotRun;
-        attempt.sent = false;
-        return;
-      case rpc::FENCE_DONE:
-        attempt.outcome = CallerOutcome::kAnswered;
-        attempt.response = FromProto(reply.answer());
-        return;
-      case rpc::FENCE_RUNNING:
-        // The owner is reached, so its result is worth waiting for.
-        give_up = std::max(give_up, context.deadline);
-        [[fallthrough]];
-      case rpc::FENCE_UNSPECIFIED:
-        std::this_thread::sleep_for(kFencePollPeriod);
-        break;
-      default:
-        return;
-    }
-  }
-}
-
 }  // namespace comfrey
--- /dev/null
+++ b/Source/daemon/ingress_attempt.h
@@ -0,0 +1,123 @@
+#ifndef DAEMON_INGRESS_ATTEMPT_H_
+#define DAEMON_INGRESS_ATTEMPT_H_
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "base/counters.h"
+#include "config/config_version.h"
+#include "config/daemon_settings.h"
+#include "config/route_table.h"
+#include "core/http_message.h"
+#include "core/key_placement.h"
+#include "daemon/config_holder.h"
+#include "daemon/endpoint_directory.h"
+#include "daemon/ingress_reply.h"
+#include "daemon/key_journal.h"
+#include "daemon/owner_client.h"
+#include "daemon/request_log.h"
+#include "daemon/service_levels.h"
+#include "peer.pb.h"
+
+namespace comfrey {
+
+/// \brief Identity of this daemon as an ingress.
+struct IngressIdentity {
+  std::string name;
+  std::uint64_t incarnation = 0;
+};
+
+/// \brief Whether the caller of a request has left.
+using CancelCheck = std::function<bool()>;
+
+/// \brief The parts that an ingress works with; they outlive it.
+struct IngressParts {
+  const ConfigHolder& config;
+  EndpointDirectory& directory;
+  OwnerClient& owners;
+  KeyJournal& journal;
+  ServiceLevels& levels;
+  CounterRegistry& counters;
+  RequestLog& log;
+  HeaderNames headers;
+  /// Service whose backend server runs on this VM; may be empty.
+  std::function<std::string()> local_service = [] { return std::string(); };
+};
+
+/// \brief One request of a caller.
+struct IngressRequest {
+  HttpRequest message;
+  const RouteMatch& match;
+  ServiceId service;
+  ConfigVersion version;
+  std::optional<KeyId> key;
+  std::string organisation;
+  std::chrono::steady_clock::time_point read_at;
+  std::chrono::steady_clock::time_point deadline;
+  const CancelCheck& cancelled;
+  RequestTrace& trace;
+};
+
+/// \brief One attempt to run a request, and what became of the attempt.
+struct IngressAttempt {
+  std::string endpoint;
+  std::string ip;
+  rpc::ForwardRequest message;
+  CallerOutcome outcome = CallerOutcome::kNotRun;
+  rpc::RefusalReason reason = rpc::REFUSAL_NONE;
+  HttpResponse response;
+  std::string detail;
+  /// Whether a backend server may have received the request.
+  bool sent = false;
+  ChosenEndpoint chosen;
+  std::chrono::steady_clock::time_point offered_at;
+
+  void Set(CallerOutcome next, rpc::RefusalReason why, std::string text);
+  IngressReply ToReply();
+};
+
+/// \brief Sends attempts to the owners of endpoints and finds out what became
+/// of them; thread-safe.
+class AttemptSender {
+ public:
+  using TimePoint = std::chrono::steady_clock::time_point;
+
+  AttemptSender(const IngressIdentity& identity, const IngressParts& parts);
+
+  /// \brief Sequence number of the next attempt, unique in this incarnation.
+  std::uint64_t NextSequence() const { return this->next_sequence.load(); }
+
+  /// \brief Writes the message of an attempt for its endpoint.
+  void Fill(const IngressRequest& request, IngressAttempt& attempt);
+
+  /// \brief Whether the request may travel to its endpoint; if not, sets the
+  /// outcome of the attempt.
+  bool MayTravel(const IngressRequest& request, IngressAttempt& attempt);
+
+  /// \brief Sends a filled attempt once and sets its outcome.
+  void Send(const IngressRequest& request, IngressAttempt& attempt);
+
+  /// \brief The same for a request that must not run twice.
+  void SendNonIdempotent(const IngressRequest& request,
+                         IngressAttempt& attempt);
+
+ private:
+  bool PrepareStamp(const IngressRequest& request, IngressAttempt& attempt);
+  void FenceAfterFailure(const IngressRequest& request,
+                         IngressAttempt& attempt);
+  void NoteUnreached(IngressAttempt& attempt, TimePoint sent_at, TimePoint now);
+
+  IngressIdentity identity;
+  IngressParts parts;
+  std::atomic<std::uint64_t> next_sequence{1};
+  Metric& fences;
+  Metric& path_failures;
+};
+
+}  // namespace comfrey
+
+#endif  // DAEMON_INGRESS_ATTEMPT_H_
