--- a/Source/core/admission_queue.h
+++ b/Source/core/admission_queue.h
@@ -5,36 +5,20 @@
 #include <cstddef>
 #include <cstdint>
 #include <limits>
-#include <list>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
-#include <tuple>
-#include <unordered_map>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "core/admission_rank.h"
 
 namespace comfrey {
 
-using TimePoint = std::chrono::steady_clock::time_point;
-
 /// \brief Value of a limit that does not apply.
 inline constexpr std::size_t kUnlimited =
     std::numeric_limits<std::size_t>::max();
 
-/// \brief A rank of work, from a `[rank]` section of the team.
-struct RankPolicy {
-  std::string name;
-  int urgency = 1;                      ///< 1 is the most urgent.
-  double share = 0.0;                   ///< Guaranteed share of slots, 0 to 1.
-  std::chrono::microseconds target{0};  ///< From arrival to response; 0: none.
-  /// Service time assumed until some have been measured; 0 for that of the
-  /// endpoint.
-  std::chrono::microseconds expected_service{0};
-};
-
 /// \brief The policy of one endpoint, from its `[service]` section.
 struct AdmissionPolicy {
   std::vector<RankPolicy> ranks;
@@ -60,15 +44,6 @@
   std::size_t urgent_slots = 0;
 };
 
-/// \brief One request; `id` is unique among the items queued or running.
-struct WorkItem {
-  std::uint64_t id = 0;
-  std::size_t rank = 0;  ///< Index into AdmissionPolicy::ranks.
-  std::string organisation;
-  TimePoint arrival;
-  TimePoint deadline;
-};
-
 enum class AdmissionVerdict { kRun, kQueued, kRefused };
 
 enum class RefusalReason {
@@ -122,62 +97,6 @@
   std::chrono::microseconds expected_wait{0};
 };
 
-struct OrganisationQueue;
-
-/// \brief An item in the queue; see AdmissionQueue.
-struct QueuedItem {
-  WorkItem item;
-  std::uint64_t sequence = 0;
-  OrganisationQueue* organisation = nullptr;
-  bool late = false;  ///< It is expected to miss the target of its rank.
-  std::list<QueuedItem*>::iterator position;
-};
-
-/// \brief The queued items of one organisation within one rank, in FIFO order.
-struct OrganisationQueue {
-  std::string name;
-  std::uint64_t serial = 0;
-  double tag = 0.0;  ///< Virtual time at which its next item is due.
-  std::list<QueuedItem*> on_time;
-  std::list<QueuedItem*> late;
-};
-
-/// Ordered by tag, then by age; no order depends on addresses, so that runs
-/// with the same seed are equal.
-using OrganisationsByTag =
-    std::set<std::tuple<double, std::uint64_t, OrganisationQueue*>>;
-using OrganisationsByLength =
-    std::set<std::tuple<std::size_t, std::uint64_t, OrganisationQueue*>>;
-using ItemsByTime = std::set<std::tuple<TimePoint, std::uint64_t, QueuedItem*>>;
-
-/// \brief The state of one rank; see AdmissionQueue.
-struct RankState {
-  RankPolicy policy;
-  double share = 0.0;       ///< Guaranteed share, with the minimum applied.
-  std::size_t reserve = 0;  ///< Places of the queue that it cannot lose.
-
-  double credit = 0.0;  ///< Unused guaranteed slot time in seconds.
-  std::size_t running = 0;
-  double start_sum = 0.0;  ///< Sum of the start times of the running items.
-  std::uint64_t last_start = 0;
-
-  double service_mean = 0.0;       ///< In seconds.
-  double service_deviation = 0.0;  ///< Mean absolute deviation in seconds.
-  TimePoint last_sample;
-
-  TimePoint last_arrival;  ///< Of an item that was offered.
-  std::size_t queued = 0;
-  std::size_t queued_late = 0;
-  double virtual_time = 0.0;
-  std::unordered_map<std::string, OrganisationQueue> organisations;
-  OrganisationsByTag on_time_order;
-  OrganisationsByTag late_order;
-  OrganisationsByTag idle;  ///< Nothing queued, but recently served.
-  OrganisationsByLength by_length;
-  ItemsByTime targets;  ///< Items that are not late.
-  ItemsByTime deadlines;
-};
-
 struct RunningItem {
   std::size_t rank = 0;
   TimePoint start;
