End a stop before its grace period does

Cause: after the abort 0.6 s before the end, each connection with a reply waited for another second until its caller closed it, and a trial of a suspect path could keep its thread for 0.6 s for each owner.

Change: an abort ends the waits for callers, and no path is tried after the daemon has stopped to accept callers.

--- a/Source/daemon/daemon.cc
+++ b/Source/daemon/daemon.cc
@@ -296,6 +296,11 @@
     ips.push_back(std::move(ip));
   }
   for (const std::string& ip : ips) {
+    // Each trial may take its whole timeout, longer than the end of the grace
+    // period leaves.
+    if (this->stopping) {
+      return;
+    }
     const TimePoint sent_at = Clock::now();
     const bool reached =
         this->owner_client
@@ -332,6 +337,7 @@
           this->frontend.Abort();
         }
       });
+  this->stopping = true;
   this->frontend.Stop();
   this->timers.Unsubscribe(abort);
   this->WaitForForwards(abort_at);
--- a/Source/daemon/daemon.h
+++ b/Source/daemon/daemon.h
@@ -92,6 +92,8 @@
   TimePoint started_at;
   std::chrono::system_clock::time_point started_at_wall;
   std::atomic<bool> leaving{false};
+  /// Callers are no longer accepted, and paths no longer tried.
+  std::atomic<bool> stopping{false};
   CounterRegistry counters;
   TimerService timers;
   CallWatchdog watchdog;
--- a/Source/daemon/http_frontend.cc
+++ b/Source/daemon/http_frontend.cc
@@ -85,6 +85,7 @@
 // Closing a socket with unread bytes resets the connection, and the reset may
 // overtake the reply; so the bytes are read until the caller closes.
 constexpr std::chrono::seconds kCloseTimeout{1};
+constexpr std::chrono::milliseconds kClosePollPeriod{100};
 // One thread refuses connections one after the other, so it waits only as long
 // as a request needs to arrive from a caller, a few milliseconds away.
 constexpr std::chrono::milliseconds kRefuseTimeout{20};
@@ -300,12 +301,20 @@
   return query;
 }
 
-// Waits until the caller has closed, so that it receives what was sent.
-void CloseAfterReply(int socket, Clock::time_point deadline) {
+// Waits until the caller has closed, so that it receives what was sent. An
+// abort ends the wait, as the process would be killed before its end.
+void CloseAfterReply(int socket,
+                     Clock::time_point deadline,
+                     const std::atomic<bool>& aborting) {
   ::shutdown(socket, SHUT_WR);
   std::array<char, 4096> bytes;
-  while (Clock::now() < deadline && WaitForSocket(socket, POLLIN, deadline) &&
-         ::recv(socket, bytes.data(), bytes.size(), MSG_DONTWAIT) > 0) {
+  while (Clock::now() < deadline && !aborting) {
+    const Clock::time_point poll =
+        std::min<Clock::time_point>(deadline, Clock::now() + kClosePollPeriod);
+    if (WaitForSocket(socket, POLLIN, poll) &&
+        ::recv(socket, bytes.data(), bytes.size(), MSG_DONTWAIT) <= 0) {
+      return;
+    }
   }
 }
 
@@ -448,7 +457,7 @@
       return;
     }
     if (exchange.close) {
-      CloseAfterReply(socket, Clock::now() + kCloseTimeout);
+      CloseAfterReply(socket, Clock::now() + kCloseTimeout, this->aborting);
       return;
     }
   }
@@ -547,7 +556,7 @@
   // would delay the others. With an empty socket buffer the write is immediate.
   if (this->Reply(socket, exchange) &&
       treatment == ConnectionTreatment::kRefuse && !this->stopping) {
-    CloseAfterReply(socket, Clock::now() + kRefuseTimeout);
+    CloseAfterReply(socket, Clock::now() + kRefuseTimeout, this->aborting);
   }
 }
 
--- a/Tests/daemon/http_frontend_test.cc
+++ b/Tests/daemon/http_frontend_test.cc
@@ -631,6 +631,25 @@
 }
 
 // Guards against two daemons that listen on one address without notice.
+// Guards against a daemon that is killed at the end of its grace period: after
+// the requests were given up, each connection was kept for a second until its
+// caller closed it.
+TEST_CASE("An abort does not wait for callers to close", "[http_frontend]") {
+  FakeDaemon daemon;
+  daemon.wait_for_cancel = true;
+  const auto caller = daemon.Connect();
+  REQUIRE(caller->Send("GET /slow HTTP/1.1\r\nHost: x\r\n\r\n"));
+  // The stop does not close a connection whose request it has accepted.
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  std::thread stop([&] { daemon.frontend.Stop(); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  daemon.frontend.Abort();
+  const Clock::time_point begin = Clock::now();
+  stop.join();
+  CHECK(Clock::now() - begin < std::chrono::milliseconds(500));
+  CHECK(daemon.saw_cancel);
+}
+
 TEST_CASE("An address in use is refused", "[http_frontend]") {
   FakeDaemon daemon;
   CounterRegistry counters;
