Charge the repeats that owners send to the budget

A backend server that resets reused connections received each request twice from its owner, which took the connection for one that had been closed while idle; nobody counted the repeat.

Change: the owner says so in its result, and the ingress charges its budget.

--- a/Source/core/retry_budget.cc
+++ b/Source/core/retry_budget.cc
@@ -38,6 +38,11 @@
       std::min(budget.most_percent, budget.percent + kPercentPerAttempt);
 }
 
+void ChargeRetry(RetryBudget& budget) {
+  budget.percent =
+      std::max(-budget.most_percent, budget.percent - kPercentPerAttempt);
+}
+
 // Nobody counts the retries of all daemons, so each keeps to its own part. A
 // margin below the share covers requests that a window does not hold yet.
 void SetLimits(RetryBudget& budget, double share, int slack, int daemons) {
--- a/Source/core/retry_budget.h
+++ b/Source/core/retry_budget.h
@@ -45,6 +45,10 @@
 /// \brief Returns a retry that was not sent after all.
 void ReturnRetry(RetryBudget& budget);
 
+/// \brief Takes a retry that was sent without asking; the budget may fall below
+/// zero by as much as it may save up.
+void ChargeRetry(RetryBudget& budget);
+
 /// \brief Sets the limits from those of the whole fleet: `share` of the first
 /// attempts, 0 to 1, and `slack` retries that all `daemons` share.
 void SetLimits(RetryBudget& budget, double share, int slack, int daemons);
--- a/Source/daemon/backend_client.cc
+++ b/Source/daemon/backend_client.cc
@@ -348,6 +348,7 @@
   BackendResult result = this->CallOnce(call, call.idempotent, stale);
   if (stale) {
     result = this->CallOnce(call, false, stale);
+    result.resent = true;
   }
   result.latency = std::chrono::duration_cast<std::chrono::microseconds>(
       Clock::now() - start);
--- a/Source/daemon/backend_client.h
+++ b/Source/daemon/backend_client.h
@@ -32,6 +32,9 @@
   HttpResponse response;
   absl::Status error;
   std::chrono::microseconds latency{0};
+  /// The request was sent again over a new connection, since a reused one ended
+  /// without a response; it may have arrived twice.
+  bool resent = false;
 };
 
 /// \brief One call to a backend server.
--- a/Source/daemon/endpoint_directory.h
+++ b/Source/daemon/endpoint_directory.h
@@ -146,6 +146,8 @@
                    RepeatPolicy repeat,
                    AttemptEnd previous);
   /// \brief Gives back a retry that no backend server received.
+  /// \brief Charges the budget of the service for a repeat by an owner.
+  void ChargeRetryOf(const ServiceId& service);
   void ReturnRetryOf(const ServiceId& service);
 
   std::vector<EndpointSnapshot> Report();
--- a/Source/daemon/ingress_attempt.cc
+++ b/Source/daemon/ingress_attempt.cc
@@ -242,6 +242,9 @@
   if (call.transport == ForwardTransport::kReplied) {
     this->parts.directory.RecordReply(request.service, request.match.rank->name,
                                       call.result, now);
+    if (call.result.resent()) {
+      this->parts.directory.ChargeRetryOf(request.service);
+    }
     attempt.reason = call.result.reason();
     attempt.sent = call.result.sent_to_backend();
     attempt.detail = call.result.detail();
--- a/Source/daemon/owner_result.cc
+++ b/Source/daemon/owner_result.cc
@@ -281,6 +281,7 @@
       break;
   }
   result.set_sent_to_backend(true);
+  result.set_resent(backend.resent);
   return result;
 }
 
--- a/Tests/core/retry_budget_test.cc
+++ b/Tests/core/retry_budget_test.cc
@@ -31,6 +31,30 @@
   CHECK(burst == 20);
 }
 
+// Guards against repeats of owners that nobody counts: with a backend server
+// that resets connections, each request arrives twice.
+TEST_CASE("a repeat that was not asked for is charged") {
+  RetryBudget budget;
+  for (int first = 0; first < 100; first++) {
+    RecordFirstAttempt(budget);
+  }
+  for (int repeat = 0; repeat < 12; repeat++) {
+    ChargeRetry(budget);
+  }
+  // Ten were earned, so the next two wait for 20 first attempts.
+  int first = 0;
+  while (TakeRetry(budget, RepeatPolicy::kSafe, AttemptEnd::kFailed) !=
+         RetryVerdict::kAllowed) {
+    RecordFirstAttempt(budget);
+    first++;
+  }
+  CHECK(first == 30);
+  for (int repeat = 0; repeat < 1000; repeat++) {
+    ChargeRetry(budget);
+  }
+  CHECK(budget.percent == -budget.most_percent);
+}
+
 // Guards against running a non-idempotent request twice.
 TEST_CASE("a non-idempotent request is retried only if it did not run") {
   struct Case {
--- a/Tests/daemon/backend_client_test.cc
+++ b/Tests/daemon/backend_client_test.cc
@@ -295,7 +295,10 @@
     while (!at_reuse && served == 0) {
       std::this_thread::yield();
     }
-    CHECK(setup.Call().outcome == BackendOutcome::kAnswered);
+    const BackendResult second = setup.Call();
+    CHECK(second.outcome == BackendOutcome::kAnswered);
+    // A server that read the request and closed then has received it twice.
+    CHECK(second.resent == at_reuse);
     CHECK(setup.Call("POST", kPatience, false).outcome ==
           BackendOutcome::kAnswered);
   }
