Do not report a request that was sent again as not sent

Cause: where a reused connection ended without a response and no second one could be opened, the result was that of the second connection, not sent, and the caller was told that the request had not run. Only idempotent requests are sent again.

--- a/Source/daemon/backend_client.cc
+++ b/Source/daemon/backend_client.cc
@@ -349,6 +349,10 @@
   if (stale) {
     result = this->CallOnce(call, false, stale);
     result.resent = true;
+    if (result.outcome == BackendOutcome::kNotSent) {
+      // The first connection may have carried the request.
+      result.outcome = BackendOutcome::kFailed;
+    }
   }
   result.latency = std::chrono::duration_cast<std::chrono::microseconds>(
       Clock::now() - start);
--- a/Tests/daemon/backend_client_test.cc
+++ b/Tests/daemon/backend_client_test.cc
@@ -304,6 +304,27 @@
   }
 }
 
+// Guards invariant I3: a request that reached the backend server once is not
+// reported as not sent because the second connection failed.
+TEST_CASE("A request that was sent again without success was sent",
+          "[backend_client]") {
+  std::atomic<int> requests{0};
+  RawServer* server = nullptr;
+  Setup setup([&](RawSocket& socket, int /*connection*/) {
+    bool closed = false;
+    socket.Receive(HasHead, kPatience, closed);
+    socket.Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    socket.Receive(HasHead, kPatience, closed);
+    ++requests;
+    server->StopListening();
+  });
+  server = &setup.server;
+  CHECK(setup.Call().outcome == BackendOutcome::kAnswered);
+  const BackendResult second = setup.Call();
+  CHECK(requests == 1);
+  CHECK(second.outcome == BackendOutcome::kFailed);
+}
+
 // Guards invariant I4: a request that must not run twice is sent once, whatever
 // the backend server does with the connection.
 TEST_CASE("A non-idempotent request is sent once on a new connection",
--- a/Tests/daemon/raw_socket.cc
+++ b/Tests/daemon/raw_socket.cc
@@ -131,8 +131,12 @@
   });
 }
 
-RawServer::~RawServer() {
+void RawServer::StopListening() const {
   ::shutdown(this->listener, SHUT_RDWR);
+}
+
+RawServer::~RawServer() {
+  this->StopListening();
   this->thread.join();
   ::close(this->listener);
 }
--- a/Tests/daemon/raw_socket.h
+++ b/Tests/daemon/raw_socket.h
@@ -58,6 +58,9 @@
 
   int Port() const { return this->port; }
 
+  /// \brief Refuses further connections.
+  void StopListening() const;
+
  private:
   int listener;
   int port = 0;
