Send no summaries to other regions in large services; correct comments and limits

Cause, found by reading the change: a forward named its siblings before the endpoint of the forward was found in the list, so a remote endpoint after the first 16 got them. The test with 20 endpoints failed before the change.

--- a/Source/config/registry_view.cc
+++ b/Source/config/registry_view.cc
@@ -19,6 +19,8 @@
 // About one round of the slots of an endpoint: under a lasting overload, late
 // work beyond it waits for nothing.
 constexpr int kLateLimit = 4;
+// Calls that backend servers make take a small part of the time of other work,
+// so one slot serves them.
 constexpr int kUrgentSlots = 1;
 // Requests without a key are repeated by nobody; their records only have to
 // outlive a delayed forward, and a fence after a lost reply.
--- a/Source/config/team_config.h
+++ b/Source/config/team_config.h
@@ -58,7 +58,7 @@
   /// all if absent.
   std::optional<int> late_limit;
   /// Slots of each endpoint that work leaves free for more urgent ranks while
-  /// it can wait; 0 to 1000.
+  /// it can wait; 0 to 10000.
   int urgent_slots = 0;
   Detection detection = Detection::kBalanced;
   /// Hint for a cold start; 100 us to 10 min.
--- a/Source/core/admission_queue.cc
+++ b/Source/core/admission_queue.cc
@@ -30,8 +30,8 @@
 // it takes to reach the ingress; no capacity is lost while the rest is queued.
 constexpr double kDrainedPart = 0.25;
 
-// A slot is left for work that takes at most this part of the time of the work
-// that would use it. With service times of 260 and 350 ms, the slots that
+// A slot is left for urgent work only if the work that would use it takes
+// longer by this factor. With service times of 260 and 350 ms, the slots that
 // stayed free cost a tenth of what an endpoint served.
 constexpr double kLongPerShort = 3.0;
 // Slots are left for ranks of which work arrived within this time.
--- a/Source/daemon/endpoint_directory.cc
+++ b/Source/daemon/endpoint_directory.cc
@@ -25,10 +25,10 @@
 // A longer wait in the region would take most of what the target leaves beside
 // the service time.
 constexpr int kTargetPerWait = 3;
-// Two round trips to another region.
-constexpr std::chrono::milliseconds kLeastRemoteGain{150};
 // The same in another region, less a round trip there.
 constexpr int kTargetPerRemoteWait = 4;
+// Two round trips to another region; work does not leave for a shorter wait.
+constexpr std::chrono::milliseconds kLeastRemoteGain{150};
 
 // Endpoints of each service in other regions to which a connection is kept, and
 // the most owners that are connected for it.
@@ -475,17 +475,21 @@
   if (found == this->services.end()) {
     return;
   }
+  // Links between regions are billed; an owner hears of the siblings from the
+  // daemons of its own region.
+  const std::vector<Endpoint>& endpoints = found->second.endpoints;
+  const bool remote =
+      std::any_of(endpoints.begin(), endpoints.end(), [&](const Endpoint& e) {
+        return e.address == request.endpoint() && !e.view.same_region;
+      });
+  if (remote) {
+    return;
+  }
   std::size_t added = 0;
-  for (const Endpoint& endpoint : found->second.endpoints) {
+  for (const Endpoint& endpoint : endpoints) {
     if (added == kMaxSiblings) {
       return;
     }
-    if (endpoint.address == request.endpoint() && !endpoint.view.same_region) {
-      // Links between regions are billed; the owner hears of its siblings from
-      // the daemons of its own region.
-      request.clear_siblings();
-      return;
-    }
     if (endpoint.summary && endpoint.address != request.endpoint() &&
         now - endpoint.summary->midpoint <= kMaxSummaryAge) {
       rpc::EndpointSummary& sibling = *request.add_siblings();
--- a/Tests/config/team_config_test.cc
+++ b/Tests/config/team_config_test.cc
@@ -136,6 +136,8 @@
       {"2026-12-04T10:00:00Z", "2026-12-4T1:00:00Z", "not a time", "2026-12-"},
       {"queue_limit = 64", "queue_limit = -1", "not a whole number",
        "from 0 to 100000"},
+      {"queue_limit = 64", "urgent_slots = 10001", "out of range",
+       "from 0 to 10000"},
       {"balanced", "quick", "detection = quick: the value is not one of",
        "careful, balanced, fast"},
       {"expected_latency = 40ms", "expected_latency = 0s", "out of range",
--- /dev/null
+++ b/Tests/daemon/endpoint_directory_test.cc
@@ -0,0 +1,67 @@
+#include "daemon/endpoint_directory.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+
+namespace comfrey {
+namespace {
+
+const ServiceId kService{"team", "booking"};
+constexpr int kPort = 8080;
+constexpr int kEndpoints = 20;
+
+std::string IpOf(int index) {
+  return "10.0.0." + std::to_string(index + 1);
+}
+
+std::string AddressOf(int index) {
+  return IpOf(index) + ":" + std::to_string(kPort);
+}
+
+// A service of which the last endpoint is in another region.
+ConfigStore MakeStore() {
+  ServiceConfig service;
+  service.name = kService.service;
+  for (int i = 0; i < kEndpoints; ++i) {
+    EndpointConfig endpoint;
+    endpoint.address = AddressOf(i);
+    endpoint.ip = IpOf(i);
+    endpoint.port = kPort;
+    const bool last = i + 1 == kEndpoints;
+    endpoint.region = last ? "debrecen" : "budapest";
+    endpoint.failure_domain = last ? "deb-a" : "bud-a";
+    service.endpoints.push_back(endpoint);
+  }
+  TeamConfig team;
+  team.team = kService.team;
+  team.services = {service};
+  ConfigStore store;
+  ReplaceTeam(store, {1, 1}, team);
+  return store;
+}
+
+// Guards against summaries that are sent over billed links, also for services
+// with more endpoints than a forward names.
+TEST_CASE("a forward to another region names no siblings") {
+  EndpointDirectory directory("vm-1", {"budapest", "bud-a"});
+  directory.ApplyConfig(MakeStore());
+  for (int i = 0; i < kEndpoints; ++i) {
+    rpc::Result result;
+    result.mutable_status()->set_endpoint(AddressOf(i));
+    result.mutable_summary()->set_median_latency_us(1000);
+    directory.RecordReply(kService, "rank", result,
+                          std::chrono::steady_clock::now());
+  }
+  rpc::ForwardRequest near;
+  near.set_endpoint(AddressOf(0));
+  directory.AddSiblings(kService, near);
+  CHECK(near.siblings_size() == 16);
+  rpc::ForwardRequest far;
+  far.set_endpoint(AddressOf(kEndpoints - 1));
+  directory.AddSiblings(kService, far);
+  CHECK(far.siblings_size() == 0);
+}
+
+}  // namespace
+}  // namespace comfrey
