--- a/Source/core/endpoint_health.cc
+++ b/Source/core/endpoint_health.cc
@@ -232,4 +232,40 @@
   return summary;
 }
 
+const char* EndpointStateName(EndpointState state) {
+  switch (state) {
+    case EndpointState::kWarming:
+      return "warming";
+    case EndpointState::kHealthy:
+      return "healthy";
+    case EndpointState::kEjected:
+      return "ejected";
+    case EndpointState::kProbation:
+      break;
+  }
+  return "probation";
+}
+
+const char* VerdictReasonName(VerdictReason reason) {
+  switch (reason) {
+    case VerdictReason::kNone:
+      return "none";
+    case VerdictReason::kStarted:
+      return "started";
+    case VerdictReason::kSlow:
+      return "slow";
+    case VerdictReason::kFailing:
+      return "failing";
+    case VerdictReason::kUnreachable:
+      return "unreachable";
+    case VerdictReason::kReturning:
+      return "returning";
+    case VerdictReason::kNoSiblings:
+      return "no siblings";
+    case VerdictReason::kUnconfirmed:
+      break;
+  }
+  return "unconfirmed";
+}
+
 }  // namespace comfrey
--- a/Source/core/endpoint_health.h
+++ b/Source/core/endpoint_health.h
@@ -43,6 +43,11 @@
   kUnconfirmed,  ///< evidence of a fault, but no recent sibling summaries
 };
 
+/// \brief Returns the text of a state or a reason for the log, for example
+/// "ejected".
+const char* EndpointStateName(EndpointState state);
+const char* VerdictReasonName(VerdictReason reason);
+
 /// Number of latency buckets; four for each factor of two, from 250 us to 16 s.
 inline constexpr std::size_t kLatencyBuckets = 64;
 /// Maximum number of intervals in the window of an endpoint.
--- a/Source/daemon/daemon.cc
+++ b/Source/daemon/daemon.cc
@@ -346,11 +346,16 @@
   const TimerService::SubscriptionId abort =
       this->timers.Subscribe(kTickPeriod, [this, abort_at](TimePoint now) {
         if (now >= abort_at) {
+          spdlog::warn("stop: {} requests of callers are aborted",
+                       this->frontend.CountInProgress());
           this->frontend.Abort();
         }
       });
   this->stopping = true;
+  spdlog::info("stop: no more connections, {} requests of callers in progress",
+               this->frontend.CountInProgress());
   this->frontend.Stop();
+  spdlog::info("stop: all callers are answered");
   this->timers.Unsubscribe(abort);
   this->WaitForForwardedRequests(abort_at);
   this->StopWatchers();
--- a/Source/daemon/endpoint_directory.cc
+++ b/Source/daemon/endpoint_directory.cc
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <utility>
 
+#include "base/log_event.h"
 #include "daemon/message_conversion.h"
 
 namespace comfrey {
@@ -248,6 +249,53 @@
     service.plan =
         PlanCapacity(this->MakeViews(service), service.floor_percent);
     service.plan_is_current = true;
+    this->LogUseChanges(service);
+  }
+}
+
+const char* EndpointDirectory::UseName(EndpointUse use) {
+  switch (use) {
+    case EndpointUse::kInUse:
+      return "in use";
+    case EndpointUse::kEjected:
+      return "ejected";
+    case EndpointUse::kUnreachable:
+      return "unreachable";
+    case EndpointUse::kDraining:
+      break;
+  }
+  return "draining";
+}
+
+// Logs each endpoint that this ingress stops or starts using, with the age of
+// the status on which that is based.
+void EndpointDirectory::LogUseChanges(Service& service) const {
+  const TimePoint now = Clock::now();
+  std::vector<EndpointUse> uses(service.endpoints.size(), EndpointUse::kInUse);
+  for (const std::uint32_t ejected : service.plan.ejected) {
+    uses[ejected] = EndpointUse::kEjected;
+  }
+  for (std::size_t i = 0; i < uses.size(); ++i) {
+    Endpoint& endpoint = service.endpoints[i];
+    if (endpoint.view.draining || endpoint.view.leaving) {
+      uses[i] = EndpointUse::kDraining;
+    } else if (!endpoint.view.owner_reachable) {
+      uses[i] = EndpointUse::kUnreachable;
+    }
+    if (uses[i] == endpoint.use) {
+      continue;
+    }
+    LogEvent event("endpoint_use");
+    event.Add("endpoint", endpoint.address)
+        .Add("instance", endpoint.instance)
+        .Add("use", UseName(uses[i]))
+        .Add("was", UseName(endpoint.use))
+        .AddBool("configured_draining", endpoint.configured_draining);
+    if (endpoint.replied_at != TimePoint{}) {
+      event.AddDuration("knowledge_age", now - endpoint.replied_at);
+    }
+    WriteEvent(event);
+    endpoint.use = uses[i];
   }
 }
 
--- a/Source/daemon/endpoint_directory.h
+++ b/Source/daemon/endpoint_directory.h
@@ -164,6 +164,14 @@
     TimePoint free_at;
   };
 
+  /// How this ingress uses an endpoint, for the log.
+  enum class EndpointUse {
+    kInUse,
+    kEjected,
+    kUnreachable,  ///< The path to its owner is suspect.
+    kDraining,     ///< It or its owner is leaving.
+  };
+
   struct Endpoint {
     std::string address;
     std::string ip;
@@ -171,6 +179,7 @@
     /// Whether the configuration says that the backend server is draining.
     bool configured_draining = false;
     EndpointView view;
+    EndpointUse use = EndpointUse::kInUse;
     std::uint16_t in_flight = 0;
     TimePoint suspect_until;
     /// Whether this endpoint of another region is kept connected and preferred.
@@ -198,6 +207,8 @@
   void UpdateReachability(const std::string& ip, bool was_clear);
   std::vector<EndpointView> MakeViews(const Service& service) const;
   void UpdatePlan(Service& service);
+  void LogUseChanges(Service& service) const;
+  static const char* UseName(EndpointUse use);
   PlacementHint HintFor(const Endpoint& endpoint,
                         const std::string& rank,
                         const TriedEndpoints& tried,
--- a/Source/daemon/http_frontend.cc
+++ b/Source/daemon/http_frontend.cc
@@ -178,6 +178,19 @@
   Clock::time_point deadline;
 };
 
+// Counts one request for the time of its handler, also if it throws.
+class CountWhileAlive {
+ public:
+  explicit CountWhileAlive(std::atomic<int>& count) : count(count) { ++count; }
+  ~CountWhileAlive() { --this->count; }
+
+  CountWhileAlive(const CountWhileAlive&) = delete;
+  CountWhileAlive& operator=(const CountWhileAlive&) = delete;
+
+ private:
+  std::atomic<int>& count;
+};
+
 // Whether the caller has closed or reset its connection.
 bool HasDisconnected(int socket) {
   char byte = 0;
@@ -609,6 +622,7 @@
     reply = MakeRefusal(kUnavailable, "the daemon has no configuration yet");
   } else {
     const int socket = exchange.socket;
+    const CountWhileAlive counted(this->in_progress);
     reply = this->handler(exchange.request, [this, socket] {
       return this->aborting || HasDisconnected(socket);
     });
--- a/Source/daemon/http_frontend.h
+++ b/Source/daemon/http_frontend.h
@@ -86,6 +86,9 @@
   /// \brief Cancels the requests in flight, so that Stop returns soon.
   void Abort() { this->aborting = true; }
 
+  /// \brief Returns the number of requests that the handler has not answered.
+  int CountInProgress() const { return this->in_progress; }
+
  private:
   struct Exchange;
 
@@ -114,6 +117,7 @@
   int stop_event;
   std::atomic<bool> stopping{false};
   std::atomic<bool> aborting{false};
+  std::atomic<int> in_progress{0};
   std::atomic<std::chrono::steady_clock::time_point> stop_time{};
   std::unique_ptr<CallerServer> server;
   std::thread thread;
--- a/Source/daemon/owned_endpoint.cc
+++ b/Source/daemon/owned_endpoint.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/log_event.h"
 #include "daemon/message_conversion.h"
 
 namespace comfrey {
@@ -75,6 +76,21 @@
 // is that a backend server gets no more work a few seconds after it began.
 constexpr std::chrono::milliseconds kMaxQueueTimeWhileDraining{1500};
 
+LogEvent MakeEvent(const char* name, const OwnedEndpoint& endpoint) {
+  LogEvent event(name);
+  event.Add("endpoint", endpoint.identity.endpoint.address)
+      .Add("instance", endpoint.identity.endpoint.instance);
+  return event;
+}
+
+void LogVerdict(const OwnedEndpoint& endpoint) {
+  WriteEvent(MakeEvent("endpoint_verdict", endpoint)
+                 .Add("state", EndpointStateName(endpoint.verdict.state))
+                 .Add("reason", VerdictReasonName(endpoint.verdict.reason))
+                 .Add("severity", endpoint.verdict.severity)
+                 .Add("slot_share", endpoint.verdict.slot_share));
+}
+
 // Drops the requests that are still queued at a draining endpoint.
 void DropQueued(OwnedEndpoint& endpoint) {
   bool dropped = false;
@@ -155,8 +171,12 @@
   for (const auto& [address, summary] : endpoint.siblings) {
     baseline.siblings.push_back(summary);
   }
+  const EndpointState previous = endpoint.verdict.state;
   endpoint.verdict =
       EvaluateEndpoint(endpoint.health, baseline, endpoint.detection, now);
+  if (endpoint.verdict.state != previous) {
+    LogVerdict(endpoint);
+  }
   if (endpoint.draining_since &&
       now - *endpoint.draining_since >= kMaxQueueTimeWhileDraining) {
     DropQueued(endpoint);
@@ -191,10 +211,19 @@
                     std::chrono::steady_clock::time_point now) {
   const bool draining = endpoint.drain.Any();
   SetDraining(endpoint.queue, draining);
-  if (!draining) {
-    endpoint.draining_since.reset();
-  } else if (!endpoint.draining_since) {
+  if (draining == endpoint.draining_since.has_value()) {
+    return;
+  }
+  WriteEvent(
+      MakeEvent(draining ? "endpoint_draining" : "endpoint_undrained", endpoint)
+          .Add("queued",
+               static_cast<std::int64_t>(endpoint.queue.queued.size()))
+          .Add("running",
+               static_cast<std::int64_t>(endpoint.queue.running.size())));
+  if (draining) {
     endpoint.draining_since = now;
+  } else {
+    endpoint.draining_since.reset();
   }
 }
 
