Take an endpoint back into use when its reported status has expired

Cause: without membership, an ingress learns the verdict and the drain state of an endpoint only from replies to requests. An endpoint that it takes out of use gets no request, so no reply brings it back. Class of fault: knowledge without an end that only the action which it forbids can renew.

Fix: a reply says how long the ejection still lasts. At that time, or after 1 s for a drain and 10 s at most, the ingress offers requests again, to an ejected endpoint with the share of the first stage of probation; the next reply brings the present status. A record of membership is applied again instead, since it holds until its next change.

Test: 'an endpoint is used again after its reported status has expired' failed before with 'CountChoices(...) > 0, with expansion: 0 > 0' for both states.

--- a/Source/daemon/endpoint_directory.cc
+++ b/Source/daemon/endpoint_directory.cc
@@ -24,6 +24,16 @@
 // hid ejections.
 constexpr std::chrono::seconds kReplyPrecedence{4};
 
+// Bounds of the time for which a status in a reply keeps an endpoint out of
+// use. An endpoint that gets no requests sends no replies, so a status without
+// an end would never be replaced. The owner may have restarted meanwhile, and
+// then its new process does not know the state that the old one reported.
+constexpr std::chrono::seconds kMinOutOfUse{1};
+constexpr std::chrono::seconds kMaxOutOfUse{10};
+// Share of its requests that an endpoint gets after an ejection until the next
+// reply of its owner, in percent.
+constexpr std::uint8_t kShareAfterEjection = 12;
+
 // A request is sent to another region if the wait in its own exceeds 1/3 of the
 // latency target. A longer wait would use most of the target's time beyond the
 // service time.
@@ -234,6 +244,28 @@
   }
 }
 
+// Takes endpoints back into use whose status has expired. The next reply of the
+// owner brings the present one.
+void EndpointDirectory::ExpireStatuses(Service& service, TimePoint now) {
+  for (Endpoint& endpoint : service.endpoints) {
+    if (endpoint.out_of_use_until == TimePoint{} ||
+        endpoint.out_of_use_until > now) {
+      continue;
+    }
+    endpoint.out_of_use_until = TimePoint{};
+    endpoint.view.draining = endpoint.configured_draining;
+    if (endpoint.view.state == EndpointState::kEjected) {
+      endpoint.view.state = EndpointState::kProbation;
+      endpoint.view.slot_share = kShareAfterEjection;
+    }
+    service.plan_is_current = false;
+    const auto owner = this->owners.find(endpoint.ip);
+    if (owner != this->owners.end()) {
+      this->ApplyOwnerTo(owner->second, service);
+    }
+  }
+}
+
 std::vector<EndpointView> EndpointDirectory::MakeViews(
     const Service& service) const {
   std::vector<EndpointView> views;
@@ -330,6 +362,7 @@
   }
   Service& service = found->second;
   const TimePoint now = Clock::now();
+  this->ExpireStatuses(service, now);
   std::vector<EndpointView> views = this->MakeViews(service);
   std::vector<PlacementHint> hints;
   hints.reserve(views.size());
@@ -458,6 +491,14 @@
     const EndpointView before = endpoint.view;
     this->ApplyStatus(result.status(), endpoint);
     endpoint.replied_at = now;
+    const bool out_of_use = endpoint.view.draining ||
+                            endpoint.view.state == EndpointState::kEjected;
+    endpoint.out_of_use_until =
+        out_of_use ? now + std::clamp<std::chrono::microseconds>(
+                               std::chrono::microseconds(
+                                   result.status().ejected_for_us()),
+                               kMinOutOfUse, kMaxOutOfUse)
+                   : TimePoint{};
     if (before.state != endpoint.view.state ||
         before.severity != endpoint.view.severity ||
         before.draining != endpoint.view.draining ||
--- a/Source/daemon/endpoint_directory.h
+++ b/Source/daemon/endpoint_directory.h
@@ -189,6 +189,9 @@
     std::optional<EndpointSummary> summary;
     /// Time of the last reply of the owner that contained the status.
     TimePoint replied_at;
+    /// Until this time the endpoint stays out of use because of that status;
+    /// the epoch if the status does not take it out of use.
+    TimePoint out_of_use_until;
     /// Whether a published record was deferred because of that reply.
     bool record_pending = false;
     std::map<std::string, RankForecast> forecasts;
@@ -204,6 +207,7 @@
 
   void ApplyOwnerTo(const OwnerView& owner, Service& service);
   void ApplyStatus(const rpc::EndpointStatus& status, Endpoint& endpoint);
+  void ExpireStatuses(Service& service, TimePoint now);
   void UpdateReachability(const std::string& ip, bool was_clear);
   std::vector<EndpointView> MakeViews(const Service& service) const;
   void UpdatePlan(Service& service);
--- a/Source/daemon/owner_service.cc
+++ b/Source/daemon/owner_service.cc
@@ -678,6 +678,13 @@
   status.set_severity(endpoint.verdict.severity);
   status.set_slot_share(endpoint.verdict.slot_share);
   status.set_draining(endpoint.drain.Any());
+  if (endpoint.verdict.state == EndpointState::kEjected) {
+    status.set_ejected_for_us(
+        std::chrono::duration_cast<std::chrono::microseconds>(
+            std::max(endpoint.health.ejected_until - now,
+                     Clock::duration::zero()))
+            .count());
+  }
   status.set_load(static_cast<std::uint32_t>(endpoint.queue.running.size() +
                                              endpoint.queue.queued.size()));
   status.set_limit(
--- a/Tests/daemon/endpoint_directory_test.cc
+++ b/Tests/daemon/endpoint_directory_test.cc
@@ -65,5 +65,72 @@
   CHECK(remote_request.siblings_size() == 0);
 }
 
+enum class Report { kEjected, kDraining };
+
+// Makes the reply of an owner whose endpoint must not be used.
+rpc::Result MakeReply(Report report) {
+  rpc::Result result;
+  rpc::EndpointStatus& status = *result.mutable_status();
+  status.set_endpoint(AddressOf(0));
+  status.set_limit(1);
+  status.set_slot_share(100);
+  status.set_draining(report == Report::kDraining);
+  status.set_verdict(static_cast<std::uint32_t>(report == Report::kEjected
+                                                    ? EndpointState::kEjected
+                                                    : EndpointState::kHealthy));
+  status.set_ejected_for_us(
+      report == Report::kEjected
+          ? std::chrono::microseconds(std::chrono::seconds(5)).count()
+          : 0);
+  return result;
+}
+
+// Returns how often the endpoint is chosen for the first try of a request.
+int CountChoices(EndpointDirectory& directory, const std::string& address) {
+  constexpr int kRequests = 2000;
+  RankConfig rank;
+  rank.name = "rank";
+  int count = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    const auto chosen = directory.Choose(kService, rank, {});
+    REQUIRE(chosen);
+    directory.Finish(kService, chosen->address);
+    count += chosen->address == address ? 1 : 0;
+  }
+  return count;
+}
+
+// Guards against an endpoint that gets no requests for good, because the status
+// that took it out of use is only replaced by replies to requests.
+TEST_CASE("an endpoint is used again after its reported status has expired") {
+  for (const Report report : {Report::kEjected, Report::kDraining}) {
+    INFO(static_cast<int>(report));
+    EndpointDirectory directory("vm-1", {"budapest", "bud-a"});
+    directory.ApplyConfig(MakeStore());
+    const auto now = std::chrono::steady_clock::now();
+    directory.RecordReply(kService, "rank", MakeReply(report), now);
+    CHECK(CountChoices(directory, AddressOf(0)) == 0);
+    directory.RecordReply(kService, "rank", MakeReply(report),
+                          now - std::chrono::seconds(6));
+    CHECK(CountChoices(directory, AddressOf(0)) > 0);
+  }
+}
+
+// Guards against using an endpoint that membership reports as ejected: its
+// owner publishes every change, so the record holds until the next one.
+TEST_CASE("a published ejection outlives the status of a reply") {
+  EndpointDirectory directory("vm-1", {"budapest", "bud-a"});
+  directory.ApplyConfig(MakeStore());
+  OwnerView owner;
+  owner.ip = IpOf(0);
+  owner.location = {"budapest", "bud-a"};
+  owner.endpoints = {MakeReply(Report::kEjected).status()};
+  directory.ApplyOwner(owner);
+  directory.RecordReply(
+      kService, "rank", MakeReply(Report::kEjected),
+      std::chrono::steady_clock::now() - std::chrono::seconds(20));
+  CHECK(CountChoices(directory, AddressOf(0)) == 0);
+}
+
 }  // namespace
 }  // namespace comfrey
