Return queued requests at once when their endpoint leaves

Cause: an owner kept its queue for 1.5 s from the moment at which it learned of the drain and served it meanwhile, and the promise counts from the publication. The queue of an endpoint that was removed from the registry without a drain state had no bound.

Fix: UpdateDraining cancels all queued requests when the endpoint begins to leave, by any drain reason or by its removal from the configuration. They have not run, so they are refused as not run with REFUSAL_LEAVING; the ledger records the refusal of a non-idempotent attempt, and the ingress offers the request to other endpoints. Waiting has no advantage for a caller whose request can go elsewhere, and any bound would again count from a late moment. A request with a key has no other endpoint and is refused, as are new ones with that home. ApplyConfig no longer marks endpoints that stay as not configured while it runs, since their queues would be returned.

--- a/Source/daemon/endpoint_prober.cc
+++ b/Source/daemon/endpoint_prober.cc
@@ -60,7 +60,7 @@
   const bool draining = AnnouncesDraining(*reply);
   if (draining != endpoint.drain.backend_server) {
     endpoint.drain.backend_server = draining;
-    UpdateDraining(endpoint, now);
+    UpdateDraining(endpoint);
     spdlog::info("backend server {} {}", config.address,
                  draining ? "drains" : "no longer drains");
   }
--- a/Source/daemon/owned_endpoint.cc
+++ b/Source/daemon/owned_endpoint.cc
@@ -72,10 +72,6 @@
   return keyed;
 }
 
-// Queued requests are dropped this long after draining began. The requirement
-// is that a backend server gets no more work a few seconds after it began.
-constexpr std::chrono::milliseconds kMaxQueueTimeWhileDraining{1500};
-
 LogEvent MakeEvent(const char* name, const OwnedEndpoint& endpoint) {
   LogEvent event(name);
   event.Add("endpoint", endpoint.identity.endpoint.address)
@@ -91,19 +87,18 @@
                  .Add("slot_share", endpoint.verdict.slot_share));
 }
 
-// Drops the requests that are still queued at a draining endpoint.
-void DropQueued(OwnedEndpoint& endpoint) {
-  bool dropped = false;
+// Removes the queued requests of an endpoint that leaves. They have not run, so
+// their ingress can offer them to other endpoints at once. Had they waited for
+// a slot here, a backend server could get work later than the requirement
+// allows, because the owner learns of the drain some time after it began.
+void ReturnQueued(OwnedEndpoint& endpoint) {
   for (auto& [id, state] : endpoint.queue_states) {
     if (state == QueueState::kQueued &&
         Cancel(endpoint.queue, id) == CancelResult::kCancelled) {
-      state = QueueState::kDropped;
-      dropped = true;
+      state = QueueState::kReturned;
     }
   }
-  if (dropped) {
-    endpoint.changed.notify_all();
-  }
+  endpoint.changed.notify_all();
 }
 
 std::chrono::milliseconds WarmupOf(const ServiceConfig& service) {
@@ -143,7 +138,7 @@
   }
   endpoint.identity.endpoint = config;
   endpoint.drain.registry = config.draining;
-  UpdateDraining(endpoint, now);
+  UpdateDraining(endpoint);
   DropItems(endpoint,
             Reconfigure(endpoint.queue,
                         MakeAdmissionPolicy(config, service, ranks), now));
@@ -177,10 +172,6 @@
   if (endpoint.verdict.state != previous) {
     LogVerdict(endpoint);
   }
-  if (endpoint.draining_since &&
-      now - *endpoint.draining_since >= kMaxQueueTimeWhileDraining) {
-    DropQueued(endpoint);
-  }
   AdvanceQueue(endpoint, now);
   ObserveOwnerClocks(endpoint.keyed, now, wall);
   RemoveExpiredRecords(endpoint.keyed.ledger, now);
@@ -207,23 +198,26 @@
   }
 }
 
-void UpdateDraining(OwnedEndpoint& endpoint,
-                    std::chrono::steady_clock::time_point now) {
-  const bool draining = endpoint.drain.Any();
-  SetDraining(endpoint.queue, draining);
-  if (draining == endpoint.draining_since.has_value()) {
+bool IsLeaving(const OwnedEndpoint& endpoint) {
+  return !endpoint.configured || endpoint.drain.Any();
+}
+
+void UpdateDraining(OwnedEndpoint& endpoint) {
+  const bool leaving = IsLeaving(endpoint);
+  if (leaving == endpoint.leaving) {
     return;
   }
+  endpoint.leaving = leaving;
+  SetDraining(endpoint.queue, leaving);
   WriteEvent(
-      MakeEvent(draining ? "endpoint_draining" : "endpoint_undrained", endpoint)
+      MakeEvent(leaving ? "endpoint_draining" : "endpoint_undrained", endpoint)
+          .AddBool("configured", endpoint.configured)
           .Add("queued",
                static_cast<std::int64_t>(endpoint.queue.queued.size()))
           .Add("running",
                static_cast<std::int64_t>(endpoint.queue.running.size())));
-  if (draining) {
-    endpoint.draining_since = now;
-  } else {
-    endpoint.draining_since.reset();
+  if (leaving) {
+    ReturnQueued(endpoint);
   }
 }
 
--- a/Source/daemon/owned_endpoint.h
+++ b/Source/daemon/owned_endpoint.h
@@ -6,7 +6,6 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,7 +22,12 @@
 namespace comfrey {
 
 /// \brief State of a request that was queued at an endpoint.
-enum class QueueState { kQueued, kStarted, kDropped };
+enum class QueueState {
+  kQueued,
+  kStarted,
+  kDropped,
+  kReturned,  ///< Removed because the endpoint leaves.
+};
 
 /// \brief Reasons to drain an endpoint; it drains while any of them is set.
 struct DrainReasons {
@@ -75,7 +79,8 @@
   std::uint64_t next_item_id = 1;
   std::map<std::uint64_t, QueueState> queue_states;
   DrainReasons drain;
-  std::optional<std::chrono::steady_clock::time_point> draining_since;
+  /// Whether the queue has been told that the endpoint leaves.
+  bool leaving = false;
   EndpointHealth health;
   FailureSuspicion suspicion;
   DetectionPolicy detection;
@@ -108,10 +113,14 @@
 /// the mutex.
 void DropItems(OwnedEndpoint& endpoint, const std::vector<WorkItem>& items);
 
-/// \brief Applies a change of `drain` to the queue. The caller must hold the
-/// mutex.
-void UpdateDraining(OwnedEndpoint& endpoint,
-                    std::chrono::steady_clock::time_point now);
+/// \brief Returns whether the endpoint gets no more work: it drains, or the
+/// configuration in force does not contain it. The caller must hold the mutex.
+bool IsLeaving(const OwnedEndpoint& endpoint);
+
+/// \brief Applies a change of `drain` or `configured` to the queue: when the
+/// endpoint begins to leave, its queued requests are returned as not run. The
+/// caller must hold the mutex.
+void UpdateDraining(OwnedEndpoint& endpoint);
 
 /// \brief Stores the summary of another endpoint of the service if it is newer
 /// than the stored one. The caller must hold the mutex.
--- a/Source/daemon/owner_service.cc
+++ b/Source/daemon/owner_service.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 #include <utility>
 
 #include "absl/strings/match.h"
@@ -62,6 +63,11 @@
   return static_cast<std::size_t>(found - ranks.begin());
 }
 
+rpc::Result MakeLeavingResult(const std::string& endpoint) {
+  return MakeNotRunResult(rpc::REFUSAL_LEAVING,
+                          absl::StrCat(endpoint, " is draining"));
+}
+
 }  // namespace
 
 // One Forward call in progress.
@@ -101,18 +107,17 @@
 void OwnerService::ApplyConfig(const ConfigStore& store) {
   const Clock::time_point now = Clock::now();
   const std::lock_guard<std::mutex> lock(this->mutex);
-  for (auto& [key, endpoint] : this->endpoints) {
-    const std::lock_guard<std::mutex> endpoint_lock(endpoint->mutex);
-    endpoint->configured = false;
-  }
+  std::set<std::string> configured;
   for (const auto& [team, subtree] : store.subtrees) {
     for (const ServiceConfig& service : subtree->config->services) {
       for (const EndpointConfig& endpoint : service.endpoints) {
         if (endpoint.ip != this->identity.ip) {
           continue;
         }
-        std::shared_ptr<OwnedEndpoint>& owned =
-            this->endpoints[EndpointKey(team, service.name, endpoint.address)];
+        const std::string key =
+            EndpointKey(team, service.name, endpoint.address);
+        configured.insert(key);
+        std::shared_ptr<OwnedEndpoint>& owned = this->endpoints[key];
         if (!owned) {
           owned = std::make_shared<OwnedEndpoint>(
               EndpointIdentity{
@@ -127,6 +132,13 @@
       }
     }
   }
+  for (auto& [key, endpoint] : this->endpoints) {
+    if (configured.count(key) == 0) {
+      const std::lock_guard<std::mutex> endpoint_lock(endpoint->mutex);
+      endpoint->configured = false;
+      UpdateDraining(*endpoint);
+    }
+  }
 }
 
 rpc::Result OwnerService::Forward(const rpc::ForwardRequest& request,
@@ -178,13 +190,11 @@
     UpdateSiblingSummary(endpoint, summary.endpoint(),
                          FromProto(summary, received));
   }
-  const bool refuses_new_work = !endpoint.configured || endpoint.drain.Any();
   // While draining, a non-idempotent attempt is refused only if the ledger does
   // not know it, so that a repeated key that ran here is still answered.
   // AdmitNonIdempotent decides about it.
-  if (message.repeatable() && refuses_new_work) {
-    return MakeNotRunResult(rpc::REFUSAL_LEAVING,
-                            absl::StrCat(message.endpoint(), " is draining"));
+  if (message.repeatable() && IsLeaving(endpoint)) {
+    return MakeLeavingResult(message.endpoint());
   }
   if (this->RefuseIfSuspect(call)) {
     return std::move(call.result);
@@ -236,16 +246,14 @@
   for (;;) {
     const Clock::time_point now = Clock::now();
     const auto wall = std::chrono::system_clock::now();
-    if (endpoint.drain.Any() || !endpoint.configured) {
+    if (IsLeaving(endpoint)) {
       const std::optional<LedgerDecision> known =
           LookUpAttempt(endpoint.keyed.ledger, call.execution.request,
                         endpoint.keyed.version, now);
       if (!known) {
         RefuseAttempt(endpoint.keyed.ledger, call.execution.request,
                       RunRefusal::kCancelled, now);
-        call.result = MakeNotRunResult(
-            rpc::REFUSAL_LEAVING,
-            absl::StrCat(call.message.endpoint(), " is draining"));
+        call.result = MakeLeavingResult(call.message.endpoint());
         return false;
       }
     }
@@ -367,14 +375,19 @@
     endpoint.changed.wait_until(lock, expiry ? std::min(poll, *expiry) : poll);
     AdvanceQueue(endpoint, Clock::now());
   }
-  const bool started = endpoint.queue_states[call.item] == QueueState::kStarted;
+  const QueueState state = endpoint.queue_states[call.item];
   endpoint.queue_states.erase(call.item);
-  if (!started) {
+  if (state == QueueState::kReturned) {
+    call.result = MakeLeavingResult(call.message.endpoint());
+    return false;
+  }
+  if (state == QueueState::kDropped) {
     call.result = MakeNotRunResult(
         rpc::REFUSAL_DEADLINE,
         absl::StrCat(call.message.endpoint(), ": removed from the queue"));
+    return false;
   }
-  return started;
+  return true;
 }
 
 // Sends the request to the backend server and sets the result.
@@ -417,7 +430,7 @@
   }
   if (reply == BackendReplyClass::kDraining) {
     endpoint.drain.backend_server = true;
-    UpdateDraining(endpoint, now);
+    UpdateDraining(endpoint);
   }
   call.result = ToResult(backend, reply);
   if (!repeatable) {
@@ -574,7 +587,7 @@
         owned->drain.backend_server = draining;
         break;
     }
-    UpdateDraining(*owned, Clock::now());
+    UpdateDraining(*owned);
     in_flight += owned->queue.running.size() + owned->queue.queued.size();
   }
   if (!found && !endpoint.empty()) {
@@ -589,7 +602,7 @@
   for (const std::shared_ptr<OwnedEndpoint>& endpoint : this->Endpoints()) {
     const std::lock_guard<std::mutex> lock(endpoint->mutex);
     endpoint->drain.daemon_stopping = true;
-    UpdateDraining(*endpoint, Clock::now());
+    UpdateDraining(*endpoint);
   }
 }
 
--- /dev/null
+++ b/Tests/daemon/owner_service_test.cc
@@ -0,0 +1,219 @@
+#include "daemon/owner_service.h"
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <future>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "catch2/catch.hpp"
+#include "daemon/raw_socket.h"
+
+namespace comfrey {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr char kIp[] = "127.9.2.7";
+constexpr seconds kTestTimeout{20};
+// Queued requests must be returned within this time after the owner learned
+// that the endpoint leaves. It includes the poll period of a waiting call.
+constexpr milliseconds kMaxReturnTime{500};
+
+bool WaitUntil(const std::function<bool()>& condition) {
+  const Clock::time_point end = Clock::now() + kTestTimeout;
+  while (!condition() && Clock::now() < end) {
+    std::this_thread::sleep_for(milliseconds(1));
+  }
+  return condition();
+}
+
+EndpointConfig MakeEndpoint(int port) {
+  EndpointConfig endpoint;
+  endpoint.ip = kIp;
+  endpoint.port = static_cast<std::uint16_t>(port);
+  endpoint.address = std::string(kIp) + ":" + std::to_string(port);
+  return endpoint;
+}
+
+TeamConfig MakeTeam(std::vector<EndpointConfig> endpoints) {
+  RankConfig rank;
+  rank.name = "rank";
+  rank.urgency = 1;
+  rank.target = seconds(10);
+  ServiceConfig service;
+  service.name = "service";
+  service.slots = 1;
+  service.queue_limit = 4;
+  service.endpoints = std::move(endpoints);
+  TeamConfig team;
+  team.team = "team";
+  team.ranks = {rank};
+  team.services = {service};
+  return team;
+}
+
+rpc::ForwardRequest MakeForward(const EndpointConfig& endpoint,
+                                bool repeatable) {
+  rpc::ForwardRequest request;
+  request.set_endpoint(endpoint.address);
+  request.set_team("team");
+  request.set_service("service");
+  request.set_rank("rank");
+  request.set_repeatable(repeatable);
+  request.set_time_left_us(std::chrono::microseconds(kTestTimeout).count());
+  request.set_method("POST");
+  request.set_path("/a");
+  return request;
+}
+
+// An owner with one endpoint, whose backend server holds all responses until
+// Release is called.
+struct OwnerFixture {
+  OwnerFixture()
+      : server(kIp, [this](RawSocket& socket, int) { this->ServeOne(socket); }),
+        watchdog(this->timers),
+        log(this->counters),
+        owner({kIp, 1, Clock::now(), std::chrono::system_clock::now()},
+              this->watchdog,
+              this->counters,
+              this->log,
+              [](const FenceKeyCall&) { return KeyFenceReply(); }),
+        endpoint(MakeEndpoint(this->server.Port())) {
+    this->Apply({this->endpoint});
+  }
+  ~OwnerFixture() { this->Release(); }
+
+  void ServeOne(RawSocket& socket) {
+    bool closed = false;
+    if (HasHead(socket.Receive(HasHead, kTestTimeout, closed))) {
+      ++this->received;
+      WaitUntil([this] { return this->released.load(); });
+      socket.Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    }
+  }
+
+  void Release() { this->released = true; }
+
+  void Apply(std::vector<EndpointConfig> endpoints) {
+    ConfigStore store;
+    ReplaceTeam(store, {1, ++this->revision}, MakeTeam(std::move(endpoints)));
+    this->owner.ApplyConfig(store);
+  }
+
+  rpc::ForwardRequest MakeRequest(bool repeatable) {
+    rpc::ForwardRequest request = MakeForward(this->endpoint, repeatable);
+    request.mutable_attempt()->set_ingress("ingress");
+    request.mutable_attempt()->set_incarnation(1);
+    request.mutable_attempt()->set_sequence(++this->sequence);
+    *request.mutable_stamp() = this->owner.Stamp();
+    request.set_owner_incarnation(request.stamp().incarnation());
+    return request;
+  }
+
+  std::future<rpc::Result> Forward(const rpc::ForwardRequest& request) {
+    return std::async(std::launch::async, [this, request] {
+      return this->owner.Forward(
+          request, {[this] { ++this->accepted; }, [] { return false; }});
+    });
+  }
+
+  // Waits for a result while the owner does its periodic work.
+  rpc::Result WaitForResult(std::future<rpc::Result>& result) {
+    while (result.wait_for(milliseconds(10)) == std::future_status::timeout) {
+      this->owner.Tick(Clock::now());
+    }
+    return result.get();
+  }
+
+  std::atomic<int> received{0};
+  std::atomic<int> accepted{0};
+  std::atomic<bool> released{false};
+  std::uint64_t revision = 0;
+  std::uint64_t sequence = 0;
+  RawServer server;
+  TimerService timers;
+  CallWatchdog watchdog;
+  CounterRegistry counters;
+  RequestLog log;
+  OwnerService owner;
+  EndpointConfig endpoint;
+};
+
+void MakeLeave(OwnerFixture& fixture, const std::string& reason) {
+  EndpointConfig draining = fixture.endpoint;
+  draining.draining = true;
+  if (reason == "registry") {
+    fixture.Apply({draining});
+  } else if (reason == "removed") {
+    fixture.Apply({});
+  } else if (reason == "operator") {
+    REQUIRE(fixture.owner.Drain("", DrainSource::kOperator, true).ok());
+  } else {
+    fixture.owner.DrainForShutdown();
+  }
+}
+
+// Guards against queued requests that reach a backend server long after it
+// began to leave, and against their refusal with the reason of a deadline.
+TEST_CASE("queued requests are returned when their endpoint leaves",
+          "[owner_service]") {
+  const std::string reason =
+      GENERATE("registry", "removed", "operator", "shutdown");
+  const bool repeatable = GENERATE(true, false);
+  INFO(reason << ", repeatable " << repeatable);
+  OwnerFixture fixture;
+  std::future<rpc::Result> running =
+      fixture.Forward(fixture.MakeRequest(repeatable));
+  REQUIRE(WaitUntil([&] { return fixture.received == 1; }));
+  const rpc::ForwardRequest request = fixture.MakeRequest(repeatable);
+  std::future<rpc::Result> queued = fixture.Forward(request);
+  REQUIRE(WaitUntil([&] { return fixture.accepted == 2; }));
+
+  const Clock::time_point learned_at = Clock::now();
+  std::thread release([&] {
+    std::this_thread::sleep_for(seconds(2));
+    fixture.Release();
+  });
+  MakeLeave(fixture, reason);
+  const rpc::Result returned = fixture.WaitForResult(queued);
+  const Clock::duration took = Clock::now() - learned_at;
+  release.join();
+  CHECK(returned.outcome() == rpc::OUTCOME_NOT_RUN);
+  CHECK(rpc::RefusalReason_Name(returned.reason()) == "REFUSAL_LEAVING");
+  CHECK(std::chrono::duration_cast<milliseconds>(took) < kMaxReturnTime);
+  CHECK(fixture.WaitForResult(running).outcome() == rpc::OUTCOME_ANSWERED);
+  CHECK(fixture.received == 1);
+}
+
+// Guards against a duplicate of a returned attempt that runs after the endpoint
+// is back, although its ingress has sent the request to another endpoint.
+TEST_CASE("a returned attempt never runs", "[owner_service]") {
+  OwnerFixture fixture;
+  std::future<rpc::Result> running =
+      fixture.Forward(fixture.MakeRequest(false));
+  REQUIRE(WaitUntil([&] { return fixture.received == 1; }));
+  const rpc::ForwardRequest request = fixture.MakeRequest(false);
+  std::future<rpc::Result> queued = fixture.Forward(request);
+  REQUIRE(WaitUntil([&] { return fixture.accepted == 2; }));
+  MakeLeave(fixture, "registry");
+  const rpc::Result returned = fixture.WaitForResult(queued);
+  CHECK(rpc::RefusalReason_Name(returned.reason()) == "REFUSAL_LEAVING");
+  fixture.Release();
+  CHECK(fixture.WaitForResult(running).outcome() == rpc::OUTCOME_ANSWERED);
+
+  fixture.Apply({fixture.endpoint});
+  std::future<rpc::Result> duplicate = fixture.Forward(request);
+  CHECK(fixture.WaitForResult(duplicate).outcome() == rpc::OUTCOME_NOT_RUN);
+  CHECK(fixture.received == 1);
+}
+
+}  // namespace
+}  // namespace comfrey
