Return a request that has a slot but was not sent when its endpoint leaves

Callers saw: nothing of their own; a backend server could get a request after its owner knew that it leaves.

Cause: a queued request gets its slot from the thread that frees one, and is sent by its own thread when that wakes up, which takes long on a VM with 0.1 core. The drain state was not checked in between.

Evidence: `a request with a slot is not sent once its endpoint leaves` fails before the change: CHECK( fixture.received == 1 ) with expansion: 2 == 1 "REFUSAL_NONE" == "REFUSAL_LEAVING"

Fix: the waiting thread checks the state under the mutex of the endpoint after it woke up, frees the slot and refuses the request as not run.

--- a/Source/daemon/owner_service.cc
+++ b/Source/daemon/owner_service.cc
@@ -387,6 +387,13 @@
         absl::StrCat(call.message.endpoint(), ": removed from the queue"));
     return false;
   }
+  // The endpoint may have begun to leave after another thread gave the slot to
+  // the request and before this thread woke up.
+  if (IsLeaving(endpoint)) {
+    Finish(endpoint.queue, call.item, FinishOutcome::kCancelled, Clock::now());
+    call.result = MakeLeavingResult(call.message.endpoint());
+    return false;
+  }
   return true;
 }
 
--- a/Tests/daemon/owner_service_test.cc
+++ b/Tests/daemon/owner_service_test.cc
@@ -215,5 +215,36 @@
   CHECK(fixture.received == 1);
 }
 
+// Guards against a request that gets a slot just before its endpoint leaves,
+// and is sent to the backend server afterwards.
+TEST_CASE("a request with a slot is not sent once its endpoint leaves",
+          "[owner_service]") {
+  const bool repeatable = GENERATE(true, false);
+  OwnerFixture fixture;
+  std::future<rpc::Result> running =
+      fixture.Forward(fixture.MakeRequest(repeatable));
+  REQUIRE(WaitUntil([&] { return fixture.received == 1; }));
+  std::future<rpc::Result> queued =
+      fixture.Forward(fixture.MakeRequest(repeatable));
+  REQUIRE(WaitUntil([&] { return fixture.accepted == 2; }));
+  {
+    const std::shared_ptr<OwnedEndpoint> owned =
+        fixture.owner.Endpoints().front();
+    const std::lock_guard<std::mutex> lock(owned->mutex);
+    Finish(owned->queue, owned->queue.running.begin()->first,
+           FinishOutcome::kServed, Clock::now());
+    AdvanceQueue(*owned, Clock::now());
+    REQUIRE(owned->queue.running.size() == 1);
+    owned->drain.operator_command = true;
+  }
+  fixture.Release();
+  const rpc::Result returned = fixture.WaitForResult(queued);
+  CHECK(returned.outcome() == rpc::OUTCOME_NOT_RUN);
+  CHECK(rpc::RefusalReason_Name(returned.reason()) == "REFUSAL_LEAVING");
+  CHECK(fixture.owner.Endpoints().front()->queue.running.empty());
+  CHECK(fixture.WaitForResult(running).outcome() == rpc::OUTCOME_ANSWERED);
+  CHECK(fixture.received == 1);
+}
+
 }  // namespace
 }  // namespace comfrey
