Use an endpoint again that no longer drains by the configuration

What callers saw: an endpoint whose registration went from draining back to ready got no more requests from any daemon.

Cause: a change of the configuration could set the drain state of an endpoint, but not clear it.

Fix: a change of the configured state in either direction is taken over.

Test: 'an endpoint that no longer drains is used again' failed before with 'CountChoices(...) > 0, with expansion: 0 > 0'.

--- a/Source/daemon/endpoint_directory.cc
+++ b/Source/daemon/endpoint_directory.cc
@@ -141,8 +141,10 @@
   endpoint.instance = config.instance;
   endpoint.view.endpoint_id =
       XXH64(endpoint.address.data(), endpoint.address.size(), 0);
-  endpoint.configured_draining = config.draining;
-  endpoint.view.draining |= config.draining;
+  if (endpoint.configured_draining != config.draining) {
+    endpoint.configured_draining = config.draining;
+    endpoint.view.draining = config.draining;
+  }
   if (!config.region.empty()) {
     endpoint.view.same_region = config.region == this->location.region;
     endpoint.view.same_failure_domain =
--- a/Tests/daemon/endpoint_directory_test.cc
+++ b/Tests/daemon/endpoint_directory_test.cc
@@ -20,8 +20,8 @@
 }
 
 // Makes a configuration with one service, whose last endpoint is in another
-// region.
-ConfigStore MakeStore() {
+// region. The first endpoint may drain.
+ConfigStore MakeStore(bool first_drains = false) {
   ServiceConfig service;
   service.name = kService.service;
   for (int i = 0; i < kEndpoints; ++i) {
@@ -29,6 +29,7 @@
     endpoint.address = AddressOf(i);
     endpoint.ip = IpOf(i);
     endpoint.port = kPort;
+    endpoint.draining = first_drains && i == 0;
     const bool last = i + 1 == kEndpoints;
     endpoint.region = last ? "debrecen" : "budapest";
     endpoint.failure_domain = last ? "deb-a" : "bud-a";
@@ -116,6 +117,16 @@
   }
 }
 
+// Guards against an endpoint that stays out of use after the configuration says
+// that it no longer drains.
+TEST_CASE("an endpoint that no longer drains is used again") {
+  EndpointDirectory directory("vm-1", {"budapest", "bud-a"});
+  directory.ApplyConfig(MakeStore(true));
+  CHECK(CountChoices(directory, AddressOf(0)) == 0);
+  directory.ApplyConfig(MakeStore(false));
+  CHECK(CountChoices(directory, AddressOf(0)) > 0);
+}
+
 // Guards against using an endpoint that membership reports as ejected: its
 // owner publishes every change, so the record holds until the next one.
 TEST_CASE("a published ejection outlives the status of a reply") {
