--- a/Source/core/membership.cc
+++ b/Source/core/membership.cc
@@ -41,18 +41,10 @@
   return XXH64(parts, sizeof(parts), 0);
 }
 
-bool HasClaim(const MemberRecord& record) {
-  return ClaimOf(record.sequence) != 0;
-}
-
-bool IsLive(const MemberRecord* record) {
-  return record != nullptr && !IsDead(*record);
-}
-
 void Store(Membership& membership, MemberRecord record, Time now) {
   MemberEntry& entry = membership.members[record.name];
   const bool known = !entry.record.name.empty();
-  const bool was_live = known && IsLive(&entry.record);
+  const bool was_live = known && IsLive(entry.record);
   if (known) {
     membership.digest ^= VersionHash(entry.record);
   }
@@ -66,7 +58,7 @@
   entry.changed_at = now;
   entry.suspicion_pings = 0;
   membership.digest ^= VersionHash(entry.record);
-  const bool live = IsLive(&entry.record);
+  const bool live = IsLive(entry.record);
   if (live != was_live || location_changed || started_leaving) {
     ++membership.live_revision;
   }
@@ -121,6 +113,14 @@
   return ClaimOf(record.sequence) == kDeadClaim;
 }
 
+bool IsLive(const MemberRecord& record) {
+  return !IsDead(record);
+}
+
+bool HasClaim(const MemberRecord& record) {
+  return ClaimOf(record.sequence) != 0;
+}
+
 MemberRecord MakePartialRecord(const MemberRecord& record) {
   MemberRecord partial = record;
   partial.sequence = 0;
--- a/Source/core/membership.h
+++ b/Source/core/membership.h
@@ -120,6 +120,23 @@
 /// refuted.
 bool IsSuspected(const MemberRecord& record);
 bool IsDead(const MemberRecord& record);
+bool IsLive(const MemberRecord& record);
+
+/// \brief Returns whether the record is a suspicion or the death of its member.
+bool HasClaim(const MemberRecord& record);
+
+/// \brief Returns the records that satisfy `matches`, except this daemon's.
+template <typename Predicate>
+std::vector<const MemberRecord*> OtherMembers(const Membership& membership,
+                                              Predicate matches) {
+  std::vector<const MemberRecord*> found;
+  for (const auto& [name, entry] : membership.members) {
+    if (name != membership.self && matches(entry.record)) {
+      found.push_back(&entry.record);
+    }
+  }
+  return found;
+}
 
 /// \brief Returns a copy of the record without statuses and with sequence 0.
 ///
