Move forecasts, displacement and free slots out of the admission queue

No behaviour changes. admission_forecast estimates waits and refusals, admission_displacement chooses the item that an arriving item displaces, and admission_slots decides which slots are left to more urgent work. Both Offer and the forecasts use the latter two, so they could not stay private to the queue. admission_queue.h includes the forecasts, so callers and tests are unchanged.

--- a/Source/core/admission_queue.cc
+++ b/Source/core/admission_queue.cc
@@ -4,7 +4,10 @@
 #include <cmath>
 #include <utility>
 
+#include "core/admission_displacement.h"
+#include "core/admission_forecast.h"
 #include "core/admission_rank.h"
+#include "core/admission_slots.h"
 
 namespace comfrey {
 namespace {
@@ -27,19 +30,6 @@
 constexpr double kLimitDecrease = 0.7;
 constexpr double kRoundsPerIncrease = 10.0;
 
-// Refusals are forecast until this fraction of the queue has drained. The time
-// until a single place becomes free is only a few milliseconds, less than the
-// forecast takes to reach the ingress. No capacity is lost meanwhile, since the
-// rest of the queue keeps the slots in use.
-constexpr double kDrainedFraction = 0.25;
-
-// A slot is kept free for more urgent work only if the work that would use the
-// slot takes at least this many times as long. With service times as similar as
-// 260 and 350 ms, free slots reduced the throughput of an endpoint by a tenth.
-constexpr double kMinLongToShortRatio = 3.0;
-// Slots are kept free only for ranks with an arrival in this period.
-constexpr std::chrono::seconds kUrgentArrivalWindow{2};
-
 double CreditBound(const AdmissionQueue& queue, const RankState& rank) {
   const double window = rank.share *
                         static_cast<double>(ConcurrencyLimit(queue)) *
@@ -182,62 +172,6 @@
   }
 }
 
-// Returns whether items of a more urgent rank with a much shorter service time
-// are expected, because some have arrived recently.
-bool ExpectsShortUrgentWork(const AdmissionQueue& queue,
-                            const RankState& rank,
-                            TimePoint now) {
-  return std::any_of(queue.ranks.begin(), queue.ranks.end(),
-                     [&](const RankState& other) {
-                       return other.policy.urgency < rank.policy.urgency &&
-                              kMinLongToShortRatio * other.mean_service_time <=
-                                  rank.mean_service_time &&
-                              other.last_arrival != TimePoint{} &&
-                              now - other.last_arrival <= kUrgentArrivalWindow;
-                     });
-}
-
-// Returns the number of slots that items of the rank may use while they can
-// still wait.
-std::size_t UsableSlots(const AdmissionQueue& queue,
-                        const RankState& rank,
-                        TimePoint now) {
-  const std::size_t limit = ConcurrencyLimit(queue);
-  if (limit < 2 || queue.policy.urgent_slots == 0 ||
-      !ExpectsShortUrgentWork(queue, rank, now)) {
-    return limit;
-  }
-  return limit - std::min(queue.policy.urgent_slots, limit - 1);
-}
-
-// Returns whether the item must leave the free slots to more urgent work,
-// because it can still wait and meet its target and deadline. Calls that a
-// backend server makes to other services while it processes a request are short
-// and urgent, and the request occupies its slot until they return. On days of
-// peak load it did so for 300 ms instead of 180 ms, since its calls waited
-// behind long items of a less urgent rank, whose target was seconds away.
-bool MustLeaveSlotFree(const AdmissionQueue& queue,
-                       const RankState& rank,
-                       const WorkItem& item,
-                       TimePoint now) {
-  const auto slack = std::min<std::chrono::steady_clock::duration>(
-      TargetSlack(rank), item.deadline - item.arrival -
-                             ToClockDuration(EstimateServiceTime(rank, now)));
-  return now < item.arrival + slack &&
-         queue.running.size() < ConcurrencyLimit(queue) &&
-         queue.running.size() >= UsableSlots(queue, rank, now);
-}
-
-// Returns whether the queued items of the rank must leave the free slots to
-// more urgent work.
-bool MustLeaveSlotFree(const AdmissionQueue& queue,
-                       const RankState& rank,
-                       TimePoint now) {
-  return rank.queued_late == 0 && !rank.by_target.empty() &&
-         MustLeaveSlotFree(queue, rank,
-                           std::get<2>(*rank.by_target.begin())->item, now);
-}
-
 // Chooses the rank of the next item to start: the most urgent rank below its
 // share, or the most urgent rank if none is below its share. Among ranks of
 // equal urgency it is the rank whose last start is the longest ago.
@@ -299,117 +233,6 @@
   return item;
 }
 
-// Returns the least urgent rank from which an item may be displaced by an item
-// of the given rank, or null. It must use more than its reserved places, and
-// either be less urgent than the given rank, or the given rank must use fewer
-// than its reserved places. The decision is based on queue places and not on
-// recent slot time, so that a flood of requests does not lock out an urgent
-// rank that has used up its share of slots.
-const RankState* ChooseDisplacedRank(const AdmissionQueue& queue,
-                                     const RankState& rank) {
-  for (auto index = queue.by_urgency.rbegin(); index != queue.by_urgency.rend();
-       ++index) {
-    const RankState& other = queue.ranks[*index];
-    const bool may_take = rank.queued < rank.reserved_places ||
-                          other.policy.urgency > rank.policy.urgency;
-    if (&other != &rank && other.queued > other.reserved_places && may_take) {
-      return &other;
-    }
-  }
-  return nullptr;
-}
-
-// Chooses the item of an organisation to displace: the oldest late item, which
-// is expected to miss its target anyway, or else the newest item, which has
-// waited for the shortest time.
-QueuedItem* ChooseDisplacedItem(const OrganisationQueue& organisation) {
-  return organisation.late.empty() ? organisation.on_time.back()
-                                   : organisation.late.front();
-}
-
-// Finds the queued item that an arriving item displaces, or returns null if the
-// arriving item must be refused. Within a rank, an item can be displaced by an
-// item of an organisation with a shorter queue. A late item can also be
-// displaced by an item of the same organisation that is not late. Therefore an
-// organisation that floods the rank displaces only its own items.
-QueuedItem* FindDisplacedItem(const AdmissionQueue& queue,
-                              const RankState& rank,
-                              const std::string& name,
-                              bool late) {
-  const RankState* const other = ChooseDisplacedRank(queue, rank);
-  if (other != nullptr) {
-    return ChooseDisplacedItem(*std::get<2>(*other->by_length.rbegin()));
-  }
-  if (rank.by_length.empty()) {
-    return nullptr;
-  }
-  const std::size_t own_length = OrganisationQueueLength(rank, name);
-  const auto& [length, serial, longest] = *rank.by_length.rbegin();
-  if (length > own_length + 1) {
-    return ChooseDisplacedItem(*longest);
-  }
-  if (late || rank.late_order.empty()) {
-    return nullptr;
-  }
-  const OrganisationQueue* const own = FindOrganisation(rank, name);
-  if (own != nullptr && !own->late.empty()) {
-    return own->late.front();
-  }
-  const OrganisationQueue& last = *std::get<2>(*rank.late_order.rbegin());
-  return QueueLength(last) > own_length ? last.late.front() : nullptr;
-}
-
-// Estimates the time in seconds until one of the given number of slots becomes
-// free; 0 if one is free. Of n running items that started at random times, the
-// first one ends after 1 / (n + 1) of the service time on average.
-double EstimateSlotWait(const AdmissionQueue& queue,
-                        std::size_t slots,
-                        TimePoint now) {
-  const std::size_t running = queue.running.size();
-  if (running < slots || running == 0) {
-    return 0.0;
-  }
-  double service = 0.0;
-  for (const RankState& rank : queue.ranks) {
-    service +=
-        static_cast<double>(rank.running) * EstimateServiceTime(rank, now);
-  }
-  const auto count = static_cast<double>(running);
-  return service / count / (count + 1.0);
-}
-
-// Estimates the wait of an arriving item, in seconds, from the items that are
-// queued ahead of it. More urgent items that arrive later are not included, so
-// that the estimate tends to be low and few items are refused that could have
-// run in time.
-double EstimateWait(const AdmissionQueue& queue,
-                    const RankState& rank,
-                    std::size_t own_length,
-                    bool late,
-                    TimePoint now) {
-  const std::size_t slots = UsableSlots(queue, rank, now);
-  if (slots == 0) {
-    return 0.0;
-  }
-  const auto limit = static_cast<double>(slots);
-  const std::size_t same_rank =
-      late ? rank.queued : rank.queued - rank.queued_late;
-  // Fair queuing serves each other organisation as often as that of the item.
-  const std::size_t ahead =
-      std::min(same_rank, (own_length + 1) * rank.by_length.size());
-  const double own =
-      static_cast<double>(ahead) * EstimateServiceTime(rank, now);
-  double urgent = 0.0;
-  for (const RankState& other : queue.ranks) {
-    if (other.policy.urgency < rank.policy.urgency) {
-      urgent +=
-          static_cast<double>(other.queued) * EstimateServiceTime(other, now);
-    }
-  }
-  return EstimateSlotWait(queue, slots, now) +
-         std::min((urgent + own) / limit, own / (rank.share * limit));
-}
-
 // Raises small shares to the minimum. If the total then exceeds 100%, the
 // excess is subtracted from the share of the most urgent rank, because that
 // rank is served first among the ranks that exceed their share.
@@ -742,47 +565,6 @@
   return next;
 }
 
-std::vector<RefusalForecast> ForecastRefusals(const AdmissionQueue& queue,
-                                              TimePoint now) {
-  std::vector<RefusalForecast> forecasts;
-  now = std::max(now, queue.last_update);
-  double backlog = 0.0;
-  for (const RankState& rank : queue.ranks) {
-    backlog +=
-        static_cast<double>(rank.queued) * EstimateServiceTime(rank, now);
-  }
-  const auto limit =
-      static_cast<double>(std::max<std::size_t>(1, ConcurrencyLimit(queue)));
-  const bool full = queue.queued.size() >= queue.policy.queue_limit;
-  for (std::size_t index = 0; index < queue.ranks.size(); index++) {
-    const RankState& rank = queue.ranks[index];
-    RefusalForecast forecast;
-    forecast.rank = index;
-    forecast.expected_wait =
-        ToMicroseconds(EstimateWait(queue, rank, 0, false, now));
-    if (queue.draining) {
-      forecast.refused_for = microseconds::max();
-    } else if (full && FindDisplacedItem(queue, rank, "", false) == nullptr) {
-      forecast.refused_for = ToMicroseconds(kDrainedFraction * backlog / limit);
-    }
-    forecasts.push_back(forecast);
-  }
-  return forecasts;
-}
-
-microseconds ExpectedWait(const AdmissionQueue& queue,
-                          std::size_t rank,
-                          const std::string& organisation,
-                          TimePoint now) {
-  if (rank >= queue.ranks.size()) {
-    return microseconds(0);
-  }
-  const RankState& state = queue.ranks[rank];
-  return ToMicroseconds(
-      EstimateWait(queue, state, OrganisationQueueLength(state, organisation),
-                   true, std::max(now, queue.last_update)));
-}
-
 const char* RefusalReasonName(RefusalReason reason) {
   switch (reason) {
     case RefusalReason::kNone:
--- a/Source/core/admission_queue.h
+++ b/Source/core/admission_queue.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "core/admission_forecast.h"  // IWYU pragma: export
 #include "core/admission_rank.h"
 
 namespace comfrey {
@@ -93,18 +94,6 @@
   kUnknown,
 };
 
-/// \brief Forecast for further items of one rank.
-struct RefusalForecast {
-  std::size_t rank = 0;
-  /// Estimated time during which items of an organisation that has no queued
-  /// items are refused because the queue is full. 0 if they are accepted,
-  /// `max()` if the queue refuses all items because it is draining.
-  std::chrono::microseconds refused_for{0};
-  /// Estimated wait of an accepted item. The ingress can refuse requests whose
-  /// deadline is earlier.
-  std::chrono::microseconds expected_wait{0};
-};
-
 struct RunningItem {
   std::size_t rank = 0;
   TimePoint start;
@@ -193,21 +182,6 @@
 /// before, or nothing if the queue is empty.
 std::optional<TimePoint> NextExpiry(const AdmissionQueue& queue);
 
-/// \brief Forecasts for each rank whether further items will be refused and how
-/// long they will wait, so that the ingress can refuse requests early.
-std::vector<RefusalForecast> ForecastRefusals(const AdmissionQueue& queue,
-                                              TimePoint now);
-
-/// \brief Estimated time that the endpoint needs for the queued items that are
-/// ahead of a further item of the rank and organisation.
-///
-/// Late items are included although new items are served before them: while
-/// late items are queued, the endpoint has no capacity for more work.
-std::chrono::microseconds ExpectedWait(const AdmissionQueue& queue,
-                                       std::size_t rank,
-                                       const std::string& organisation,
-                                       TimePoint now);
-
 /// \brief Returns the text of a reason, for example "queue full".
 const char* RefusalReasonName(RefusalReason reason);
 
