Move the evidence of outliers into its own module

No behaviour changes. outlier_evidence holds the log-likelihood ratio, the scan for the strongest evidence, the statistics of the siblings and the confirmation of evidence; outlier_verdict holds the criteria, the severities and the states. The templates over counters become functions over EvidenceCriterion, which holds std::function values, so that the statistics need not be in a header.

--- a/Source/core/outlier_verdict.cc
+++ b/Source/core/outlier_verdict.cc
@@ -4,7 +4,6 @@
 #include <array>
 #include <cmath>
 #include <cstddef>
-#include <functional>
 
 namespace comfrey {
 namespace {
@@ -13,27 +12,11 @@
 using std::chrono::milliseconds;
 using TimePoint = std::chrono::steady_clock::time_point;
 
-// Older summaries do not describe the present state of the service.
-constexpr std::chrono::seconds kSummaryLifetime{30};
-// An ejection requires summaries of the time after the change from this many
-// siblings, or from all of them if there are fewer. Without this rule, a
-// slowdown of the whole service would eject every endpoint until the siblings
-// have published summaries that show it.
-constexpr std::size_t kConfirmingSiblings = 3;
 // Consecutive failures eject an endpoint if this many siblings, or all of them
 // if there are fewer, succeeded during the same time. Fewer siblings than
-// `kConfirmingSiblings` are enough, because a success shows directly that the
+// `ConfirmEvidence` needs are enough, because a success shows directly that the
 // service works.
 constexpr std::size_t kSucceedingSiblings = 2;
-// Uncertainty of the estimated start of a change: the estimate is accurate to
-// about one interval of the health window, and the first slow responses
-// complete some time after the slowdown began.
-constexpr milliseconds kConfirmationMargin{400};
-// Approximate time that a summary covers before and after its midpoint.
-constexpr milliseconds kSummaryHalfTime{500};
-// Minimum evidence, in nats, from the samples of the time that the summaries of
-// the siblings describe.
-constexpr double kRecentEvidence = 2;
 // Consecutive failures within a shorter time count as one event, for example a
 // burst of connection resets.
 constexpr milliseconds kMinConsecutiveFailuresTime{100};
@@ -49,10 +32,6 @@
 // differences in the number of timeouts.
 constexpr double kSiblingOddsFactor = 4;
 constexpr double kMaxExpectedFailedShare = 0.95;
-// The failure share of an endpoint is compared with the upper quartile of the
-// siblings, because summaries of few requests vary. Up to a quarter of the
-// siblings may be faulty without an effect on the comparison.
-constexpr std::size_t kQuartiles = 4;
 // Latencies are not compared if the share of failures at the siblings is at
 // least this high, because timeouts truncate the latencies and the medians of
 // the remaining samples vary.
@@ -83,12 +62,6 @@
 constexpr std::uint16_t kConsecutiveFailuresSeverity = 900;
 constexpr std::uint16_t kUnreachableSeverity = 1000;
 
-struct Evidence {
-  double nats = 0;
-  double share = 0;
-  TimePoint start;
-};
-
 enum class Criteria : std::uint8_t { kFailuresOnly, kFailuresAndLatency };
 
 struct OutlierTestResult {
@@ -96,126 +69,6 @@
   std::uint16_t severity = 0;
 };
 
-// Returns the log-likelihood ratio, in nats, between the observed and the
-// expected share of hits, or 0 if the observed share is not above the expected
-// one.
-double LogLikelihoodRatio(double hits, double samples, double expected) {
-  if (samples <= 0 || hits / samples <= expected) {
-    return 0;
-  }
-  const double share = std::min(hits / samples, 1.0);
-  double sum = share * std::log(share / expected);
-  if (share < 1) {
-    sum += (1 - share) * std::log((1 - share) / (1 - expected));
-  }
-  return samples * sum;
-}
-
-struct Counts {
-  double hits;
-  double samples;
-};
-
-struct SlowCounter {
-  microseconds limit;
-  Counts operator()(const HealthInterval& interval) const {
-    return {SamplesAbove(interval, this->limit),
-            static_cast<double>(LatencySamples(interval))};
-  }
-};
-
-struct FailureCounter {
-  Counts operator()(const HealthInterval& interval) const {
-    return {static_cast<double>(interval.failed),
-            static_cast<double>(interval.ok) + interval.failed};
-  }
-};
-
-// Scans all windows that end at `until` and returns the strongest evidence. The
-// start of its window is an estimate of the time of the change. Since the
-// length of the window is not fixed, a large change is found sooner than a
-// small one.
-template <typename Counter>
-Evidence StrongestEvidence(const EndpointHealth& health,
-                           double expected,
-                           const Counter& count,
-                           TimePoint until,
-                           TimePoint now) {
-  Evidence strongest;
-  Counts total{0, 0};
-  const std::size_t fresh = FreshIntervals(health, now);
-  for (std::size_t i = 0; i < fresh; ++i) {
-    const HealthInterval& interval = IntervalAt(health, i);
-    if (interval.start > until) {
-      continue;
-    }
-    const Counts counts = count(interval);
-    total.hits += counts.hits;
-    total.samples += counts.samples;
-    const double nats = LogLikelihoodRatio(total.hits, total.samples, expected);
-    if (nats > strongest.nats) {
-      strongest = {nats, total.hits / total.samples, interval.start};
-    }
-  }
-  return strongest;
-}
-
-// Returns the evidence, in nats, of the samples since `since`.
-template <typename Counter>
-double EvidenceSince(const EndpointHealth& health,
-                     double expected,
-                     const Counter& count,
-                     TimePoint since,
-                     TimePoint now) {
-  Counts total{0, 0};
-  const std::size_t fresh = FreshIntervals(health, now);
-  for (std::size_t i = 0; i < fresh && IntervalAt(health, i).start >= since;
-       ++i) {
-    const Counts counts = count(IntervalAt(health, i));
-    total.hits += counts.hits;
-    total.samples += counts.samples;
-  }
-  return LogLikelihoodRatio(total.hits, total.samples, expected);
-}
-
-// Statistics of the siblings' summaries.
-struct SiblingStatistics {
-  std::size_t count = 0;
-  microseconds latency{0};  // median
-  double failed_share = 0;  // upper quartile
-};
-
-// Aggregates the summaries whose midpoint is not before `since`.
-SiblingStatistics AggregateSiblings(const SiblingBaseline& baseline,
-                                    TimePoint since) {
-  std::vector<microseconds> latencies;
-  std::vector<std::uint16_t> failed;
-  for (const EndpointSummary& sibling : baseline.siblings) {
-    if (sibling.midpoint >= since) {
-      latencies.push_back(sibling.median_latency);
-      failed.push_back(sibling.failed_permille);
-    }
-  }
-  SiblingStatistics statistics;
-  statistics.count = latencies.size();
-  if (statistics.count == 0) {
-    return statistics;
-  }
-  // For an even number of siblings, the upper median is used because it causes
-  // fewer ejections.
-  const auto middle = static_cast<std::ptrdiff_t>(statistics.count / 2);
-  std::nth_element(latencies.begin(), latencies.begin() + middle,
-                   latencies.end());
-  const std::size_t quartile = std::min(
-      statistics.count - 1, statistics.count * (kQuartiles - 1) / kQuartiles);
-  std::nth_element(failed.begin(),
-                   failed.begin() + static_cast<std::ptrdiff_t>(quartile),
-                   failed.end());
-  statistics.latency = latencies[statistics.count / 2];
-  statistics.failed_share = failed[quartile] / 1000.0;
-  return statistics;
-}
-
 microseconds SlowLimit(microseconds sibling_latency,
                        const DetectionPolicy& policy) {
   const microseconds scaled(std::llround(
@@ -245,77 +98,6 @@
                  1.0 + kProbationSeverity, kMaxSlowSeverity));
 }
 
-// Returns the latest time such that at least `needed` siblings have a summary
-// with this midpoint or a later one.
-TimePoint ConfirmedUntil(const SiblingBaseline& baseline, std::size_t needed) {
-  std::vector<TimePoint> midpoints;
-  for (const EndpointSummary& sibling : baseline.siblings) {
-    midpoints.push_back(sibling.midpoint);
-  }
-  const auto rank = static_cast<std::ptrdiff_t>(needed) - 1;
-  std::nth_element(midpoints.begin(), midpoints.begin() + rank, midpoints.end(),
-                   std::greater<>());
-  return midpoints[needed - 1];
-}
-
-struct EvidenceThreshold {
-  double nats;
-  milliseconds time;
-};
-
-enum class Confirmation : std::uint8_t { kNoEvidence, kMissing, kConfirmed };
-
-// Decides whether there is evidence that the endpoint is worse than its
-// siblings, based on summaries of the siblings about the same time. `expected`
-// and `make_counter` return the expected share of hits and the counter for the
-// statistics of the siblings.
-template <typename Expected, typename MakeCounter>
-Confirmation ConfirmEvidence(const EndpointHealth& health,
-                             const SiblingBaseline& baseline,
-                             const EvidenceThreshold& needed,
-                             Expected expected,
-                             MakeCounter make_counter,
-                             Evidence* evidence,
-                             TimePoint now) {
-  const auto is_strong = [&](const Evidence& found) {
-    return found.nats >= needed.nats && now - found.start >= needed.time;
-  };
-  SiblingStatistics statistics =
-      AggregateSiblings(baseline, now - kSummaryLifetime);
-  *evidence = StrongestEvidence(health, expected(statistics),
-                                make_counter(statistics), now, now);
-  if (!is_strong(*evidence)) {
-    return Confirmation::kNoEvidence;
-  }
-  if (statistics.count == 0) {
-    return Confirmation::kMissing;
-  }
-  const TimePoint confirmed =
-      ConfirmedUntil(baseline, std::min(kConfirmingSiblings, statistics.count));
-  if (confirmed < evidence->start + kConfirmationMargin) {
-    return Confirmation::kMissing;
-  }
-  const SiblingStatistics recent = AggregateSiblings(baseline, confirmed);
-  statistics.latency = std::max(statistics.latency, recent.latency);
-  statistics.failed_share =
-      std::max(statistics.failed_share, recent.failed_share);
-  // Samples from after the time that the summaries describe are left out,
-  // because the siblings may have had the same change since then.
-  *evidence =
-      StrongestEvidence(health, expected(statistics), make_counter(statistics),
-                        confirmed + kSummaryHalfTime, now);
-  // A fault of the whole service that has just ended is no longer visible in
-  // the summaries of the siblings, but still in the window of this endpoint.
-  // Therefore the samples of the time that the summaries describe must show
-  // the fault too.
-  const double recent_nats =
-      EvidenceSince(health, expected(statistics), make_counter(statistics),
-                    confirmed - kSummaryHalfTime, now);
-  return is_strong(*evidence) && recent_nats >= kRecentEvidence
-             ? Confirmation::kConfirmed
-             : Confirmation::kNoEvidence;
-}
-
 // Whether the endpoint had only failures while siblings correctly answered
 // requests that were sent during the same time. This check does not wait for
 // summaries about the time after the change, nor for a long window. A success
@@ -330,8 +112,7 @@
           kMinConsecutiveFailuresTime) {
     return false;
   }
-  const SiblingStatistics known =
-      AggregateSiblings(baseline, now - kSummaryLifetime);
+  const SiblingStatistics known = CurrentSiblings(baseline, now);
   const double nats = LogLikelihoodRatio(
       health.consecutive_failures, health.consecutive_failures,
       ExpectedFailedShare(known.failed_share, policy));
@@ -364,18 +145,17 @@
   }
   needed.nats *= 1 - kProbeWeight * std::min<unsigned>(health.failed_probes,
                                                        kMaxCountedProbes);
-  const SiblingStatistics siblings =
-      AggregateSiblings(baseline, now - kSummaryLifetime);
+  const SiblingStatistics siblings = CurrentSiblings(baseline, now);
   const bool has_siblings = siblings.count > 0;
 
   Evidence evidence;
-  const Confirmation failing = ConfirmEvidence(
-      health, baseline, needed,
+  const EvidenceCriterion failure_criterion{
       [&](const SiblingStatistics& statistics) {
         return ExpectedFailedShare(statistics.failed_share, policy);
       },
-      [](const SiblingStatistics&) { return FailureCounter{}; }, &evidence,
-      now);
+      [](const SiblingStatistics&) { return CountFailures; }};
+  const Confirmation failing = ConfirmEvidence(
+      health, baseline, needed, failure_criterion, &evidence, now);
   if (failing == Confirmation::kConfirmed) {
     return {VerdictReason::kFailing,
             static_cast<std::uint16_t>(kFailingSeverity +
@@ -387,14 +167,14 @@
   microseconds sibling_latency{0};
   if (criteria == Criteria::kFailuresAndLatency && has_siblings &&
       siblings.failed_share < kMaxSiblingFailedShare) {
-    slow = ConfirmEvidence(
-        health, baseline, needed,
+    const EvidenceCriterion slowness_criterion{
         [](const SiblingStatistics&) { return kShareAboveMedian; },
         [&](const SiblingStatistics& statistics) {
           sibling_latency = statistics.latency;
-          return SlowCounter{SlowLimit(statistics.latency, policy)};
-        },
-        &evidence, now);
+          return CountSlow(SlowLimit(statistics.latency, policy));
+        }};
+    slow = ConfirmEvidence(health, baseline, needed, slowness_criterion,
+                           &evidence, now);
   }
   if (slow == Confirmation::kConfirmed) {
     return {VerdictReason::kSlow, SlowSeverity(health, sibling_latency, now)};
@@ -459,8 +239,7 @@
                           const SiblingBaseline& baseline,
                           const DetectionPolicy& policy,
                           TimePoint now) {
-  const SiblingStatistics known =
-      AggregateSiblings(baseline, now - kSummaryLifetime);
+  const SiblingStatistics known = CurrentSiblings(baseline, now);
   double failed = 0;
   double requests = 0;
   double slow = 0;
--- a/Source/core/outlier_verdict.h
+++ b/Source/core/outlier_verdict.h
@@ -3,9 +3,9 @@
 
 #include <chrono>
 #include <cstdint>
-#include <vector>
 
 #include "core/endpoint_health.h"
+#include "core/outlier_evidence.h"  // IWYU pragma: export
 
 namespace comfrey {
 
@@ -41,11 +41,6 @@
   std::chrono::milliseconds warmup{0};
 };
 
-/// \brief Latest known summaries of the service's other endpoints.
-struct SiblingBaseline {
-  std::vector<EndpointSummary> siblings;
-};
-
 /// \brief Published result of the outlier detection for an endpoint.
 struct Verdict {
   EndpointState state = EndpointState::kWarming;
