Remove three duplicates in the attempt ledger and the tests

- attempt_ledger.cc looked up an accepted record in a given state three times, and computed the base size of a request twice; each is now one function.
- The fleet of the system tests and the measured fleet had the same loopback prefix, directory and ports; the measured fleet now uses those of fleet.h.

--- a/Source/core/attempt_ledger.cc
+++ b/Source/core/attempt_ledger.cc
@@ -32,6 +32,11 @@
   return kRecordOverhead + 2 * IdentitySize(id);
 }
 
+std::size_t BaseSize(const LedgerRequest& request) {
+  return request.key.has_value() ? BaseSize(*request.key)
+                                 : BaseSize(request.attempt);
+}
+
 std::size_t ResponseSize(const ResponsePtr& response) {
   if (response == nullptr) {
     return 0;
@@ -160,6 +165,14 @@
              : nullptr;
 }
 
+// Returns the record of an accepted attempt in the given state, or nullptr.
+LedgerRecord* FindRecordInState(AttemptLedger& ledger,
+                                const LedgerRequest& request,
+                                AttemptState state) {
+  LedgerRecord* record = FindAcceptedRecord(ledger, request);
+  return record != nullptr && record->state == state ? record : nullptr;
+}
+
 void ScheduleRecordExpiry(AttemptLedger& ledger,
                           const LedgerRequest& request,
                           LedgerRecord& record) {
@@ -354,8 +367,9 @@
                   const LedgerRequest& request,
                   steady_clock::time_point now) {
   AdvanceClock(ledger, now);
-  LedgerRecord* record = FindAcceptedRecord(ledger, request);
-  if (record == nullptr || record->state != AttemptState::kQueued) {
+  LedgerRecord* record =
+      FindRecordInState(ledger, request, AttemptState::kQueued);
+  if (record == nullptr) {
     return false;
   }
   record->state = AttemptState::kRunning;
@@ -367,12 +381,12 @@
                    ResponsePtr response,
                    steady_clock::time_point now) {
   AdvanceClock(ledger, now);
-  LedgerRecord* record = FindAcceptedRecord(ledger, request);
-  if (record == nullptr || record->state != AttemptState::kRunning) {
+  LedgerRecord* record =
+      FindRecordInState(ledger, request, AttemptState::kRunning);
+  if (record == nullptr) {
     return;
   }
-  const std::size_t base = request.key.has_value() ? BaseSize(*request.key)
-                                                   : BaseSize(request.attempt);
+  const std::size_t base = BaseSize(request);
   // Without a key, a stored response is used only if the reply to the ingress
   // was lost. Such responses are therefore limited to half of the budget, and
   // the rest is left to keys.
@@ -395,12 +409,12 @@
                         const LedgerRequest& request,
                         steady_clock::time_point now) {
   AdvanceClock(ledger, now);
-  LedgerRecord* record = FindAcceptedRecord(ledger, request);
-  if (record == nullptr || record->state != AttemptState::kRunning) {
+  LedgerRecord* record =
+      FindRecordInState(ledger, request, AttemptState::kRunning);
+  if (record == nullptr) {
     return;
   }
-  const std::size_t base = request.key.has_value() ? BaseSize(*request.key)
-                                                   : BaseSize(request.attempt);
+  const std::size_t base = BaseSize(request);
   ledger.bytes -= record->bytes - base;
   record->bytes = base;
   record->state = AttemptState::kUnknown;
--- a/Tests/core/attempt_ledger_test.cc
+++ b/Tests/core/attempt_ledger_test.cc
@@ -4,21 +4,16 @@
 
 #include "absl/strings/str_cat.h"
 #include "catch2/catch.hpp"
+#include "key_test_times.h"
 
 namespace comfrey {
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::steady_clock;
 
 constexpr std::uint64_t kIncarnation = 7;
-const KeyTimes kTimes{milliseconds(8'000)};
 const PlacementVersion kVersion{1, 5};
 
-steady_clock::time_point At(int ms) {
-  return steady_clock::time_point(milliseconds(ms));
-}
-
 AttemptLedger NewLedger(std::size_t budget = 1 << 20,
                         std::size_t reserve = 1000) {
   return MakeAttemptLedger(kTimes, {budget, reserve}, kIncarnation, At(0));
--- a/Tests/core/key_interleavings_test.cc
+++ b/Tests/core/key_interleavings_test.cc
@@ -1,25 +1,15 @@
 #include "core/keyed_execution.h"
 
 #include "catch2/catch.hpp"
+#include "key_test_times.h"
 
 namespace comfrey {
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::steady_clock;
-using std::chrono::system_clock;
 
-const KeyTimes kTimes{milliseconds(8'000)};
 const KeyId kKey{"team", "service", "k"};
 
-steady_clock::time_point At(int ms) {
-  return steady_clock::time_point(milliseconds(ms));
-}
-
-system_clock::time_point Wall(int ms) {
-  return system_clock::time_point(milliseconds(ms));
-}
-
 KeyedOwner NewOwner(const std::string& endpoint, std::uint64_t incarnation) {
   KeyedOwner owner;
   owner.endpoint = endpoint;
--- a/Tests/core/key_recovery_test.cc
+++ b/Tests/core/key_recovery_test.cc
@@ -1,20 +1,15 @@
 #include "core/key_recovery.h"
 
 #include "catch2/catch.hpp"
+#include "key_test_times.h"
 
 namespace comfrey {
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::steady_clock;
 
-const KeyTimes kTimes{milliseconds(8'000)};
 const PlacementVersion kVersion{1, 1};
 
-steady_clock::time_point At(int ms) {
-  return steady_clock::time_point(milliseconds(ms));
-}
-
 LedgerRequest Request(std::uint64_t sequence,
                       const std::string& key,
                       std::uint64_t incarnation,
--- a/Tests/system/fleet.cc
+++ b/Tests/system/fleet.cc
@@ -17,10 +17,6 @@
 namespace comfrey {
 namespace {
 
-// Last octet of the address of the configuration service.
-constexpr int kConfigVm = 250;
-constexpr int kConfigPort = 7300;
-constexpr int kPeerPort = 7400;
 // The daemon behind the relay listens on this port.
 constexpr int kRelayedPeerPort = 7401;
 constexpr int kHttpPort = 8080;
@@ -28,20 +24,6 @@
 constexpr std::chrono::seconds kCallTimeout{20};
 constexpr std::chrono::seconds kReadyTimeout{20};
 
-// Returns a loopback prefix that depends on the process ID, so that several
-// test processes can run at the same time.
-std::string LoopbackPrefix() {
-  constexpr int kOctet = 250;
-  const int pid = getpid();
-  return absl::StrCat("127.", 1 + pid / kOctet % kOctet, ".", 1 + pid % kOctet,
-                      ".");
-}
-
-std::string MakeDirectory() {
-  std::string name = std::filesystem::temp_directory_path() / "comfreyXXXXXX";
-  return mkdtemp(name.data());
-}
-
 std::string SendHttpRequest(const std::string& ip,
                             int port,
                             const std::string& method,
@@ -79,6 +61,18 @@
 
 }  // namespace
 
+std::string LoopbackPrefix() {
+  constexpr int kOctet = 250;
+  const int pid = getpid();
+  return absl::StrCat("127.", 1 + pid / kOctet % kOctet, ".", 1 + pid % kOctet,
+                      ".");
+}
+
+std::string MakeDirectory() {
+  std::string name = std::filesystem::temp_directory_path() / "comfreyXXXXXX";
+  return mkdtemp(name.data());
+}
+
 Fleet::Fleet(int vm_count, int relayed_vm)
     : vm_count(vm_count),
       relayed_vm(relayed_vm),
--- a/Tests/system/fleet.h
+++ b/Tests/system/fleet.h
@@ -14,6 +14,18 @@
 
 namespace comfrey {
 
+/// \brief Last octet of the address of the configuration service of a fleet.
+constexpr int kConfigVm = 250;
+constexpr int kConfigPort = 7300;
+constexpr int kPeerPort = 7400;
+
+/// \brief Returns a loopback prefix that depends on the process ID, so that
+/// several test processes can run at the same time.
+std::string LoopbackPrefix();
+
+/// \brief Creates an empty directory for the files of a fleet.
+std::string MakeDirectory();
+
 /// \brief Response to a test caller; the status is 0 if the connection failed.
 struct TestResponse {
   int status = 0;
--- a/Utilities/measured_fleet.cc
+++ b/Utilities/measured_fleet.cc
@@ -17,27 +17,11 @@
 namespace comfrey {
 namespace {
 
-// Last octet of the address of the configuration service.
-constexpr int kConfigVm = 250;
-constexpr int kConfigPort = 7300;
-constexpr int kPeerPort = 7400;
 constexpr int kHttpPort = 8080;
 constexpr int kOk = 200;
 constexpr std::chrono::seconds kCallTimeout{10};
 constexpr std::chrono::seconds kStartTimeout{20};
 
-std::string LoopbackPrefix() {
-  constexpr int kOctet = 250;
-  const int pid = getpid();
-  return absl::StrCat("127.", 1 + pid / kOctet % kOctet, ".", 1 + pid % kOctet,
-                      ".");
-}
-
-std::string MakeDirectory() {
-  std::string name = std::filesystem::temp_directory_path() / "comfreyXXXXXX";
-  return mkdtemp(name.data());
-}
-
 std::string HttpGet(const std::string& ip,
                     int port,
                     const std::string& target) {
