Split the parser of team configurations

No behaviour changes. team_fields parses the values of single keys, and team_checks reports contradictions between the sections of a team. ReadTeam now uses GenerationField, of which it had a copy.

--- a/Source/config/team_config.cc
+++ b/Source/config/team_config.cc
@@ -2,20 +2,18 @@
 
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <limits>
 #include <utility>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/container/flat_hash_set.h"
 #include "absl/strings/ascii.h"
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "absl/strings/str_split.h"
-#include "absl/time/time.h"
 #include "config/ini_fields.h"
-#include "config/request_path.h"
+#include "config/team_checks.h"
+#include "config/team_fields.h"
 
 namespace comfrey {
 namespace {
@@ -26,18 +24,13 @@
 using std::chrono::minutes;
 using std::chrono::seconds;
 
-constexpr int kPpm = 1'000'000;
 constexpr int kMaxSlots = 10'000;
 constexpr int kMaxQueueLimit = 100'000;
 constexpr int kMaxUrgency = 100;
 constexpr int kMaxWorth = 1'000'000;
 constexpr int kMinObjectivePpm = 10'000;
 constexpr int kMaxObjectivePpm = 999'999;
-constexpr std::size_t kMaxPathLength = 128;
-constexpr std::size_t kMaxHeaderLength = 128;
-constexpr std::size_t kMaxMethodLength = 32;
 constexpr int kMaxAttemptsLimit = 10;
-constexpr int kMaxWeight = 1'000'000;
 constexpr std::array<absl::string_view, 6> kReservedTeamNames = {
     "comfrey", "healthz", "livez", "metrics", "readyz", "status"};
 
@@ -52,116 +45,6 @@
   absl::flat_hash_map<std::string, std::string> endpoint_services;
 };
 
-Problem ReadTime(absl::string_view text,
-                 std::optional<std::chrono::system_clock::time_point>& value) {
-  constexpr absl::string_view kFormat = "%Y-%m-%dT%H:%M:%SZ";
-  const absl::TimeZone utc = absl::UTCTimeZone();
-  absl::Time time;
-  // absl::ParseTime also accepts times in other forms, for example with a leap
-  // second or with single digits. The comparison with the formatted time
-  // rejects them. The check of the year rejects "infinite-past".
-  if (!absl::ParseTime(kFormat, text, &time, nullptr) ||
-      absl::FormatTime(kFormat, time, utc) != text) {
-    return FieldProblem{"the value is not a time in UTC",
-                        "write it as 2026-12-04T10:00:00Z"};
-  }
-  const auto year = utc.At(time).cs.year();
-  if (year < 2000 || year > 2199) {
-    return FieldProblem{"the value is out of range",
-                        "write a time in the years 2000 to 2199"};
-  }
-  value = absl::ToChronoTime(time);
-  return std::nullopt;
-}
-
-Problem ReadMethod(absl::string_view text, std::string& value) {
-  if (text.empty() || text.size() > kMaxMethodLength ||
-      !std::all_of(text.begin(), text.end(), absl::ascii_isupper)) {
-    return FieldProblem{"the value is not an HTTP method",
-                        "write one method in upper case, for example POST"};
-  }
-  value = std::string(text);
-  return std::nullopt;
-}
-
-Problem ReadPath(absl::string_view text, std::string& value) {
-  const std::optional<RequestPath> path = ReadRequestPath(text);
-  if (!path || path->encoded != text) {
-    return FieldProblem{
-        "the value is not a plain absolute path",
-        "start it with \"/\"; leave out empty and dot segments, \"?\", \"#\", "
-        "spaces, backslashes and encoded slashes"};
-  }
-  if (path->decoded.size() > kMaxPathLength) {
-    return FieldProblem{
-        "the path is too long",
-        absl::StrCat("write at most ", kMaxPathLength, " characters")};
-  }
-  value = path->decoded;
-  if (value.size() > 1 && value.back() == '/') {
-    value.pop_back();
-  }
-  return std::nullopt;
-}
-
-Problem ReadHost(absl::string_view text, std::string& value) {
-  const bool valid =
-      !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
-        return absl::ascii_isalnum(static_cast<unsigned char>(c)) || c == '.' ||
-               c == '-';
-      });
-  if (!valid) {
-    return FieldProblem{"the value is not a host name",
-                        "write a name such as shop.example, without a port"};
-  }
-  value = absl::AsciiStrToLower(text);
-  return std::nullopt;
-}
-
-// Parses a list of services and their weights: "service weight, service
-// weight".
-Problem ReadSplit(absl::string_view text, std::vector<ServiceShare>& split) {
-  for (const absl::string_view item : absl::StrSplit(text, ',')) {
-    const std::vector<std::string> words =
-        absl::StrSplit(item, ' ', absl::SkipEmpty());
-    ServiceShare share;
-    if (words.size() != 2 || !IsValidName(words[0]) ||
-        !absl::SimpleAtoi(words[1], &share.weight) || share.weight < 0 ||
-        share.weight > kMaxWeight) {
-      return FieldProblem{
-          absl::StrCat("\"", item, "\" is not a service and its weight"),
-          "write for example \"booking 90, booking-next 10\""};
-    }
-    share.service = words[0];
-    split.push_back(std::move(share));
-  }
-  return std::nullopt;
-}
-
-bool IsHeaderNameByte(unsigned char c) {
-  return absl::ascii_isalnum(c) ||
-         absl::string_view("!#$%&'*+-.^_`|~").find(static_cast<char>(c)) !=
-             absl::string_view::npos;
-}
-
-Problem ReadHeader(absl::string_view text, RouteConfig& route) {
-  const std::pair<absl::string_view, absl::string_view> parts =
-      absl::StrSplit(text, absl::MaxSplits(':', 1));
-  const absl::string_view name = absl::StripAsciiWhitespace(parts.first);
-  const absl::string_view value = absl::StripAsciiWhitespace(parts.second);
-  if (name.empty() || value.empty() || text.size() > kMaxHeaderLength ||
-      !std::all_of(name.begin(), name.end(), IsHeaderNameByte) ||
-      !std::all_of(value.begin(), value.end(), absl::ascii_isprint)) {
-    return FieldProblem{
-        "the value is not a header with its value",
-        absl::StrCat("write \"Name: value\" with at most ", kMaxHeaderLength,
-                     " characters, for example X-Caller: internal")};
-  }
-  route.header_name = std::string(name);
-  route.header_value = std::string(value);
-  return std::nullopt;
-}
-
 // Parses the value of `endpoints`; appends an error for every invalid item.
 void ReadEndpoints(TeamParseState& state,
                    const IniSection& section,
@@ -202,12 +85,10 @@
 
 void ReadTeam(TeamParseState& state, const IniSection& section) {
   TeamConfig& team = state.config;
-  ReadFields(
-      state.document, section,
-      {{"generation", IntegerField(team.generation, 1,
-                                   std::numeric_limits<std::int64_t>::max())},
-       {"removed", BoolField(team.removed)}},
-      state.errors);
+  ReadFields(state.document, section,
+             {{"generation", GenerationField(team.generation)},
+              {"removed", BoolField(team.removed)}},
+             state.errors);
 }
 
 void ReadService(TeamParseState& state, const IniSection& section) {
@@ -352,121 +233,6 @@
   }
 }
 
-// Reports a route whose key `kind` names a section that does not exist.
-void CheckReference(TeamParseState& state,
-                    const IniSection& section,
-                    absl::string_view kind,
-                    const absl::flat_hash_set<absl::string_view>& names) {
-  const IniEntry* entry = FindEntry(section, kind);
-  if (entry == nullptr || !IsValidName(entry->value) ||
-      names.contains(entry->value) || IsErrorListFull(state.errors)) {
-    return;
-  }
-  const std::string nearest =
-      NearestWord(entry->value, {names.begin(), names.end()});
-  AddSectionError(
-      state.document, section, entry,
-      {absl::StrCat("no section [", kind, " ", entry->value, "] exists"),
-       absl::StrCat("add the section",
-                    nearest.empty()
-                        ? ""
-                        : absl::StrCat(", or use \"", nearest,
-                                       "\", the nearest existing name"))},
-      state.errors);
-}
-
-// Reports routes with equal conditions, because it would not be defined which
-// of them a request takes.
-void CheckDuplicateRoutes(TeamParseState& state) {
-  absl::flat_hash_map<std::string, const RouteConfig*> seen;
-  auto section = state.document.sections.begin();
-  for (const RouteConfig& route : state.config.routes) {
-    section =
-        std::find_if(section, state.document.sections.end(),
-                     [](const IniSection& s) { return s.kind == "route"; });
-    const IniSection& current = *section++;
-    const std::string condition = absl::StrCat(
-        route.host, " ", route.path, " ", route.method, " ",
-        absl::AsciiStrToLower(route.header_name), ":", route.header_value);
-    const auto [other, added] = seen.emplace(condition, &route);
-    if (!added) {
-      AddSectionError(
-          state.document, current, nullptr,
-          {absl::StrCat("route ", other->second->name,
-                        " has the same path, method and match_header"),
-           "change one of the three, or remove one of the routes"},
-          state.errors);
-    }
-  }
-}
-
-// Reports ranks whose guaranteed shares exceed 100% in total.
-void CheckRankShares(TeamParseState& state) {
-  std::int64_t total = 0;
-  for (const RankConfig& rank : state.config.ranks) {
-    total += std::llround(rank.share * kPpm);
-  }
-  if (total <= kPpm) {
-    return;
-  }
-  const auto last = std::find_if(
-      state.document.sections.rbegin(), state.document.sections.rend(),
-      [](const IniSection& s) {
-        return s.kind == "rank" && FindEntry(s, "share") != nullptr;
-      });
-  AddSectionError(
-      state.document, *last, FindEntry(*last, "share"),
-      {absl::StrCat("the shares of all ranks add up to ", FormatPpm(total)),
-       "lower shares until they add up to at most 100%"},
-      state.errors);
-}
-
-// Reports a split that names a service which does not exist, or whose weights
-// are all 0.
-void CheckSplit(TeamParseState& state,
-                const IniSection& section,
-                const absl::flat_hash_set<absl::string_view>& services) {
-  const IniEntry* entry = FindEntry(section, "split");
-  std::vector<ServiceShare> split;
-  if (entry == nullptr || ReadSplit(entry->value, split)) {
-    return;
-  }
-  int total = 0;
-  for (const ServiceShare& share : split) {
-    total += share.weight;
-    if (!services.contains(share.service)) {
-      AddSectionError(
-          state.document, section, entry,
-          {absl::StrCat("no section [service ", share.service, "] exists"),
-           "add the section, or name an existing service"},
-          state.errors);
-    }
-  }
-  if (total == 0) {
-    AddSectionError(state.document, section, entry,
-                    {"all weights are 0", "give one service a weight"},
-                    state.errors);
-  }
-}
-
-void CheckReferences(TeamParseState& state) {
-  absl::flat_hash_set<absl::string_view> services;
-  for (const ServiceConfig& service : state.config.services) {
-    services.insert(service.name);
-  }
-  absl::flat_hash_set<absl::string_view> ranks;
-  for (const RankConfig& rank : state.config.ranks) {
-    ranks.insert(rank.name);
-  }
-  for (const IniSection& section : state.document.sections) {
-    if (section.kind == "route") {
-      CheckReference(state, section, "service", services);
-      CheckReference(state, section, "rank", ranks);
-      CheckSplit(state, section, services);
-    }
-  }
-}
-
 void ReadSection(TeamParseState& state, const IniSection& section) {
   using Read = void (*)(TeamParseState&, const IniSection&);
   struct Kind {
@@ -554,9 +320,7 @@
     ReadSection(state, section);
   }
   ReadEndpointSections(state);
-  CheckReferences(state);
-  CheckDuplicateRoutes(state);
-  CheckRankShares(state);
+  CheckTeam(document, config, found);
   if (config.removed) {
     config.services.clear();
     config.ranks.clear();
