Use the reported wait and few tries to place a request

With 94 daemons, a request was offered 7.8 times on average (median 8, p99 16, the limit), 118,591 of 137,319 offers were refused, 89,683 of them as busy in mode "run now", and 2,978 of 17,572 requests ended as not run.

Cause: NextPlacement looked for a free slot at every endpoint of the region. It skipped an endpoint only while the owner called it full, at most 30 ms after a busy refusal, and ignored the expected wait of the same reply. In a large region the offers for a free slot used up the 16 tries before the request was queued.

An endpoint with a reported wait over 5 ms is now asked for a free slot only when the wait is over or the report is 500 ms old. After three busy endpoints in the failure domain and two in the rest of the region, the request is queued at the shortest known wait. After two endpoints refused to queue it, longer queues are not tried, and a full queue comes last. The owner no longer reports a busy endpoint as full, since that time now stands for the queue only; the same report of an older owner is ignored.

On the previous placement.cc the new tests fail: placement_test.cc:220: CHECK( queued->mode == PlacementMode::kQueue ) 0 == 2 placement_test.cc:244: CHECK( old->view == 3 ) 1 == 3 placement_test.cc:259: REQUIRE( placements.size() <= kMaxPlacements ) 39 <= 7 placement_test.cc:286: CHECK( (!longer || longer->mode != kQueue) ) false placement_test.cc:302: CHECK( with_room->view == 2 ) 1 == 2 endpoint_directory_test.cc:86: CHECK( queued->mode == kQueue ) 0 == 2

There is no measurement on a fleet yet.

--- a/Source/core/placement.cc
+++ b/Source/core/placement.cc
@@ -33,11 +33,12 @@
 }
 
 // Returns the endpoint that may have a free slot and has the fewest requests of
-// this ingress in progress; standby endpoints come first.
-std::optional<std::uint32_t> FindFreeSlot(
-    const PlacementInput& input,
-    const Tier& tier,
-    std::chrono::microseconds max_wait = std::chrono::microseconds::max()) {
+// this ingress in progress; standby endpoints come first. Endpoints that
+// reported a longer wait than `max_wait` within `max_age` are skipped.
+std::optional<std::uint32_t> FindFreeSlot(const PlacementInput& input,
+                                          const Tier& tier,
+                                          std::chrono::microseconds max_wait,
+                                          std::chrono::microseconds max_age) {
   std::optional<std::uint32_t> best;
   std::tuple<bool, std::uint32_t, std::uint64_t> best_key;
   for (const PlannedEndpoint& planned : tier) {
@@ -45,7 +46,8 @@
     const EndpointView& view = input.views[planned.view];
     if (hint.offer_result != OfferResult::kNotTried ||
         IsKnownSuspect(input, planned.view) || view.full_until > input.now ||
-        hint.expected_wait > max_wait || !IsSampled(input, planned)) {
+        (hint.expected_wait > max_wait && hint.wait_age <= max_age) ||
+        !IsSampled(input, planned)) {
       continue;
     }
     const auto key = std::make_tuple<bool, std::uint32_t, std::uint64_t>(
@@ -58,18 +60,52 @@
   return best;
 }
 
+// Returns whether the wait is unknown: the endpoint has not refused the request
+// and no forecast of its owner is still valid.
+bool IsWaitUnknown(const PlacementHint& hint) {
+  return hint.offer_result == OfferResult::kNotTried &&
+         hint.expected_wait.count() == 0;
+}
+
+// Returns the expected wait from which on endpoints of the tier are expected to
+// refuse to queue the request: the second shortest wait with which one has
+// refused. A single refusal may be due to a long service time of its endpoint.
+std::chrono::microseconds RefusedWait(const PlacementInput& input,
+                                      const Tier& tier) {
+  constexpr std::size_t kMinRefusals = 2;
+  std::vector<std::chrono::microseconds> waits;
+  for (const PlannedEndpoint& planned : tier) {
+    const PlacementHint& hint = input.hints[planned.view];
+    if (hint.offer_result == OfferResult::kNoRoom) {
+      waits.push_back(hint.expected_wait);
+    }
+  }
+  if (waits.size() < kMinRefusals) {
+    return std::chrono::microseconds::max();
+  }
+  std::sort(waits.begin(), waits.end());
+  return waits[kMinRefusals - 1];
+}
+
+// Endpoints with a full queue come last, and before them those with an unknown
+// wait, since their queues may be of any length.
 std::optional<std::uint32_t> FindShortestWait(const PlacementInput& input,
                                               const Tier& tier,
                                               bool suspect) {
+  const std::chrono::microseconds refused_wait = RefusedWait(input, tier);
   std::optional<std::uint32_t> best;
-  std::tuple<std::chrono::microseconds, std::uint64_t> best_key;
+  std::tuple<bool, bool, std::chrono::microseconds, std::uint64_t> best_key;
   for (const PlannedEndpoint& planned : tier) {
     const PlacementHint& hint = input.hints[planned.view];
     if (hint.offer_result == OfferResult::kExcluded ||
-        IsKnownSuspect(input, planned.view) != suspect) {
+        hint.offer_result == OfferResult::kNoRoom ||
+        IsKnownSuspect(input, planned.view) != suspect ||
+        (!IsWaitUnknown(hint) && hint.expected_wait >= refused_wait)) {
       continue;
     }
-    const auto key = std::make_tuple(hint.expected_wait, input.rng());
+    const bool is_full = input.views[planned.view].full_until > input.now;
+    const auto key = std::make_tuple(is_full, IsWaitUnknown(hint),
+                                     hint.expected_wait, input.rng());
     if (!best || key < best_key) {
       best = planned.view;
       best_key = key;
@@ -85,6 +121,25 @@
       }));
 }
 
+std::size_t CountBusy(const PlacementInput& input, const Tier& tier) {
+  return static_cast<std::size_t>(
+      std::count_if(tier.begin(), tier.end(), [&](const PlannedEndpoint& p) {
+        return input.hints[p.view].offer_result == OfferResult::kBusy;
+      }));
+}
+
+// Finds a free slot in the region, unless the limit of tries in the tier has
+// been reached.
+std::optional<std::uint32_t> FindFreeSlotNearby(const PlacementInput& input,
+                                                const Tier& tier,
+                                                std::size_t max_tries) {
+  if (CountBusy(input, tier) >= max_tries) {
+    return std::nullopt;
+  }
+  return FindFreeSlot(input, tier, input.policy.free_slot_wait_limit,
+                      input.policy.max_wait_age);
+}
+
 // Returns whether any endpoint is not suspect, even if it has refused the
 // request.
 bool HasNonSuspect(const PlacementInput& input, const Tier& tier) {
@@ -121,14 +176,19 @@
                                        const PlacementPolicy& policy,
                                        TimePoint now,
                                        std::mt19937_64& rng) {
-  // Near the capacity, the reported load is often stale, so each endpoint of
-  // the region is tried for a free slot, nearest first, before the request is
-  // queued or sent to another region.
+  // An ingress sends few requests to one endpoint, so it seldom knows the load
+  // of all. It tries some endpoints without a known wait for a free slot,
+  // nearest first. Each refusal tells it a wait, and the request is then queued
+  // at the shortest one. When every endpoint was tried, overloaded services got
+  // 8 offers a request, and the tries ran out before the request was queued.
   const PlacementInput input{plan, views, hints, policy, now, rng};
-  for (const Tier* tier : {&plan.same_failure_domain, &plan.same_region}) {
-    if (const auto free_slot = FindFreeSlot(input, *tier)) {
-      return Placement{*free_slot, PlacementMode::kRunNow};
-    }
+  if (const auto free_slot = FindFreeSlotNearby(
+          input, plan.same_failure_domain, policy.max_failure_domain_tries)) {
+    return Placement{*free_slot, PlacementMode::kRunNow};
+  }
+  if (const auto free_slot = FindFreeSlotNearby(input, plan.same_region,
+                                                policy.max_region_tries)) {
+    return Placement{*free_slot, PlacementMode::kRunNow};
   }
   const Tier region = EndpointsInRegion(plan);
   const auto local = FindShortestWait(input, region, false);
@@ -142,7 +202,8 @@
   if (leave_region &&
       CountTried(input, plan.other_regions) < policy.max_spare_slot_tries) {
     if (const auto free_slot =
-            FindFreeSlot(input, plan.other_regions, policy.remote_wait_limit)) {
+            FindFreeSlot(input, plan.other_regions, policy.remote_wait_limit,
+                         std::chrono::microseconds::max())) {
       return Placement{*free_slot, PlacementMode::kSpareSlot};
     }
   }
--- a/Source/core/placement.h
+++ b/Source/core/placement.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <random>
 #include <vector>
@@ -29,6 +30,7 @@
   kNotTried,
   kBusy,      ///< No free slot.
   kSuspect,   ///< Refused because the endpoint is suspect.
+  kNoRoom,    ///< Not queued: the queue is full or the wait would be too long.
   kExcluded,  ///< Not to be tried again.
 };
 
@@ -44,12 +46,31 @@
   /// Whether the ingress keeps a connection to its owner open. Such an endpoint
   /// is preferred to others at the same distance.
   bool standby = false;
-  /// Expected wait in the queue for the rank, as last reported by the owner.
+  /// Expected wait in the queue for the rank, as last reported by the owner,
+  /// less the time since then. 0 if nothing is known or the time has passed.
   std::chrono::microseconds expected_wait{0};
+  /// Time since the owner reported that wait.
+  std::chrono::microseconds wait_age{0};
 };
 
+/// \brief Value of a limit on tries that is not set.
+inline constexpr std::size_t kUnlimitedTries =
+    std::numeric_limits<std::size_t>::max();
+
 /// \brief Limits for the placement of one request.
 struct PlacementPolicy {
+  /// An endpoint of the region is not tried for a free slot while its expected
+  /// wait is longer than this. An offer takes about as long, so a slot may be
+  /// free by then.
+  std::chrono::microseconds free_slot_wait_limit{std::chrono::milliseconds(5)};
+  /// A wait that was reported longer ago does not keep an endpoint from being
+  /// tried for a free slot, since queued requests may have been dropped.
+  std::chrono::microseconds max_wait_age{std::chrono::milliseconds(500)};
+  /// Maximum number of busy endpoints of the failure domain that are tried for
+  /// a free slot.
+  std::size_t max_failure_domain_tries = 3;
+  /// The same for the other failure domains of the region.
+  std::size_t max_region_tries = 2;
   /// A request is offered to other regions only if the shortest expected wait
   /// in its own region is longer than this. Links between regions add a round
   /// trip and are billed by volume.
@@ -77,7 +98,8 @@
 /// if no endpoint is left.
 ///
 /// The order of the choices is:
-///  - a free slot in the failure domain, then in the region;
+///  - a free slot in the failure domain, then in the region, at endpoints that
+///    are not known to have a queue;
 ///  - a spare slot or a short wait in another region, if the expected wait in
 ///    the region is too long;
 ///  - the shortest queue in the region;
--- a/Source/daemon/endpoint_directory.cc
+++ b/Source/daemon/endpoint_directory.cc
@@ -315,6 +315,8 @@
   if (forecast != endpoint.forecasts.end() && forecast->second.free_at > now) {
     hint.expected_wait = std::chrono::duration_cast<std::chrono::microseconds>(
         forecast->second.free_at - now);
+    hint.wait_age = std::chrono::duration_cast<std::chrono::microseconds>(
+        now - forecast->second.reported_at);
   }
   return hint;
 }
@@ -468,7 +470,11 @@
     RankForecast& forecast = endpoint.forecasts[rank];
     forecast.free_at =
         now + std::chrono::microseconds(status.expected_wait_us());
-    if (status.full_for_us() > 0) {
+    forecast.reported_at = now;
+    // Older owners also set the time in a reply that all slots are in use,
+    // although the queue has room.
+    if (result.reason() == rpc::REFUSAL_QUEUE_FULL &&
+        status.full_for_us() > 0) {
       forecast.full_until =
           now + std::chrono::microseconds(status.full_for_us());
     }
--- a/Source/daemon/endpoint_directory.h
+++ b/Source/daemon/endpoint_directory.h
@@ -158,10 +158,12 @@
 
  private:
   struct RankForecast {
-    /// The owner refuses further requests until this time.
+    /// The queue is expected to be full until this time.
     TimePoint full_until;
     /// Time at which a newly queued request would start.
     TimePoint free_at;
+    /// Time of the reply that contained `free_at`.
+    TimePoint reported_at;
   };
 
   /// How this ingress uses an endpoint, for the log.
--- a/Source/daemon/ingress.cc
+++ b/Source/daemon/ingress.cc
@@ -383,6 +383,9 @@
     tried = OfferResult::kBusy;
   } else if (attempt.reason == rpc::REFUSAL_SUSPECT) {
     tried = OfferResult::kSuspect;
+  } else if (attempt.reason == rpc::REFUSAL_QUEUE_FULL ||
+             attempt.reason == rpc::REFUSAL_DEADLINE) {
+    tried = OfferResult::kNoRoom;
   } else {
     tried = OfferResult::kExcluded;
   }
--- a/Source/daemon/owner_service.cc
+++ b/Source/daemon/owner_service.cc
@@ -20,10 +20,6 @@
 // wrong, so an ingress tries the endpoint again after at most this time.
 constexpr std::chrono::microseconds kMaxFullForecast =
     std::chrono::milliseconds(100);
-// Longest time for which an endpoint is reported as busy if all of its slots
-// are in use. It is shorter, since a slot may become free at any time.
-constexpr std::chrono::microseconds kMaxBusyForecast =
-    std::chrono::milliseconds(30);
 // An ingress that was refused by a suspect endpoint tries it again after this
 // time.
 constexpr std::chrono::microseconds kSuspectRetryDelay =
@@ -646,13 +642,8 @@
     status.set_suspect_for_us(kSuspectRetryDelay.count());
   }
   const std::size_t rank = RankIndex(endpoint.queue, rank_name);
-  const std::chrono::microseconds wait =
-      ExpectedWait(endpoint.queue, rank, organisation, now);
-  status.set_expected_wait_us(wait.count());
-  if (result.reason() == rpc::REFUSAL_BUSY) {
-    status.set_full_for_us(std::min(wait, kMaxBusyForecast).count());
-    return;
-  }
+  status.set_expected_wait_us(
+      ExpectedWait(endpoint.queue, rank, organisation, now).count());
   if (result.reason() != rpc::REFUSAL_QUEUE_FULL) {
     return;
   }
--- a/Tests/core/placement_test.cc
+++ b/Tests/core/placement_test.cc
@@ -205,5 +205,106 @@
   CHECK_FALSE(fixture.Next());
 }
 
+// Guards against offers that the last reply of the owner has ruled out.
+TEST_CASE(
+    "an endpoint that has just reported a wait is not offered a free-slot "
+    "request") {
+  PlacementFixture fixture;
+  for (std::size_t i = 0; i < 4; ++i) {
+    fixture.hints[i].expected_wait = milliseconds(100);
+    fixture.hints[i].wait_age = milliseconds(16);
+  }
+  fixture.hints[1].expected_wait = milliseconds(90);
+  const auto queued = fixture.Next();
+  REQUIRE(queued);
+  CHECK(queued->mode == PlacementMode::kQueue);
+  CHECK(queued->view == 1);
+  fixture.hints[2].expected_wait = milliseconds(0);
+  const auto unknown = fixture.Next();
+  REQUIRE(unknown);
+  CHECK(unknown->mode == PlacementMode::kRunNow);
+  CHECK(unknown->view == 2);
+}
+
+// Guards against an endpoint that gets no requests because of a forecast that
+// has become wrong.
+TEST_CASE("an old status does not keep an endpoint from being offered") {
+  PlacementFixture fixture;
+  for (std::size_t i = 0; i < 4; ++i) {
+    fixture.hints[i].expected_wait = milliseconds(100);
+    fixture.hints[i].wait_age = milliseconds(16);
+  }
+  fixture.hints[3].expected_wait = seconds(2);
+  fixture.hints[3].wait_age =
+      std::chrono::duration_cast<milliseconds>(fixture.policy.max_wait_age) +
+      milliseconds(1);
+  const auto old = fixture.Next();
+  REQUIRE(old);
+  CHECK(old->mode == PlacementMode::kRunNow);
+  CHECK(old->view == 3);
+}
+
+// Guards against a request that is refused because all of its tries were offers
+// for a free slot in a large region.
+TEST_CASE("a request of a large busy region reaches a queue after few tries") {
+  constexpr std::size_t kEndpoints = 40;
+  constexpr std::size_t kMaxPlacements = 7;
+  PlacementFixture fixture;
+  fixture.views.resize(kEndpoints);
+  fixture.hints.resize(kEndpoints);
+  for (std::size_t i = 10; i < kEndpoints; ++i) {
+    fixture.views[i].same_failure_domain = false;
+  }
+  const auto placements = fixture.TryWhileBusy(milliseconds(140));
+  REQUIRE(placements.size() <= kMaxPlacements);
+  CHECK(placements.back().mode == PlacementMode::kQueue);
+  // The wait at an endpoint that was not tried is unknown.
+  CHECK(fixture.hints[placements.back().view].offer_result ==
+        OfferResult::kBusy);
+}
+
+// Guards against further offers of a request where it would be refused as well,
+// and against a single slow endpoint that decides for all.
+TEST_CASE("a request is not offered to queues as long as two that refused it") {
+  PlacementFixture fixture;
+  for (std::size_t i = 0; i < 4; ++i) {
+    fixture.hints[i].offer_result = OfferResult::kBusy;
+    fixture.hints[i].expected_wait = milliseconds(140);
+  }
+  fixture.hints[0].offer_result = OfferResult::kNoRoom;
+  const auto second = fixture.Next();
+  REQUIRE(second);
+  CHECK(second->mode == PlacementMode::kQueue);
+  fixture.hints[1].offer_result = OfferResult::kNoRoom;
+  fixture.hints[2].expected_wait = milliseconds(139);
+  const auto shorter = fixture.Next();
+  REQUIRE(shorter);
+  CHECK(shorter->mode == PlacementMode::kQueue);
+  CHECK(shorter->view == 2);
+  fixture.hints[2].offer_result = OfferResult::kNoRoom;
+  const auto longer = fixture.Next();
+  CHECK((!longer || longer->mode != PlacementMode::kQueue));
+}
+
+// Guards against an offer to a queue that is known to be full while another one
+// has room.
+TEST_CASE("a full queue is used last") {
+  PlacementFixture fixture;
+  for (std::size_t i = 0; i < 4; ++i) {
+    fixture.hints[i].offer_result = OfferResult::kBusy;
+    fixture.hints[i].expected_wait = milliseconds(50);
+    fixture.views[i].full_until = kNow + milliseconds(1);
+  }
+  fixture.hints[2].expected_wait = milliseconds(140);
+  fixture.views[2].full_until = kNow;
+  const auto with_room = fixture.Next();
+  REQUIRE(with_room);
+  CHECK(with_room->view == 2);
+  fixture.hints[2].offer_result = OfferResult::kExcluded;
+  const auto full = fixture.Next();
+  REQUIRE(full);
+  CHECK(full->mode == PlacementMode::kQueue);
+}
+
 }  // namespace
 }  // namespace comfrey
--- a/Tests/daemon/endpoint_directory_test.cc
+++ b/Tests/daemon/endpoint_directory_test.cc
@@ -65,5 +65,37 @@
   CHECK(remote_request.siblings_size() == 0);
 }
 
+// Guards against offers for a free slot at endpoints whose owners have just
+// reported a wait.
+TEST_CASE("a request is queued if every endpoint has just reported a wait") {
+  EndpointDirectory directory("vm-1", {"budapest", "bud-a"});
+  directory.ApplyConfig(MakeStore());
+  RankConfig rank;
+  rank.name = "rank";
+  rank.target = std::chrono::seconds(10);
+  const auto now = std::chrono::steady_clock::now();
+  for (int i = 0; i < kEndpoints; ++i) {
+    rpc::Result result;
+    result.set_reason(rpc::REFUSAL_BUSY);
+    result.mutable_status()->set_endpoint(AddressOf(i));
+    result.mutable_status()->set_expected_wait_us(400'000 + i);
+    directory.RecordReply(kService, rank.name, result, now);
+  }
+  const auto queued = directory.Choose(kService, rank, {});
+  REQUIRE(queued);
+  CHECK(queued->mode == PlacementMode::kQueue);
+  CHECK(queued->address == AddressOf(0));
+  // A report of a full queue applies to the queue only.
+  rpc::Result full;
+  full.set_reason(rpc::REFUSAL_QUEUE_FULL);
+  full.mutable_status()->set_endpoint(AddressOf(0));
+  full.mutable_status()->set_expected_wait_us(300'000);
+  full.mutable_status()->set_full_for_us(100'000);
+  directory.RecordReply(kService, rank.name, full, now);
+  const auto other = directory.Choose(kService, rank, {});
+  REQUIRE(other);
+  CHECK(other->address == AddressOf(1));
+}
+
 }  // namespace
 }  // namespace comfrey
