Keep a published drain, and forget the state of a backend server that restarted

What callers could see: with membership, requests at an endpoint whose owner had published that it drains, for up to 4 s after a reply; with a registry, an endpoint that got no requests because an earlier process with the same identity was ejected or suspect.

Causes: the expiry of a reported status applied the record of membership again, which is deferred while the reply is younger than 4 s. The identity of a backend server was its instance alone, but it may start again with the same one.

Fix: an endpoint whose owner is a member is left to its records, and a backend server is identified by instance and start time. The owner copies the identity before it releases its mutex. An ejection is believed for up to 30 s instead of 10 s, since a second ejection lasts 20 s.

Tests: 'a published record outlives the status of a reply' and 'a backend server that started again is used at once'.

--- a/Source/config/registry_view.cc
+++ b/Source/config/registry_view.cc
@@ -161,6 +161,7 @@
   endpoint.ip = registered.address.ip;
   endpoint.port = registered.address.port;
   endpoint.instance = registration.first;
+  endpoint.started_at = registered.started_at;
   endpoint.failure_domain = registered.failure_domain;
   const auto region = settings.regions.find(registered.failure_domain);
   endpoint.region = region == settings.regions.end() ? "" : region->second;
--- a/Source/config/team_config.h
+++ b/Source/config/team_config.h
@@ -32,6 +32,9 @@
   /// Identity of the running backend server. It changes when another backend
   /// server takes over the address; empty if not known.
   std::string instance;
+  /// Start of the running backend server; the epoch if not known. A backend
+  /// server may start again with the same identity.
+  std::chrono::system_clock::time_point started_at;
   /// `region` and `failure_domain` are empty if only the membership record of
   /// the owner contains them.
   std::string region;
@@ -42,6 +45,12 @@
   int slots = 0;
 };
 
+/// \brief Whether both name the same process of a backend server.
+inline bool IsSameBackendServer(const EndpointConfig& a,
+                                const EndpointConfig& b) {
+  return a.instance == b.instance && a.started_at == b.started_at;
+}
+
 /// \brief One service; ParseTeamConfig checks the ranges.
 struct ServiceConfig {
   std::string name;
--- a/Source/daemon/endpoint_directory.cc
+++ b/Source/daemon/endpoint_directory.cc
@@ -29,7 +29,7 @@
 // an end would never be replaced. The owner may have restarted meanwhile, and
 // then its new process does not know the state that the old one reported.
 constexpr std::chrono::seconds kMinOutOfUse{1};
-constexpr std::chrono::seconds kMaxOutOfUse{10};
+constexpr std::chrono::seconds kMaxOutOfUse{30};
 // Share of its requests that an endpoint gets after an ejection until the next
 // reply of its owner, in percent.
 constexpr std::uint8_t kShareAfterEjection = 12;
@@ -129,7 +129,8 @@
 
 void EndpointDirectory::ConfigureEndpointView(const EndpointConfig& config,
                                               Endpoint& endpoint) {
-  if (endpoint.instance != config.instance) {
+  if (endpoint.instance != config.instance ||
+      endpoint.started_at != config.started_at) {
     // Another backend server now has the address, so the state of the previous
     // one is discarded.
     const std::uint16_t in_flight = endpoint.in_flight;
@@ -139,6 +140,7 @@
   endpoint.address = config.address;
   endpoint.ip = config.ip;
   endpoint.instance = config.instance;
+  endpoint.started_at = config.started_at;
   endpoint.view.endpoint_id =
       XXH64(endpoint.address.data(), endpoint.address.size(), 0);
   if (endpoint.configured_draining != config.draining) {
@@ -246,6 +248,23 @@
   }
 }
 
+// Returns when the status in a reply stops to keep the endpoint out of use, or
+// the epoch if it does not. An owner that is a member publishes each change, so
+// its records replace the status instead.
+EndpointDirectory::TimePoint EndpointDirectory::OutOfUseUntil(
+    const Endpoint& endpoint,
+    const rpc::Result& result,
+    TimePoint now) const {
+  const bool out_of_use =
+      endpoint.view.draining || endpoint.view.state == EndpointState::kEjected;
+  if (!out_of_use || this->owners.count(endpoint.ip) > 0) {
+    return TimePoint{};
+  }
+  return now + std::clamp<std::chrono::microseconds>(
+                   std::chrono::microseconds(result.status().ejected_for_us()),
+                   kMinOutOfUse, kMaxOutOfUse);
+}
+
 // Takes endpoints back into use whose status has expired. The next reply of the
 // owner brings the present one.
 void EndpointDirectory::ExpireStatuses(Service& service, TimePoint now) {
@@ -261,10 +280,6 @@
       endpoint.view.slot_share = kShareAfterEjection;
     }
     service.plan_is_current = false;
-    const auto owner = this->owners.find(endpoint.ip);
-    if (owner != this->owners.end()) {
-      this->ApplyOwnerTo(owner->second, service);
-    }
   }
 }
 
@@ -495,14 +510,7 @@
     const EndpointView before = endpoint.view;
     this->ApplyStatus(result.status(), endpoint);
     endpoint.replied_at = now;
-    const bool out_of_use = endpoint.view.draining ||
-                            endpoint.view.state == EndpointState::kEjected;
-    endpoint.out_of_use_until =
-        out_of_use ? now + std::clamp<std::chrono::microseconds>(
-                               std::chrono::microseconds(
-                                   result.status().ejected_for_us()),
-                               kMinOutOfUse, kMaxOutOfUse)
-                   : TimePoint{};
+    endpoint.out_of_use_until = this->OutOfUseUntil(endpoint, result, now);
     if (before.state != endpoint.view.state ||
         before.severity != endpoint.view.severity ||
         before.draining != endpoint.view.draining ||
--- a/Source/daemon/endpoint_directory.h
+++ b/Source/daemon/endpoint_directory.h
@@ -178,6 +178,7 @@
     std::string address;
     std::string ip;
     std::string instance;
+    std::chrono::system_clock::time_point started_at;
     /// Whether the configuration says that the backend server is draining.
     bool configured_draining = false;
     EndpointView view;
@@ -209,6 +210,9 @@
 
   void ApplyOwnerTo(const OwnerView& owner, Service& service);
   void ApplyStatus(const rpc::EndpointStatus& status, Endpoint& endpoint);
+  TimePoint OutOfUseUntil(const Endpoint& endpoint,
+                          const rpc::Result& result,
+                          TimePoint now) const;
   void ExpireStatuses(Service& service, TimePoint now);
   void UpdateReachability(const std::string& ip, bool was_clear);
   std::vector<EndpointView> MakeViews(const Service& service) const;
--- a/Source/daemon/owned_endpoint.cc
+++ b/Source/daemon/owned_endpoint.cc
@@ -129,7 +129,7 @@
                        const std::vector<RankConfig>& ranks,
                        const ConfigVersion& version,
                        std::chrono::steady_clock::time_point now) {
-  if (endpoint.identity.endpoint.instance != config.instance) {
+  if (!IsSameBackendServer(endpoint.identity.endpoint, config)) {
     // Another backend server now has the address, so the health state of the
     // previous one is discarded.
     endpoint.health = MakeEndpointHealth(now);
--- a/Source/daemon/owner_service.cc
+++ b/Source/daemon/owner_service.cc
@@ -406,6 +406,7 @@
                                    "the attempt was fenced before it started");
     return;
   }
+  const EndpointConfig called = endpoint.identity.endpoint;
   lock.unlock();
   BackendCall backend_call;
   backend_call.request = &call.request;
@@ -415,7 +416,6 @@
   backend_call.cancelled =
       repeatable ? call.callbacks.cancelled : [] { return false; };
   call.started = Clock::now();
-  const std::string instance = endpoint.identity.endpoint.instance;
   const BackendResult backend = endpoint.client.Call(backend_call);
   this->backend_calls.Add();
   if (backend.outcome != BackendOutcome::kAnswered) {
@@ -428,7 +428,7 @@
       ClassifyReply(backend, this->protocol.headers);
   Finish(endpoint.queue, call.item, FinishOutcomeOf(reply), now);
   call.service_time = backend.latency;
-  if (instance == endpoint.identity.endpoint.instance) {
+  if (IsSameBackendServer(called, endpoint.identity.endpoint)) {
     this->RecordReply(call, reply, now);
   }
   if (reply == BackendReplyClass::kDraining) {
--- a/Tests/daemon/endpoint_directory_test.cc
+++ b/Tests/daemon/endpoint_directory_test.cc
@@ -21,7 +21,8 @@
 
 // Makes a configuration with one service, whose last endpoint is in another
 // region. The first endpoint may drain.
-ConfigStore MakeStore(bool first_drains = false) {
+ConfigStore MakeStore(bool first_drains = false,
+                      std::chrono::system_clock::time_point started_at = {}) {
   ServiceConfig service;
   service.name = kService.service;
   for (int i = 0; i < kEndpoints; ++i) {
@@ -30,6 +31,7 @@
     endpoint.ip = IpOf(i);
     endpoint.port = kPort;
     endpoint.draining = first_drains && i == 0;
+    endpoint.started_at = started_at;
     const bool last = i + 1 == kEndpoints;
     endpoint.region = last ? "debrecen" : "budapest";
     endpoint.failure_domain = last ? "deb-a" : "bud-a";
@@ -127,20 +129,39 @@
   CHECK(CountChoices(directory, AddressOf(0)) > 0);
 }
 
-// Guards against using an endpoint that membership reports as ejected: its
+// Guards against using an endpoint that membership reports as out of use: its
 // owner publishes every change, so the record holds until the next one.
-TEST_CASE("a published ejection outlives the status of a reply") {
+TEST_CASE("a published record outlives the status of a reply") {
+  for (const Report report : {Report::kEjected, Report::kDraining}) {
+    for (const std::chrono::seconds age :
+         {std::chrono::seconds(2), std::chrono::seconds(40)}) {
+      INFO(static_cast<int>(report) << ", age " << age.count());
+      EndpointDirectory directory("vm-1", {"budapest", "bud-a"});
+      directory.ApplyConfig(MakeStore());
+      OwnerView owner;
+      owner.ip = IpOf(0);
+      owner.location = {"budapest", "bud-a"};
+      owner.endpoints = {MakeReply(report).status()};
+      directory.ApplyOwner(owner);
+      directory.RecordReply(kService, "rank", MakeReply(report),
+                            std::chrono::steady_clock::now() - age);
+      CHECK(CountChoices(directory, AddressOf(0)) == 0);
+    }
+  }
+}
+
+// Guards against a backend server that inherits the state of an earlier one
+// with the same identity.
+TEST_CASE("a backend server that started again is used at once") {
   EndpointDirectory directory("vm-1", {"budapest", "bud-a"});
   directory.ApplyConfig(MakeStore());
-  OwnerView owner;
-  owner.ip = IpOf(0);
-  owner.location = {"budapest", "bud-a"};
-  owner.endpoints = {MakeReply(Report::kEjected).status()};
-  directory.ApplyOwner(owner);
-  directory.RecordReply(
-      kService, "rank", MakeReply(Report::kEjected),
-      std::chrono::steady_clock::now() - std::chrono::seconds(20));
+  directory.RecordReply(kService, "rank", MakeReply(Report::kEjected),
+                        std::chrono::steady_clock::now());
   CHECK(CountChoices(directory, AddressOf(0)) == 0);
+  const auto started_at =
+      std::chrono::system_clock::time_point(std::chrono::seconds(1));
+  directory.ApplyConfig(MakeStore(false, started_at));
+  CHECK(CountChoices(directory, AddressOf(0)) > 0);
 }
 
 // Guards against offers for a free slot at endpoints whose owners have just
