Refuse requests that arrive after the listener is closed

Callers could see: a 502 for a request that was sent later than 3 s after SIGTERM while a backend server worked on it, which counts as LOST.

Cause: for 1 s after the listener was closed, 2.5 s after SIGTERM, a request on a kept connection was forwarded as usual, and aborted with all others before the end of the grace period. This follows from the times; the loss itself was not run.

It costs the callers a request that a fast backend server would have served.

--- a/Source/daemon/http_frontend.cc
+++ b/Source/daemon/http_frontend.cc
@@ -618,6 +618,12 @@
   if (exchange.refusal) {
     this->rejected.Add();
     reply = std::move(*exchange.refusal);
+  } else if (this->stopping) {
+    // An endpoint that works on it at the end of the grace period would be
+    // broken off.
+    this->rejected.Add();
+    exchange.close = true;
+    reply = MakeRefusal(kUnavailable, "the daemon is stopping");
   } else if (!this->pages.ready()) {
     reply = MakeRefusal(kUnavailable, "the daemon has no configuration yet");
   } else {
--- a/Source/daemon/http_frontend.h
+++ b/Source/daemon/http_frontend.h
@@ -79,12 +79,13 @@
   absl::Status Start(const std::string& ip, int port);
 
   /// \brief Stops accepting connections and waits for the requests in flight,
-  /// whose responses have the header "Connection: close". An idle connection
-  /// may send one more request within 1 s.
+  /// whose responses have the header "Connection: close". A request that
+  /// arrives on an idle connection within 1 s is refused.
   void Stop();
 
   /// \brief Cancels the requests in flight, so that Stop returns soon.
   void Abort() { this->aborting = true; }
+  bool IsAborting() const { return this->aborting; }
 
   /// \brief Returns the number of requests that the handler has not answered.
   int CountInProgress() const { return this->in_progress; }
