Fit the phases of a stop into the grace period

Callers saw: requests broken off long before the end of a short grace period. Operators saw: processes killed at the end of their grace period.

Cause: requests were aborted 0.6 s before the end, whatever the grace period was. After that, the timers were stopped before the server for peers, so nothing ended the calls to backend servers, and those of non-idempotent requests could not be cancelled. The server waited for them until the deadlines of the requests.

Evidence, on the code before: a stop with slow backend servers ends within its grace period: CHECK( took.count() < 2000 ) with 3803 < 2000 a stop with a short grace period completes what ends within it: CHECK( result->status == 200 ) with 502 == 200 Both pass now.

Why this works: callers are accepted for 2.5 s, at most for half of the grace period, and requests are aborted in its last sixth, at most its last 2 s: for 6 s after 5 s. The owner then ends its calls to backend servers and refuses queued requests as not run, and the timers, which end the calls, stop last.

--- a/Source/daemon/daemon.cc
+++ b/Source/daemon/daemon.cc
@@ -13,6 +13,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "daemon/peer_message_conversion.h"
+#include "daemon/stop_phases.h"
 
 namespace comfrey {
 namespace {
@@ -33,14 +34,6 @@
 constexpr std::chrono::milliseconds kPathTrialPeriod{200};
 constexpr std::chrono::milliseconds kPathTrialTimeout{600};
 constexpr int kNotFound = 404;
-// After a stop signal, the daemon accepts callers for this time, but at most
-// for half of the grace period, until its peers and the callers know that it is
-// leaving.
-constexpr std::chrono::milliseconds kLeavingAnnouncementTime{2500};
-// Time before the end of the grace period at which requests in flight are
-// aborted and calls of peers are cancelled, so that the process exits within
-// the grace period.
-constexpr std::chrono::milliseconds kAbortMargin{600};
 // Calls of peers that are still in progress after this time are cancelled.
 constexpr std::chrono::milliseconds kPeerServerShutdownTimeout{100};
 // Time after the start by which anti-entropy has delivered the records of all
@@ -335,16 +328,16 @@
 
 void Daemon::Stop() {
   spdlog::info("daemon {} is leaving", this->settings.name);
-  const TimePoint deadline = Clock::now() + this->settings.max_drain_time;
+  const TimePoint begin = Clock::now();
+  const StopPhases phases = PlanStop(this->settings.max_drain_time);
   this->leaving = true;
   this->runner.BeginLeaving();
   this->owner.DrainForShutdown();
-  std::this_thread::sleep_for(std::min<std::chrono::microseconds>(
-      kLeavingAnnouncementTime, this->settings.max_drain_time / 2));
-  const TimePoint abort_at = deadline - kAbortMargin;
+  std::this_thread::sleep_until(begin + phases.close);
+  const TimePoint abort_at = begin + phases.abort;
   const TimerService::SubscriptionId abort =
       this->timers.Subscribe(kTickPeriod, [this, abort_at](TimePoint now) {
-        if (now >= abort_at) {
+        if (now >= abort_at && !this->frontend.IsAborting()) {
           spdlog::warn("stop: {} requests of callers are aborted",
                        this->frontend.CountInProgress());
           this->frontend.Abort();
@@ -357,11 +350,14 @@
   spdlog::info("stop: all callers are answered");
   this->timers.Unsubscribe(abort);
   this->WaitForForwardedRequests(abort_at);
+  // Ends the calls to backend servers that remain, which the server of the
+  // peers would wait for. The timers run on, since they end these calls.
+  this->owner.AbortBackendCalls();
+  this->peer_server.Shutdown(std::chrono::system_clock::now() +
+                             kPeerServerShutdownTimeout);
   this->StopWatchers();
   this->path_trial_thread.Stop();
   this->timers.Stop();
-  this->peer_server.Shutdown(std::chrono::system_clock::now() +
-                             kPeerServerShutdownTimeout);
   spdlog::info("daemon {} stopped", this->settings.name);
 }
 
--- a/Source/daemon/owner_service.cc
+++ b/Source/daemon/owner_service.cc
@@ -357,7 +357,7 @@
   }
   this->ReportAccepted(call);
   while (endpoint.queue_states[call.item] == QueueState::kQueued) {
-    if (call.callbacks.cancelled() &&
+    if ((this->aborting || call.callbacks.cancelled()) &&
         Cancel(endpoint.queue, call.item) == CancelResult::kCancelled) {
       endpoint.queue_states[call.item] = QueueState::kDropped;
       break;
@@ -382,6 +382,12 @@
   OwnedEndpoint& endpoint = call.endpoint;
   const bool repeatable = call.message.repeatable();
   const LedgerRequest& ledger_request = call.execution.request;
+  if (this->aborting) {
+    Finish(endpoint.queue, call.item, FinishOutcome::kCancelled, Clock::now());
+    call.result =
+        MakeNotRunResult(rpc::REFUSAL_LEAVING, "the daemon is stopping");
+    return;
+  }
   if (!repeatable &&
       !StartAttempt(endpoint.keyed.ledger, ledger_request, Clock::now())) {
     Finish(endpoint.queue, call.item, FinishOutcome::kCancelled, Clock::now());
@@ -395,9 +401,11 @@
   backend_call.request = &call.request;
   backend_call.idempotent = repeatable;
   backend_call.deadline = call.deadline;
-  // Cancelling a non-idempotent request would only make its outcome unknown.
-  backend_call.cancelled =
-      repeatable ? call.callbacks.cancelled : [] { return false; };
+  // Cancelling a non-idempotent request would only make its outcome unknown, so
+  // its call ends early only if the daemon stops.
+  backend_call.cancelled = [this, repeatable, &call] {
+    return this->aborting || (repeatable && call.callbacks.cancelled());
+  };
   call.started = Clock::now();
   const std::string instance = endpoint.identity.endpoint.instance;
   const BackendResult backend = endpoint.client.Call(backend_call);
--- a/Source/daemon/owner_service.h
+++ b/Source/daemon/owner_service.h
@@ -1,6 +1,7 @@
 #ifndef DAEMON_OWNER_SERVICE_H_
 #define DAEMON_OWNER_SERVICE_H_
 
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -92,6 +93,10 @@
   /// \brief Drains all endpoints before the daemon exits; cannot be undone.
   void DrainForShutdown();
 
+  /// \brief Ends the requests in flight before the daemon exits: queued ones do
+  /// not run, and calls to backend servers are cancelled.
+  void AbortBackendCalls() { this->aborting = true; }
+
   /// \brief Runs the periodic work of all endpoints.
   void Tick(std::chrono::steady_clock::time_point now);
 
@@ -131,6 +136,7 @@
   FenceKeyFunction fence_key;
   BackendProtocol protocol;
   SuspicionPolicy suspicion;
+  std::atomic<bool> aborting{false};
   Metric& attempts;
   Metric& refusals;
   Metric& backend_calls;
--- a/Tests/system/registry_test.cc
+++ b/Tests/system/registry_test.cc
@@ -11,6 +11,8 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "catch2/catch.hpp"
@@ -94,8 +96,9 @@
 
 // A registry, and two VMs with one backend server and one daemon each.
 struct RegistryFleet {
-  RegistryFleet()
-      : registry(AddressOf(250), kRegistryPort),
+  explicit RegistryFleet(std::string grace_period = "6s")
+      : grace(std::move(grace_period)),
+        registry(AddressOf(250), kRegistryPort),
         directory(std::filesystem::temp_directory_path() /
                   absl::StrCat("comfrey-registry-", getpid())) {
     std::filesystem::create_directories(this->directory);
@@ -127,7 +130,7 @@
         << "attempt_id = X-Attempt\ntime_left = X-Left\n"
         << "expected_instance = X-Instance\nnot_executed = X-Not-Run\n"
         << "caller_service = X-Caller\nsignature = X-Mark\n"
-        << "[shutdown]\ngrace = 6s\n";
+        << "[shutdown]\ngrace = " << this->grace << "\n";
   }
 
   std::unique_ptr<Process> StartDaemon(int vm) const {
@@ -155,6 +158,7 @@
                        "body", "text/plain");
   }
 
+  std::string grace;
   SigningBackend backend_one{1};
   SigningBackend backend_two{2};
   FakeRegistry registry;
@@ -229,5 +233,49 @@
   CHECK(Clock::now() - begin < std::chrono::seconds(6));
 }
 
+// Guards against a process that is killed at the end of its grace period.
+TEST_CASE("a stop with slow backend servers ends within its grace period") {
+  RegistryFleet fleet("2s");
+  REQUIRE(WaitFor(
+      [] { return RegistryFleet::IsReady(1) && RegistryFleet::IsReady(2); }));
+  fleet.backend_one.delay_ms = 3800;
+  fleet.backend_two.delay_ms = 3800;
+  std::vector<std::future<httplib::Result>> in_flight;
+  for (int vm : {1, 2, 1, 2}) {
+    in_flight.push_back(std::async(std::launch::async, [vm] {
+      return RegistryFleet::Send(vm, "/a/slow");
+    }));
+  }
+  REQUIRE(WaitFor(
+      [&] { return fleet.backend_one.runs + fleet.backend_two.runs == 4; }));
+  REQUIRE(fleet.backend_one.runs > 0);
+  const Clock::time_point begin = Clock::now();
+  fleet.first_daemon->SendSignal(SIGTERM);
+  CHECK(fleet.first_daemon->WaitForExit(std::chrono::seconds(10)) == 0);
+  const auto took =
+      std::chrono::duration_cast<milliseconds>(Clock::now() - begin);
+  CHECK(took.count() < 2000);
+  for (std::future<httplib::Result>& result : in_flight) {
+    CHECK(result.get());
+  }
+}
+
+// Guards against requests that are broken off before the last sixth of grace.
+TEST_CASE("a stop with a short grace period completes what ends within it") {
+  RegistryFleet fleet("1200ms");
+  REQUIRE(WaitFor(
+      [] { return RegistryFleet::IsReady(1) && RegistryFleet::IsReady(2); }));
+  fleet.backend_one.delay_ms = 850;
+  fleet.backend_two.delay_ms = 850;
+  auto in_flight = std::async(std::launch::async,
+                              [] { return RegistryFleet::Send(1, "/a/slow"); });
+  REQUIRE(WaitFor(
+      [&] { return fleet.backend_one.runs + fleet.backend_two.runs == 1; }));
+  fleet.first_daemon->SendSignal(SIGTERM);
+  const httplib::Result result = in_flight.get();
+  REQUIRE(result);
+  CHECK(result->status == 200);
+}
+
 }  // namespace
 }  // namespace comfrey
