Count the limit for the write of a response from the first write

Callers would see: a connection closed without an answer, on a route whose deadline is above 30 s.

Cause: the limit of 30 s began before the handler ran, because the HTTP library calls the handler through the stream that writes the response.

Evidence: the limit is now a parameter of the frontend. With a limit of 300 ms that begins as before, "The time of the handler does not shorten the write of a response" fails: CHECK( Contains(caller->ReceiveResponse(kTestTimeout, closed), "done") ) false With the limit counted from the first write it passes.

--- a/Source/daemon/http_frontend.cc
+++ b/Source/daemon/http_frontend.cc
@@ -81,8 +81,6 @@
 constexpr std::chrono::seconds kBodyTimeout{10};
 // Limit for the write of one piece of at most kWriteSize bytes.
 constexpr std::chrono::seconds kWriteTimeout{5};
-// Limit for the write of a whole response.
-constexpr std::chrono::seconds kResponseTimeout{30};
 constexpr std::size_t kWriteSize = 64 << 10;
 // A request is forwarded to the owner in one message, which limits the size of
 // its body.
@@ -125,10 +123,10 @@
 // that is already checked, and sends the response that the library writes.
 class ReplyStream : public httplib::Stream {
  public:
-  ReplyStream(int connection, std::string input)
-      : connection(connection),
-        input(std::move(input)),
-        deadline(Clock::now() + kResponseTimeout) {}
+  ReplyStream(int connection,
+              std::string input,
+              std::chrono::milliseconds timeout)
+      : connection(connection), input(std::move(input)), timeout(timeout) {}
 
   using httplib::Stream::write;
 
@@ -144,17 +142,22 @@
   }
 
   ssize_t write(const char* bytes, std::size_t size) override {
-    if (this->deadline == Clock::time_point{}) {
+    if (this->failed) {
       return -1;
     }
+    // The library calls the handler through this stream too, so the time counts
+    // from the first write.
+    if (!this->deadline) {
+      this->deadline = Clock::now() + this->timeout;
+    }
     for (std::size_t written = 0; written < size;) {
       const absl::string_view piece(bytes + written,
                                     std::min(size - written, kWriteSize));
       std::size_t sent = 0;
       const Clock::time_point limit = std::min<Clock::time_point>(
-          this->deadline, Clock::now() + kWriteTimeout);
+          *this->deadline, Clock::now() + kWriteTimeout);
       if (!WriteAll(this->connection, limit, piece, sent)) {
-        this->deadline = Clock::time_point{};
+        this->failed = true;
         return -1;
       }
       written += sent;
@@ -168,14 +171,16 @@
                              int& /*port*/) const override {}
   socket_t socket() const override { return this->connection; }
 
-  bool Failed() const { return this->deadline == Clock::time_point{}; }
+  bool Failed() const { return this->failed; }
 
  private:
   int connection;
   std::string input;
   std::size_t position = 0;
-  // Limit for the whole response; the epoch of the clock after a failed write.
-  Clock::time_point deadline;
+  std::chrono::milliseconds timeout;
+  // Limit for the whole response; set at the first write.
+  std::optional<Clock::time_point> deadline;
+  bool failed = false;
 };
 
 // Counts one request for the time of its handler, also if it throws.
@@ -602,9 +607,11 @@
   // it would apply a Range header to the response of the backend server or
   // compress it, although the backend server has already handled both headers.
   ReplyStream stream(
-      socket, absl::StrCat(head_only ? "HEAD " : "GET ",
-                           page ? exchange.request.target : std::string("/"),
-                           " HTTP/1.1\r\n\r\n"));
+      socket,
+      absl::StrCat(head_only ? "HEAD " : "GET ",
+                   page ? exchange.request.target : std::string("/"),
+                   " HTTP/1.1\r\n\r\n"),
+      this->limits.response_timeout);
   exchange.close = exchange.close || exchange.refusal.has_value();
   current = &exchange;
   const bool written = this->server->Respond(stream);
--- a/Source/daemon/http_frontend.h
+++ b/Source/daemon/http_frontend.h
@@ -30,6 +30,8 @@
   std::size_t connections = 400;
   std::size_t body_bytes = 1 << 20;
   std::size_t header_bytes = 16 << 10;
+  /// Limit for the write of a whole response.
+  std::chrono::milliseconds response_timeout{30'000};
 };
 
 /// \brief Callbacks for the pages of the daemon, which the frontend serves
--- a/Tests/daemon/http_frontend_test.cc
+++ b/Tests/daemon/http_frontend_test.cc
@@ -38,15 +38,18 @@
 // A frontend with a handler that records the requests and replies to them.
 class FakeDaemon {
  public:
-  explicit FakeDaemon(std::size_t connections = 10,
-                      FrontendPages pages = MakePages())
+  explicit FakeDaemon(
+      std::size_t connections = 10,
+      FrontendPages pages = MakePages(),
+      std::chrono::milliseconds response_timeout = std::chrono::seconds(30))
       : port(FreePort()),
         frontend(
             [this](const HttpRequest& request, const CancelCheck& cancelled) {
               return this->Handle(request, cancelled);
             },
             this->counters,
-            FrontendLimits{connections, kBodyLimit, kHeaderLimit},
+            FrontendLimits{connections, kBodyLimit, kHeaderLimit,
+                           response_timeout},
             std::move(pages)) {
     REQUIRE(this->frontend.Start(kIp, this->port).ok());
   }
@@ -662,6 +665,20 @@
   CHECK(daemon.saw_cancel);
 }
 
+// Guards against a response that is not sent because its handler took long.
+TEST_CASE("The time of the handler does not shorten the write of a response",
+          "[http_frontend]") {
+  FakeDaemon daemon(10, MakePages(), std::chrono::milliseconds(300));
+  daemon.respond = [](const HttpRequest&) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
+    return HttpResponse{200, {}, "done"};
+  };
+  const auto caller = daemon.Connect();
+  caller->Send("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+  bool closed = false;
+  CHECK(Contains(caller->ReceiveResponse(kTestTimeout, closed), "done"));
+}
+
 // Guards against two daemons that listen on the same address without an error.
 TEST_CASE("An address in use is refused", "[http_frontend]") {
   FakeDaemon daemon;
