Refuse a connection for which no thread can be started

Callers would see: all connections of a daemon closed without an answer.

Cause: if the system cannot start a thread, std::thread throws. The exception left the thread that accepts connections and ended the process. It was found by reading, and not seen in a run of the daemon.

Why this works: the connection is handed to the thread that refuses those beyond the limit, which answers 503.

--- a/Source/daemon/connection_pool.cc
+++ b/Source/daemon/connection_pool.cc
@@ -1,5 +1,6 @@
 #include "daemon/connection_pool.h"
 
+#include <system_error>
 #include <utility>
 
 namespace comfrey {
@@ -13,8 +14,10 @@
 
 }  // namespace
 
-ConnectionPool::ConnectionPool(std::size_t limit) : limit(limit) {
-  this->threads.emplace_back([this] { this->RefuseOverLimit(); });
+ConnectionPool::ConnectionPool(std::size_t limit, StartThread start_thread)
+    : limit(limit), start_thread(std::move(start_thread)) {
+  this->threads.push_back(
+      this->start_thread([this] { this->RefuseOverLimit(); }));
 }
 
 ConnectionAction ConnectionPool::CurrentAction() {
@@ -23,7 +26,7 @@
 
 void ConnectionPool::enqueue(std::function<void()> connection) {
   std::unique_lock<std::mutex> lock(this->mutex);
-  if (this->active + this->pending.size() >= this->limit) {
+  if (!this->HasThreadForPending()) {
     if (this->over_limit.size() >= kMaxOverLimit) {
       lock.unlock();
       current_action = ConnectionAction::kRefuseWithoutWaiting;
@@ -35,13 +38,29 @@
     return;
   }
   this->pending.push_back(std::move(connection));
-  if (this->idle_threads < this->pending.size() &&
-      this->threads.size() <= this->limit) {
-    this->threads.emplace_back([this] { this->ServeConnections(); });
-  }
   this->changed.notify_all();
 }
 
+// Returns whether one more connection has a thread, which is started if
+// necessary.
+bool ConnectionPool::HasThreadForPending() {
+  if (this->active + this->pending.size() >= this->limit) {
+    return false;
+  }
+  if (this->idle_threads > this->pending.size() ||
+      this->threads.size() > this->limit) {
+    return true;
+  }
+  try {
+    this->threads.push_back(
+        this->start_thread([this] { this->ServeConnections(); }));
+  } catch (const std::system_error&) {
+    // The system is short of threads or memory.
+    return false;
+  }
+  return true;
+}
+
 void ConnectionPool::shutdown() {
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
--- a/Source/daemon/connection_pool.h
+++ b/Source/daemon/connection_pool.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <mutex>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace comfrey {
@@ -30,10 +31,18 @@
 /// Threads are started as connections arrive, up to `limit`. One additional
 /// thread refuses the connections beyond the limit, so that a caller gets a
 /// reply instead of waiting. If too many connections wait for that thread, the
-/// thread that accepts connections refuses further ones itself.
+/// thread that accepts connections refuses further ones itself. A connection
+/// for which no thread can be started is refused like one beyond the limit.
 class ConnectionPool : public httplib::TaskQueue {
  public:
-  explicit ConnectionPool(std::size_t limit);
+  /// Starts a thread; throws std::system_error if that fails.
+  using StartThread = std::function<std::thread(std::function<void()> run)>;
+
+  explicit ConnectionPool(
+      std::size_t limit,
+      StartThread start_thread = [](std::function<void()> run) {
+        return std::thread(std::move(run));
+      });
 
   void enqueue(std::function<void()> connection) override;
   void shutdown() override;
@@ -42,10 +51,12 @@
   static ConnectionAction CurrentAction();
 
  private:
+  bool HasThreadForPending();
   void ServeConnections();
   void RefuseOverLimit();
 
   std::size_t limit;
+  StartThread start_thread;
   std::mutex mutex;
   std::condition_variable changed;
   std::deque<std::function<void()>> pending;
