--- a/Source/daemon/http_frontend.h
+++ b/Source/daemon/http_frontend.h
@@ -30,6 +30,8 @@
   std::size_t connections = 400;
   std::size_t body_bytes = 1 << 20;
   std::size_t header_bytes = 16 << 10;
+  /// Limit for the write of a whole response.
+  std::chrono::milliseconds response_timeout{30'000};
 };
 
 /// \brief Callbacks for the pages of the daemon, which the frontend serves
@@ -79,12 +81,13 @@
   absl::Status Start(const std::string& ip, int port);
 
   /// \brief Stops accepting connections and waits for the requests in flight,
-  /// whose responses have the header "Connection: close". An idle connection
-  /// may send one more request within 1 s.
+  /// whose responses have the header "Connection: close". A request that
+  /// arrives on an idle connection within 1 s is refused.
   void Stop();
 
   /// \brief Cancels the requests in flight, so that Stop returns soon.
   void Abort() { this->aborting = true; }
+  bool IsAborting() const { return this->aborting; }
 
   /// \brief Returns the number of requests that the handler has not answered.
   int CountInProgress() const { return this->in_progress; }
