Keep no more connections to a backend server than it has slots

Callers got 502 after 4 s from a backend server with free slots, and the server became suspect with "timed out". A non-idempotent request always opens a new connection and kept it afterwards, up to 16 idle ones for up to 4 s. A backend server that serves each connection on a thread of its own had all threads occupied by idle connections, so that a new one was accepted by the kernel and never read. The oldest idle connection was closed only when it was taken.

The pool of connections is a module of its own and knows the slots of the endpoint. Before a new connection would exceed them, idle connections are closed, and a timer closes those whose time of use ends or that the server closed. Rejected: a fixed number, no idle connections (about 1 ms for each idempotent request), and the reuse for non-idempotent requests, since nobody knows whether the server has closed the connection. The limit of about 330 connections per endpoint is far above the slots. Reading of a response moves to a module of its own, unchanged.

--- a/Source/daemon/backend_client.cc
+++ b/Source/daemon/backend_client.cc
@@ -1,57 +1,26 @@
 #include "daemon/backend_client.h"
 
-#include <netdb.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <poll.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <atomic>
-#include <cerrno>
-#include <cstring>
 #include <utility>
 
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "daemon/backend_response.h"
 #include "daemon/http_wire.h"
 
 namespace comfrey {
-
-/// \brief One connection to a backend server; owns the socket.
-struct BackendConnection {
-  explicit BackendConnection(int socket) : socket(socket), reader(socket) {}
-  ~BackendConnection() { ::close(this->socket); }
-
-  BackendConnection(const BackendConnection&) = delete;
-  BackendConnection& operator=(const BackendConnection&) = delete;
-
-  int socket;
-  WireReader reader;
-  /// An idle connection is not reused after this time, since the backend server
-  /// may close it.
-  std::chrono::steady_clock::time_point usable_until;
-};
-
 namespace {
 
 using Clock = std::chrono::steady_clock;
 
 constexpr std::chrono::milliseconds kConnectTimeout{250};
-constexpr std::size_t kMaxIdleConnections = 16;
-constexpr std::size_t kMaxResponseHead = 64 << 10;
 // The memory limit of a daemon is 32 MB, and a larger response would take a
 // large part of it.
 constexpr std::size_t kMaxResponseBody = 8 << 20;
-// Largest number of interim responses (1xx) before the final response.
-constexpr int kMaxInterimResponses = 16;
-
-constexpr int kSwitchingProtocols = 101;
-constexpr int kOk = 200;
-constexpr int kNoContent = 204;
-constexpr int kNotModified = 304;
 
 // The reuse of a connection stops this long before the idle timeout of the
 // backend server. A request that is sent later may reach a closed connection
@@ -63,15 +32,6 @@
 // response to the current request.
 constexpr int kMaxMismatchedResponses = 3;
 
-// Result of reading one response.
-struct ReceivedResponse {
-  std::string error;  // Empty if the response is complete.
-  bool timed_out = false;
-  bool received_bytes = false;
-  bool reusable = false;  // Whether the connection may be reused.
-  HttpResponse response;
-};
-
 bool IsForwarded(const std::string& name, const HeaderNames& names) {
   return !IsHopByHopHeader(name) &&
          !absl::EqualsIgnoreCase(name, "Content-Length") &&
@@ -122,55 +82,6 @@
   return text;
 }
 
-// Returns the status of a line such as "HTTP/1.1 200 OK", or 0 if the line is
-// malformed.
-int ParseStatusLine(absl::string_view line) {
-  constexpr std::size_t kVersionLength = 9;
-  constexpr std::size_t kStatusLength = 3;
-  if (!absl::StartsWith(line, "HTTP/1.1 ") &&
-      !absl::StartsWith(line, "HTTP/1.0 ")) {
-    return 0;
-  }
-  const absl::string_view digits = line.substr(kVersionLength, kStatusLength);
-  const absl::string_view rest =
-      line.substr(std::min(line.size(), kVersionLength + kStatusLength));
-  int status = 0;
-  if (digits.size() != kStatusLength ||
-      digits.find_first_not_of("0123456789") != absl::string_view::npos ||
-      !absl::SimpleAtoi(digits, &status) || status < 100 || status > 599 ||
-      !(rest.empty() || rest.front() == ' ')) {
-    return 0;
-  }
-  return status;
-}
-
-std::string DescribeError(WireError error) {
-  switch (error) {
-    case WireError::kNone:
-      return "";
-    case WireError::kReset:
-      return "the connection was reset before the end of the response";
-    case WireError::kClosed:
-      return "the connection was closed before the end of the response";
-    case WireError::kTimedOut:
-      return "deadline exceeded";
-    case WireError::kMalformed:
-      return "the response is malformed";
-    case WireError::kHeadTooLarge:
-      return "the headers of the response are too large";
-    case WireError::kBodyTooLarge:
-      return absl::StrCat("the body of the response exceeds ", kMaxResponseBody,
-                          " bytes");
-  }
-  return "";
-}
-
-ReceivedResponse Fail(ReceivedResponse received, WireError error) {
-  received.error = DescribeError(error);
-  received.timed_out = error == WireError::kTimedOut;
-  return received;
-}
-
 // Returns why a complete response does not come from the backend server, or "".
 // Checked only if backend servers sign their responses.
 std::string ValidateResponse(const HttpResponse& response,
@@ -221,134 +132,21 @@
   return idle - kIdleMargin;
 }
 
-ReceivedResponse ReadResponse(WireReader& reader,
-                              const std::string& method,
-                              bool close_delimited,
-                              Clock::time_point deadline) {
-  ReceivedResponse received;
-  MessageHead head;
-  int status = 0;
-  for (int interim = 0; status < kOk; ++interim) {
-    head = MessageHead{};
-    const WireError error = ReadHead(reader, deadline, kMaxResponseHead, head);
-    if (error != WireError::kNone) {
-      received.received_bytes = interim > 0 || reader.HasBufferedBytes() ||
-                                !head.start_line.empty() ||
-                                error == WireError::kMalformed;
-      return Fail(std::move(received), error);
-    }
-    received.received_bytes = true;
-    status = ParseStatusLine(head.start_line);
-    if (status == 0 || status == kSwitchingProtocols ||
-        interim >= kMaxInterimResponses) {
-      return Fail(std::move(received), WireError::kMalformed);
-    }
-  }
-  BodyFraming framing;
-  received.error = DetermineFraming(head.headers, framing);
-  if (!received.error.empty()) {
-    return received;
-  }
-  if (framing.chunked && !absl::StartsWith(head.start_line, "HTTP/1.1")) {
-    received.error = "the response is chunked, but its version is HTTP/1.0";
-    return received;
-  }
-  const bool without_body =
-      method == "HEAD" || status == kNoContent || status == kNotModified;
-  if (!without_body) {
-    // Without a length and without chunks, the response ends when the
-    // connection closes, so a truncated response looks like a complete one.
-    const bool ends_with_connection = !framing.chunked && !framing.has_length;
-    if (ends_with_connection && !close_delimited) {
-      received.error = "the response has no length and is not chunked";
-      return received;
-    }
-    const WireError error =
-        ends_with_connection
-            ? reader.ReadUntilClose(deadline, kMaxResponseBody,
-                                    received.response.body)
-            : ReadBody(reader, deadline, framing, kMaxResponseBody,
-                       received.response.body);
-    if (error != WireError::kNone) {
-      return Fail(std::move(received), error);
-    }
-  }
-  received.response.status = status;
-  received.response.headers = std::move(head.headers);
-  // Bytes that follow the response belong to no request, so the connection is
-  // not reused.
-  received.reusable =
-      absl::StartsWith(head.start_line, "HTTP/1.1") &&
-      !HasConnectionOption(received.response.headers, "close") &&
-      !reader.HasBufferedBytes();
-  return received;
-}
-
-// Returns a connected socket, or -1 with the cause in `error`.
-int Connect(const std::string& ip,
-            int port,
-            Clock::time_point deadline,
-            std::string& error) {
-  addrinfo hints{};
-  hints.ai_socktype = SOCK_STREAM;
-  hints.ai_flags = AI_NUMERICHOST | AI_NUMERICSERV;
-  addrinfo* address = nullptr;
-  if (::getaddrinfo(ip.c_str(), std::to_string(port).c_str(), &hints,
-                    &address) != 0) {
-    error = "the endpoint address is not an IP address";
-    return -1;
-  }
-  const std::unique_ptr<addrinfo, decltype(&::freeaddrinfo)> owner(
-      address, &::freeaddrinfo);
-  const int socket = ::socket(address->ai_family,
-                              SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (socket < 0) {
-    error = std::strerror(errno);
-    return -1;
-  }
-  const int enabled = 1;
-  ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
-  int code = 0;
-  if (::connect(socket, address->ai_addr, address->ai_addrlen) != 0) {
-    code = errno;
-    if (code == EINPROGRESS) {
-      socklen_t length = sizeof(code);
-      if (!WaitForSocket(socket, POLLOUT, deadline)) {
-        code = ETIMEDOUT;
-      } else if (::getsockopt(socket, SOL_SOCKET, SO_ERROR, &code, &length) !=
-                 0) {
-        code = errno;
-      }
-    }
-  }
-  if (code != 0) {
-    error = std::strerror(code);
-    ::close(socket);
-    return -1;
-  }
-  return socket;
-}
-
-// Whether the connection is open and has no unread bytes. Before a request is
-// sent, received bytes are a late or unsolicited response, and an end of file
-// means that the backend server closed the connection.
-bool IsOpenAndIdle(const BackendConnection& connection) {
-  return !connection.reader.HasBufferedBytes() &&
-         !WaitForSocket(connection.socket, POLLIN, Clock::time_point{});
-}
-
 }  // namespace
 
-BackendClient::BackendClient(std::string ip,
+BackendClient::BackendClient(const std::string& ip,
                              int port,
                              CallWatchdog& watchdog,
-                             BackendProtocol protocol)
-    : ip(std::move(ip)),
-      port(port),
+                             BackendProtocol protocol,
+                             std::size_t connection_limit)
+    : peer(absl::StrCat(ip, ":", port)),
       watchdog(watchdog),
-      protocol(std::move(protocol)) {}
+      protocol(std::move(protocol)),
+      pool(ip, port, connection_limit, watchdog.Timers()) {}
 
-BackendClient::~BackendClient() = default;
+void BackendClient::SetConnectionLimit(std::size_t limit) {
+  this->pool.SetLimit(limit);
+}
 
 BackendResult BackendClient::Call(const BackendCall& call) {
   const Clock::time_point start = Clock::now();
@@ -373,17 +171,17 @@
                                       bool& should_retry) {
   should_retry = false;
   BackendResult result;
-  const std::string peer = absl::StrCat(this->ip, ":", this->port);
   const Clock::time_point start = Clock::now();
   const std::string invalid = ValidateRequest(*call.request);
   if (!invalid.empty()) {
     result.error = absl::InvalidArgumentError(
-        absl::StrCat("send to ", peer, ": ", invalid));
+        absl::StrCat("send to ", this->peer, ": ", invalid));
     return result;
   }
   if (start >= call.deadline) {
-    result.error = absl::DeadlineExceededError(absl::StrCat(
-        "send to ", peer, ": the deadline passed before the request was sent"));
+    result.error = absl::DeadlineExceededError(
+        absl::StrCat("send to ", this->peer,
+                     ": the deadline passed before the request was sent"));
     return result;
   }
   // The backend server may close an idle connection between its check and its
@@ -391,52 +189,54 @@
   // not run twice therefore gets a new connection, which takes about 1 ms. An
   // idempotent request is retried over a new connection.
   std::unique_ptr<BackendConnection> connection =
-      allow_reuse ? this->TakeConnection() : nullptr;
+      allow_reuse ? this->pool.Take() : nullptr;
   const bool reused = connection != nullptr;
   if (!connection) {
     std::string error;
-    const int socket =
-        Connect(this->ip, this->port,
-                std::min(call.deadline, start + kConnectTimeout), error);
-    if (socket < 0) {
+    connection = this->pool.Open(
+        std::min(call.deadline, start + kConnectTimeout), error);
+    if (!connection) {
       result.error = absl::UnavailableError(
-          absl::StrCat("connect to ", peer, ": ", error));
-      return result;
-    }
-    connection = std::make_unique<BackendConnection>(socket);
-    if (!IsOpenAndIdle(*connection)) {
-      result.error = absl::UnavailableError(absl::StrCat(
-          "send to ", peer,
-          ": the backend server sent bytes or closed the connection before the "
-          "request was sent"));
+          absl::StrCat("connect to ", this->peer, ": ", error));
       return result;
     }
   }
+  const bool keep =
+      this->Exchange(call, *connection, reused, result, should_retry);
+  if (keep) {
+    this->pool.Keep(std::move(connection));
+  } else {
+    this->pool.Close(std::move(connection));
+  }
+  return result;
+}
 
+bool BackendClient::Exchange(const BackendCall& call,
+                             BackendConnection& connection,
+                             bool reused,
+                             BackendResult& result,
+                             bool& should_retry) {
+  if (!reused && !IsOpenAndIdle(connection)) {
+    result.error = absl::UnavailableError(absl::StrCat(
+        "send to ", this->peer,
+        ": the backend server sent bytes or closed the connection before the "
+        "request was sent"));
+    return false;
+  }
   std::atomic<bool> stopped{false};
-  const int socket = connection->socket;
+  const int socket = connection.socket;
   const CallWatchdog::CallId watch =
       this->watchdog.Watch(call.deadline, call.cancelled, [&stopped, socket] {
         stopped = true;
         ::shutdown(socket, SHUT_RDWR);
       });
   const HeaderNames& names = this->protocol.headers;
-  const std::string request = BuildRequest(call, peer, names, start);
+  const std::string request =
+      BuildRequest(call, this->peer, names, Clock::now());
   std::size_t sent = 0;
   ReceivedResponse received;
   if (WriteAll(socket, call.deadline, request, sent)) {
-    int mismatched = 0;
-    do {
-      received = ReadResponse(connection->reader, call.request->method,
-                              this->protocol.close_delimited, call.deadline);
-    } while (received.error.empty() &&
-             BelongsToOtherAttempt(received.response, *call.request, names) &&
-             ++mismatched <= kMaxMismatchedResponses);
-    if (mismatched > kMaxMismatchedResponses) {
-      received.error = "only responses to other requests arrived";
-    } else if (received.error.empty()) {
-      received.error = ValidateResponse(received.response, names);
-    }
+    received = this->ReadOwnResponse(call, connection.reader);
   } else {
     received.error = "the request could not be sent completely";
   }
@@ -445,53 +245,48 @@
   if (received.error.empty()) {
     result.outcome = BackendOutcome::kAnswered;
     result.response = std::move(received.response);
-    if (received.reusable && !stopped) {
-      connection->reader.ReleaseBuffer();
-      connection->usable_until =
-          Clock::now() + ComputeIdleTimeout(result.response);
-      this->ReturnConnection(std::move(connection));
-    }
-    return result;
+    connection.usable_until =
+        Clock::now() + ComputeIdleTimeout(result.response);
+    return received.reusable && !stopped;
   }
   should_retry = reused && !stopped && !received.timed_out &&
                  !received.received_bytes && Clock::now() < call.deadline;
   if (sent == 0 && !stopped) {
     result.error = absl::UnavailableError(
-        absl::StrCat("send to ", peer, ": ", received.error));
-    return result;
+        absl::StrCat("send to ", this->peer, ": ", received.error));
+    return false;
   }
   if (received.timed_out || Clock::now() >= call.deadline) {
     result.outcome = BackendOutcome::kTimedOut;
     result.error = absl::DeadlineExceededError(
-        absl::StrCat("response from ", peer, ": deadline exceeded"));
-    return result;
+        absl::StrCat("response from ", this->peer, ": deadline exceeded"));
+    return false;
   }
   result.outcome =
       stopped ? BackendOutcome::kCancelled : BackendOutcome::kFailed;
   result.error = absl::UnavailableError(
-      absl::StrCat("response from ", peer, ": ", received.error));
-  return result;
+      absl::StrCat("response from ", this->peer, ": ", received.error));
+  return false;
 }
 
-std::unique_ptr<BackendConnection> BackendClient::TakeConnection() {
-  const std::lock_guard<std::mutex> lock(this->mutex);
-  while (!this->idle.empty()) {
-    std::unique_ptr<BackendConnection> connection =
-        std::move(this->idle.back());
-    this->idle.pop_back();
-    if (Clock::now() < connection->usable_until && IsOpenAndIdle(*connection)) {
-      return connection;
-    }
-  }
-  return nullptr;
-}
-
-void BackendClient::ReturnConnection(
-    std::unique_ptr<BackendConnection> connection) {
-  const std::lock_guard<std::mutex> lock(this->mutex);
-  if (this->idle.size() < kMaxIdleConnections) {
-    this->idle.push_back(std::move(connection));
+ReceivedResponse BackendClient::ReadOwnResponse(const BackendCall& call,
+                                                WireReader& reader) const {
+  const HeaderNames& names = this->protocol.headers;
+  const ResponseLimits limits{kMaxResponseBody, this->protocol.close_delimited};
+  ReceivedResponse received;
+  int mismatched = 0;
+  do {
+    received =
+        ReadResponse(reader, call.request->method, limits, call.deadline);
+  } while (received.error.empty() &&
+           BelongsToOtherAttempt(received.response, *call.request, names) &&
+           ++mismatched <= kMaxMismatchedResponses);
+  if (mismatched > kMaxMismatchedResponses) {
+    received.error = "only responses to other requests arrived";
+  } else if (received.error.empty()) {
+    received.error = ValidateResponse(received.response, names);
   }
+  return received;
 }
 
 }  // namespace comfrey
--- a/Source/daemon/backend_client.h
+++ b/Source/daemon/backend_client.h
@@ -2,21 +2,19 @@
 #define DAEMON_BACKEND_CLIENT_H_
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
-#include <memory>
-#include <mutex>
 #include <string>
-#include <vector>
 
 #include "absl/status/status.h"
 #include "config/daemon_settings.h"
 #include "core/http_message.h"
+#include "daemon/backend_connection_pool.h"
+#include "daemon/backend_response.h"
 #include "daemon/call_watchdog.h"
 
 namespace comfrey {
 
-struct BackendConnection;
-
 /// \brief Outcome of a call to a backend server.
 enum class BackendOutcome {
   kAnswered,   ///< A complete response arrived.
@@ -48,18 +46,25 @@
   std::function<bool()> cancelled;
 };
 
+/// \brief Number of connections to a backend server whose slots are unknown.
+constexpr std::size_t kDefaultConnectionLimit = 16;
+
 /// \brief Sends requests to one endpoint over a pool of HTTP connections.
 class BackendClient {
  public:
-  BackendClient(std::string ip,
+  BackendClient(const std::string& ip,
                 int port,
                 CallWatchdog& watchdog,
-                BackendProtocol protocol = {});
-  ~BackendClient();
+                BackendProtocol protocol = {},
+                std::size_t connection_limit = kDefaultConnectionLimit);
 
   BackendClient(const BackendClient&) = delete;
   BackendClient& operator=(const BackendClient&) = delete;
 
+  /// \brief Changes the number of connections, in use and idle, that the
+  /// backend server can serve: its slots.
+  void SetConnectionLimit(std::size_t limit);
+
   /// \brief Sends one request and waits for the complete response. A body of
   /// more than 8 MiB fails the call.
   BackendResult Call(const BackendCall& call);
@@ -70,15 +75,20 @@
   BackendResult CallOnce(const BackendCall& call,
                          bool allow_reuse,
                          bool& should_retry);
-  std::unique_ptr<BackendConnection> TakeConnection();
-  void ReturnConnection(std::unique_ptr<BackendConnection> connection);
+  // As CallOnce, over the given connection; returns whether it may be reused.
+  bool Exchange(const BackendCall& call,
+                BackendConnection& connection,
+                bool reused,
+                BackendResult& result,
+                bool& should_retry);
+  // Skips responses to other attempts.
+  ReceivedResponse ReadOwnResponse(const BackendCall& call,
+                                   WireReader& reader) const;
 
-  std::string ip;
-  int port;
+  std::string peer;
   CallWatchdog& watchdog;
   BackendProtocol protocol;
-  std::mutex mutex;
-  std::vector<std::unique_ptr<BackendConnection>> idle;
+  BackendConnectionPool pool;
 };
 
 }  // namespace comfrey
--- /dev/null
+++ b/Source/daemon/backend_response.h
@@ -0,0 +1,39 @@
+#ifndef DAEMON_BACKEND_RESPONSE_H_
+#define DAEMON_BACKEND_RESPONSE_H_
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+
+#include "core/http_message.h"
+#include "daemon/http_wire.h"
+
+namespace comfrey {
+
+/// \brief What a response may be like.
+struct ResponseLimits {
+  std::size_t body_bytes = 0;
+  /// Whether the end of the connection may mark the end of a response without a
+  /// length.
+  bool close_delimited = false;
+};
+
+/// \brief Result of reading one response.
+struct ReceivedResponse {
+  std::string error;  ///< Empty if the response is complete.
+  bool timed_out = false;
+  bool received_bytes = false;
+  bool reusable = false;  ///< Whether the connection may be reused.
+  HttpResponse response;
+};
+
+/// \brief Reads the response to a request with the given method. Interim
+/// responses (1xx) are skipped.
+ReceivedResponse ReadResponse(WireReader& reader,
+                              const std::string& method,
+                              const ResponseLimits& limits,
+                              std::chrono::steady_clock::time_point deadline);
+
+}  // namespace comfrey
+
+#endif  // DAEMON_BACKEND_RESPONSE_H_
--- a/Source/daemon/call_watchdog.h
+++ b/Source/daemon/call_watchdog.h
@@ -37,6 +37,9 @@
   /// after the return.
   void Remove(CallId id);
 
+  /// \brief The timers that the watchdog itself subscribes to.
+  TimerService& Timers() const { return this->timers; }
+
  private:
   struct Call {
     TimePoint deadline;
--- a/Source/daemon/owned_endpoint.cc
+++ b/Source/daemon/owned_endpoint.cc
@@ -18,12 +18,17 @@
 // latency target, since a target leaves time for a wait and a retry.
 constexpr int kTargetPerServiceTime = 4;
 
+std::size_t SlotsOf(const EndpointConfig& endpoint,
+                    const ServiceConfig& service) {
+  return static_cast<std::size_t>(endpoint.slots > 0 ? endpoint.slots
+                                                     : service.slots);
+}
+
 AdmissionPolicy MakeAdmissionPolicy(const EndpointConfig& endpoint,
                                     const ServiceConfig& service,
                                     const std::vector<RankConfig>& ranks) {
   AdmissionPolicy policy;
-  policy.slots = static_cast<std::size_t>(endpoint.slots > 0 ? endpoint.slots
-                                                             : service.slots);
+  policy.slots = SlotsOf(endpoint, service);
   policy.queue_limit = static_cast<std::size_t>(service.queue_limit);
   policy.fixed_slots = endpoint.slots > 0;
   policy.urgent_slots = static_cast<std::size_t>(service.urgent_slots);
@@ -121,7 +126,8 @@
       client(this->identity.endpoint.ip,
              this->identity.endpoint.port,
              watchdog,
-             protocol),
+             protocol,
+             SlotsOf(this->identity.endpoint, service)),
       queue(MakeAdmissionPolicy(this->identity.endpoint, service, ranks),
             std::chrono::steady_clock::now()),
       health(MakeEndpointHealth(std::chrono::steady_clock::now())),
@@ -142,6 +148,7 @@
     endpoint.drain.backend_server = false;
   }
   endpoint.identity.endpoint = config;
+  endpoint.client.SetConnectionLimit(SlotsOf(config, service));
   endpoint.drain.registry = config.draining;
   UpdateDraining(endpoint, now);
   DropItems(endpoint,
--- a/Tests/daemon/backend_client_test.cc
+++ b/Tests/daemon/backend_client_test.cc
@@ -25,10 +25,20 @@
 
 // A client and a backend server that a handler implements.
 struct ClientFixture {
-  explicit ClientFixture(RawServer::Handler handler)
+  explicit ClientFixture(RawServer::Handler handler,
+                         const BackendProtocol& protocol = {})
       : server(kIp, std::move(handler)),
         watchdog(this->timers),
-        client(kIp, this->server.Port(), this->watchdog) {}
+        client(kIp, this->server.Port(), this->watchdog, protocol) {}
+  // The backend server has one thread for each of its slots.
+  ClientFixture(RawServer::Handler handler, int slots)
+      : server(kIp, std::move(handler), slots),
+        watchdog(this->timers),
+        client(kIp,
+               this->server.Port(),
+               this->watchdog,
+               {},
+               static_cast<std::size_t>(slots)) {}
 
   BackendResult Call(
       const std::string& method = "GET",
@@ -544,5 +554,92 @@
   CHECK(connections == 2);
 }
 
+void CallInParallel(ClientFixture& fixture, int calls) {
+  std::vector<std::thread> threads;
+  std::atomic<int> answered{0};
+  threads.reserve(static_cast<std::size_t>(calls));
+  for (int i = 0; i < calls; ++i) {
+    threads.emplace_back([&] {
+      if (fixture.Call("POST", std::chrono::seconds(2), false).outcome ==
+          BackendOutcome::kAnswered) {
+        ++answered;
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  CHECK(answered == calls);
+}
+
+// Guards against requests that time out at a backend server with free slots,
+// since its own idle connections occupy all of its threads.
+TEST_CASE("Idle connections do not occupy the threads of a backend server",
+          "[backend_client]") {
+  constexpr int kSlots = 4;
+  ClientFixture fixture(
+      [](RawSocket& socket, int) {
+        bool closed = false;
+        while (HasHead(socket.Receive(HasHead, kTestTimeout, closed))) {
+          std::this_thread::sleep_for(std::chrono::milliseconds(50));
+          socket.Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        }
+      },
+      kSlots);
+  CallInParallel(fixture, kSlots);
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  CHECK(fixture.Call("POST", std::chrono::seconds(1), false).outcome ==
+        BackendOutcome::kAnswered);
+  CallInParallel(fixture, kSlots);
+  CHECK(fixture.Call("GET", std::chrono::seconds(1), true).outcome ==
+        BackendOutcome::kAnswered);
+}
+
+// Guards against idle connections that stay open for good, since later requests
+// take more recent ones or none.
+TEST_CASE("An idle connection is closed before the server's idle timeout",
+          "[backend_client]") {
+  constexpr std::chrono::seconds kIdleTimeout{2};
+  std::atomic<bool> closed_by_client{false};
+  ClientFixture fixture([&](RawSocket& socket, int) {
+    bool closed = false;
+    socket.Receive(HasHead, kTestTimeout, closed);
+    socket.Send(
+        "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=2\r\n"
+        "Content-Length: 0\r\n\r\n");
+    socket.Receive(HasHead, kIdleTimeout, closed);
+    closed_by_client = closed;
+  });
+  CHECK(fixture.Call().outcome == BackendOutcome::kAnswered);
+  std::this_thread::sleep_for(kIdleTimeout);
+  CHECK(closed_by_client);
+}
+
+// Guards against connections beyond the slots after a change of the
+// configuration.
+TEST_CASE("Fewer slots close idle connections", "[backend_client]") {
+  constexpr int kSlots = 4;
+  std::atomic<int> open{0};
+  ClientFixture fixture(
+      [&](RawSocket& socket, int) {
+        ++open;
+        bool closed = false;
+        while (HasHead(socket.Receive(HasHead, kTestTimeout, closed))) {
+          std::this_thread::sleep_for(std::chrono::milliseconds(100));
+          socket.Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        }
+        --open;
+      },
+      kSlots);
+  CallInParallel(fixture, kSlots);
+  CHECK(open == kSlots);
+  fixture.client.SetConnectionLimit(1);
+  const Clock::time_point begin = Clock::now();
+  while (open > 1 && Clock::now() - begin < std::chrono::seconds(1)) {
+    std::this_thread::yield();
+  }
+  CHECK(open == 1);
+}
+
 }  // namespace
 }  // namespace comfrey
--- a/Tests/daemon/raw_socket.cc
+++ b/Tests/daemon/raw_socket.cc
@@ -106,7 +106,7 @@
   ::shutdown(this->socket, SHUT_WR);
 }
 
-RawServer::RawServer(const std::string& ip, Handler handler)
+RawServer::RawServer(const std::string& ip, Handler handler, int threads)
     : listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)),
       handler(std::move(handler)) {
   sockaddr_in address = MakeAddress(ip, 0);
@@ -119,16 +119,20 @@
     throw std::runtime_error("cannot listen on " + ip);
   }
   this->port = ntohs(address.sin_port);
-  this->thread = std::thread([this] {
-    for (int connection = 0;; ++connection) {
-      const int accepted = ::accept(this->listener, nullptr, nullptr);
-      if (accepted < 0) {
-        return;
-      }
-      RawSocket socket(accepted);
-      this->handler(socket, connection);
+  for (int i = 0; i < threads; ++i) {
+    this->threads.emplace_back([this] { this->ServeConnections(); });
+  }
+}
+
+void RawServer::ServeConnections() {
+  for (;;) {
+    const int accepted = ::accept(this->listener, nullptr, nullptr);
+    if (accepted < 0) {
+      return;
     }
-  });
+    RawSocket socket(accepted);
+    this->handler(socket, this->connections++);
+  }
 }
 
 void RawServer::StopListening() const {
@@ -137,7 +141,9 @@
 
 RawServer::~RawServer() {
   this->StopListening();
-  this->thread.join();
+  for (std::thread& thread : this->threads) {
+    thread.join();
+  }
   ::close(this->listener);
 }
 
--- a/Tests/daemon/raw_socket.h
+++ b/Tests/daemon/raw_socket.h
@@ -1,11 +1,13 @@
 #ifndef TESTS_DAEMON_RAW_SOCKET_H_
 #define TESTS_DAEMON_RAW_SOCKET_H_
 
+#include <atomic>
 #include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace comfrey {
 
@@ -47,12 +49,13 @@
 };
 
 /// \brief Listens on a free port and calls `handler` for each connection, with
-/// its number from 0. One thread serves all connections in turn.
+/// its number from 0. Each of `threads` threads serves one connection at a
+/// time; further connections wait, accepted by the kernel and unread.
 class RawServer {
  public:
   using Handler = std::function<void(RawSocket&, int connection)>;
 
-  RawServer(const std::string& ip, Handler handler);
+  RawServer(const std::string& ip, Handler handler, int threads = 1);
   ~RawServer();
 
   RawServer(const RawServer&) = delete;
@@ -64,10 +67,13 @@
   void StopListening() const;
 
  private:
+  void ServeConnections();
+
   int listener;
   int port = 0;
   Handler handler;
-  std::thread thread;
+  std::atomic<int> connections{0};
+  std::vector<std::thread> threads;
 };
 
 /// \brief Whether the bytes end with the empty line that ends the head of a
