Match responses on a reused connection by their attempt id

A backend server may write an earlier refusal once more on a kept connection. An idempotent request over a reused connection took a copy without an attempt id for its own response and was reported as not run, although it ran. The same happened when a request was sent again after its reused connection had ended, and the second sending was refused: the first may have run.

After a connection has served another request, or a response to another attempt arrived, only a response with the id of the request is delivered; otherwise the idempotent request is sent over a new connection. A connection that carried a refusal is not reused, because a copy bears the same id if the attempt is sent again. Without ids, one that carried a server error is not reused either. A refusal of a request that was sent twice counts as unknown. Non-idempotent requests were not affected, since each has a new connection.

--- a/Source/daemon/backend_client.cc
+++ b/Source/daemon/backend_client.cc
@@ -30,7 +30,7 @@
 constexpr std::chrono::seconds kMaxIdleTimeout{60};
 // Largest number of responses to other attempts that are skipped before the
 // response to the current request.
-constexpr int kMaxMismatchedResponses = 3;
+constexpr int kMaxSkippedResponses = 3;
 
 bool IsForwarded(const std::string& name, const HeaderNames& names) {
   return !IsHopByHopHeader(name) &&
@@ -100,17 +100,55 @@
   return "";
 }
 
-// Whether the response is a late one to another attempt.
-bool BelongsToOtherAttempt(const HttpResponse& response,
-                           const HttpRequest& request,
-                           const HeaderNames& names) {
-  if (names.attempt_id.empty()) {
-    return false;
+bool HasAttemptId(const HttpRequest& request, const HeaderNames& names) {
+  return !names.attempt_id.empty() &&
+         !FindHeader(request.headers, names.attempt_id).empty();
+}
+
+// Which request a response belongs to.
+enum class Attribution {
+  kOwn,
+  kOtherAttempt,
+  kUndecidable,
+};
+
+// `id_required` is whether an earlier response to another attempt may arrive
+// over the connection, so that a response without an id belongs to no certain
+// request.
+Attribution Attribute(const HttpResponse& response,
+                      const HttpRequest& request,
+                      const HeaderNames& names,
+                      bool id_required) {
+  if (!HasAttemptId(request, names)) {
+    return Attribution::kOwn;
   }
-  const absl::string_view sent = FindHeader(request.headers, names.attempt_id);
   const absl::string_view echoed =
       FindHeader(response.headers, names.attempt_id);
-  return !sent.empty() && !echoed.empty() && sent != echoed;
+  if (echoed.empty()) {
+    return id_required ? Attribution::kUndecidable : Attribution::kOwn;
+  }
+  return echoed == FindHeader(request.headers, names.attempt_id)
+             ? Attribution::kOwn
+             : Attribution::kOtherAttempt;
+}
+
+// A faulty backend server may send a refusal once more over the same
+// connection, where it would be taken for the refusal of the next request. An
+// id does not exclude that, since the same attempt may be sent again. Without
+// ids, a repeated error cannot be detected either.
+bool MayBeRepeated(const HttpResponse& response, const HeaderNames& names) {
+  constexpr int kRequestTimeout = 408;
+  constexpr int kMisdirected = 421;
+  constexpr int kTooManyRequests = 429;
+  constexpr int kServerError = 500;
+  constexpr int kUnavailable = 503;
+  const bool refused =
+      response.status == kRequestTimeout || response.status == kMisdirected ||
+      response.status == kTooManyRequests || response.status == kUnavailable ||
+      (!names.not_executed.empty() &&
+       !FindHeader(response.headers, names.not_executed).empty());
+  return refused ||
+         (names.attempt_id.empty() && response.status >= kServerError);
 }
 
 // Returns how long the connection may be idle before its reuse: the timeout
@@ -189,7 +227,8 @@
   // not run twice therefore gets a new connection, which takes about 1 ms. An
   // idempotent request is retried over a new connection.
   std::unique_ptr<BackendConnection> connection =
-      allow_reuse ? this->pool.Take() : nullptr;
+      allow_reuse && this->MayReuse(*call.request) ? this->pool.Take()
+                                                   : nullptr;
   const bool reused = connection != nullptr;
   if (!connection) {
     std::string error;
@@ -236,7 +275,7 @@
   std::size_t sent = 0;
   ReceivedResponse received;
   if (WriteAll(socket, call.deadline, request, sent)) {
-    received = this->ReadOwnResponse(call, connection.reader);
+    received = this->ReadOwnResponse(call, connection.reader, reused);
   } else {
     received.error = "the request could not be sent completely";
   }
@@ -247,10 +286,12 @@
     result.response = std::move(received.response);
     connection.usable_until =
         Clock::now() + ComputeIdleTimeout(result.response);
-    return received.reusable && !stopped;
+    return received.reusable && !stopped &&
+           !MayBeRepeated(result.response, names);
   }
   should_retry = reused && !stopped && !received.timed_out &&
-                 !received.received_bytes && Clock::now() < call.deadline;
+                 (!received.received_bytes || received.undecidable) &&
+                 Clock::now() < call.deadline;
   if (sent == 0 && !stopped) {
     result.error = absl::UnavailableError(
         absl::StrCat("send to ", this->peer, ": ", received.error));
@@ -269,23 +310,42 @@
   return false;
 }
 
+// In a protocol with attempt ids, a response on a reused connection is matched
+// to its request by the id alone.
+bool BackendClient::MayReuse(const HttpRequest& request) const {
+  return this->protocol.headers.attempt_id.empty() ||
+         HasAttemptId(request, this->protocol.headers);
+}
+
 ReceivedResponse BackendClient::ReadOwnResponse(const BackendCall& call,
-                                                WireReader& reader) const {
+                                                WireReader& reader,
+                                                bool reused) const {
   const HeaderNames& names = this->protocol.headers;
   const ResponseLimits limits{kMaxResponseBody, this->protocol.close_delimited};
-  ReceivedResponse received;
-  int mismatched = 0;
-  do {
-    received =
+  for (int skipped = 0; skipped <= kMaxSkippedResponses; ++skipped) {
+    ReceivedResponse received =
         ReadResponse(reader, call.request->method, limits, call.deadline);
-  } while (received.error.empty() &&
-           BelongsToOtherAttempt(received.response, *call.request, names) &&
-           ++mismatched <= kMaxMismatchedResponses);
-  if (mismatched > kMaxMismatchedResponses) {
-    received.error = "only responses to other requests arrived";
-  } else if (received.error.empty()) {
-    received.error = ValidateResponse(received.response, names);
+    if (!received.error.empty()) {
+      return received;
+    }
+    switch (Attribute(received.response, *call.request, names,
+                      reused || skipped > 0)) {
+      case Attribution::kOwn:
+        received.error = ValidateResponse(received.response, names);
+        received.reusable = received.reusable && skipped == 0;
+        return received;
+      case Attribution::kUndecidable:
+        received.error =
+            "the response on a reused connection has no attempt id";
+        received.undecidable = true;
+        return received;
+      case Attribution::kOtherAttempt:
+        break;
+    }
   }
+  ReceivedResponse received;
+  received.received_bytes = true;
+  received.error = "only responses to other requests arrived";
   return received;
 }
 
--- a/Source/daemon/backend_client.h
+++ b/Source/daemon/backend_client.h
@@ -31,8 +31,8 @@
   absl::Status error;
   std::chrono::microseconds latency{0};
   /// Whether the request was retried over a new connection, because a reused
-  /// connection ended without a response. The backend server may have received
-  /// it twice.
+  /// connection ended without a response, or with one that may belong to
+  /// another request. The backend server may have received it twice.
   bool retried = false;
 };
 
@@ -70,8 +70,8 @@
   BackendResult Call(const BackendCall& call);
 
  private:
-  // Sets `should_retry` if a reused connection ended without a response and
-  // the request may be retried over a new connection.
+  // Sets `should_retry` if a reused connection ended without a response to the
+  // request, so that it may be retried over a new connection.
   BackendResult CallOnce(const BackendCall& call,
                          bool allow_reuse,
                          bool& should_retry);
@@ -81,9 +81,11 @@
                 bool reused,
                 BackendResult& result,
                 bool& should_retry);
+  bool MayReuse(const HttpRequest& request) const;
   // Skips responses to other attempts.
   ReceivedResponse ReadOwnResponse(const BackendCall& call,
-                                   WireReader& reader) const;
+                                   WireReader& reader,
+                                   bool reused) const;
 
   std::string peer;
   CallWatchdog& watchdog;
--- a/Source/daemon/backend_response.h
+++ b/Source/daemon/backend_response.h
@@ -23,6 +23,8 @@
   std::string error;  ///< Empty if the response is complete.
   bool timed_out = false;
   bool received_bytes = false;
+  /// Whether the response may belong to another request.
+  bool undecidable = false;
   bool reusable = false;  ///< Whether the connection may be reused.
   HttpResponse response;
 };
--- a/Source/daemon/owner_result.cc
+++ b/Source/daemon/owner_result.cc
@@ -246,6 +246,18 @@
 
 rpc::Result ToResult(const BackendResult& backend, BackendReplyClass reply) {
   rpc::Result result;
+  const bool not_run = reply == BackendReplyClass::kNotExecuted ||
+                       reply == BackendReplyClass::kOtherInstance;
+  if (not_run && backend.retried) {
+    // The refusal concerns the retry; the request that was sent before may have
+    // run.
+    result = MakeUnknownResult(
+        rpc::REFUSAL_BACKEND_FAILED,
+        "the backend server refused a retry and did not answer the request");
+    result.set_sent_to_backend(true);
+    result.set_resent(true);
+    return result;
+  }
   switch (reply) {
     case BackendReplyClass::kOk:
     case BackendReplyClass::kServerError:
--- a/Tests/daemon/backend_client_test.cc
+++ b/Tests/daemon/backend_client_test.cc
@@ -13,6 +13,7 @@
 #include <thread>
 #include <vector>
 
+#include "daemon/owner_result.h"
 #include "daemon/raw_socket.h"
 
 namespace comfrey {
@@ -478,6 +479,11 @@
   const std::string other =
       "HTTP/1.1 200 OK\r\nX-Attempt: 6\r\nX-Mark: m\r\n"
       "Content-Length: 5\r\n\r\nother";
+  const std::string refusal_of_other =
+      "HTTP/1.1 503 S\r\nX-Attempt: 6\r\nX-Not-Run: 1\r\n"
+      "Content-Length: 0\r\n\r\n";
+  const std::string refusal_without_id =
+      "HTTP/1.1 503 S\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
   struct Case {
     std::string name;
     std::string reply;
@@ -489,6 +495,14 @@
       {"other first", other + own, BackendOutcome::kAnswered, "own"},
       {"only others", other + other + other + other + own,
        BackendOutcome::kFailed, ""},
+      {"refusal of another first", refusal_of_other + own,
+       BackendOutcome::kAnswered, "own"},
+      {"only the refusal of another", refusal_of_other, BackendOutcome::kFailed,
+       ""},
+      {"refusal without an id after another", other + refusal_without_id,
+       BackendOutcome::kFailed, ""},
+      {"refusal without an id", refusal_without_id, BackendOutcome::kAnswered,
+       ""},
       {"no signature", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx",
        BackendOutcome::kFailed, ""},
       {"error without signature",
@@ -641,5 +655,115 @@
   CHECK(open == 1);
 }
 
+// When a backend server writes a copy of an earlier refusal.
+enum class CopyTime { kAtOnce, kWhileIdle, kAfterNextRequest };
+
+struct RefusalCopyCase {
+  bool with_ids = true;
+  bool first_refused = true;
+  std::string copy_id;
+  std::string second_id = "2";
+  CopyTime copy_time = CopyTime::kAtOnce;
+  bool idempotent = true;
+};
+
+std::string MakeRefusal(const std::string& id) {
+  return "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\n" +
+         (id.empty() ? "" : "X-Attempt: " + id + "\r\n") +
+         "Content-Length: 0\r\n\r\n";
+}
+
+std::string MakeOwnResponse(const std::string& id) {
+  return "HTTP/1.1 200 OK\r\nX-Attempt: " + id +
+         "\r\nContent-Length: 3\r\n\r\nown";
+}
+
+BackendResult CallWithId(BackendClient& client,
+                         const std::string& id,
+                         bool idempotent) {
+  const HttpRequest request{"POST", "/a", {{"X-Attempt", id}}, ""};
+  return client.Call({&request, idempotent,
+                      Clock::now() + std::chrono::seconds(2),
+                      [] { return false; }});
+}
+
+void CheckRefusalCopy(const RefusalCopyCase& test) {
+  INFO("ids " << test.with_ids << ", first refused " << test.first_refused
+              << ", id of the copy '" << test.copy_id << "', second id "
+              << test.second_id << ", copy time "
+              << static_cast<int>(test.copy_time) << ", idempotent "
+              << test.idempotent);
+  constexpr int kThreads = 4;
+  BackendProtocol protocol;
+  protocol.headers.not_executed = "X-Not-Run";
+  protocol.headers.attempt_id = test.with_ids ? "X-Attempt" : "";
+  std::atomic<int> runs{0};
+  std::atomic<bool> copied{false};
+  const std::string first_id = test.copy_id.empty() ? "1" : test.copy_id;
+  const std::string copy = MakeRefusal(test.copy_id);
+  const RawServer server(
+      kIp,
+      [&](RawSocket& socket, int connection) {
+        bool closed = false;
+        std::string request = socket.Receive(HasHead, kTestTimeout, closed);
+        if (connection == 0) {
+          socket.Send((test.first_refused ? MakeRefusal(first_id)
+                                          : MakeOwnResponse(first_id)) +
+                      (test.copy_time == CopyTime::kAtOnce ? copy : ""));
+          if (test.copy_time == CopyTime::kWhileIdle) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+            socket.Send(copy);
+          }
+          copied = true;
+          request = socket.Receive(HasHead, kTestTimeout, closed);
+          if (HasHead(request) &&
+              test.copy_time == CopyTime::kAfterNextRequest) {
+            socket.Send(copy);
+          }
+        }
+        if (HasHead(request)) {
+          ++runs;
+          socket.Send(MakeOwnResponse(test.second_id));
+          socket.Receive(HasHead, kTestTimeout, closed);
+        }
+      },
+      kThreads);
+  TimerService timers;
+  CallWatchdog watchdog(timers);
+  BackendClient client(kIp, server.Port(), watchdog, protocol);
+  CHECK(CallWithId(client, first_id, true).response.status ==
+        (test.first_refused ? 503 : 200));
+  while (!copied) {
+    std::this_thread::yield();
+  }
+  const BackendResult second =
+      CallWithId(client, test.second_id, test.idempotent);
+  CHECK(second.response.status == 200);
+  CHECK(second.response.body == "own");
+  CHECK(ToResult(second, ClassifyReply(second, protocol.headers)).outcome() ==
+        rpc::OUTCOME_ANSWERED);
+  CHECK((runs == 1 || (test.idempotent && second.retried && runs == 2)));
+}
+
+// Guards against 'not run' for a request that runs, since the backend server
+// writes an earlier refusal once more on a kept connection.
+TEST_CASE("A copy of an earlier refusal is not taken for a response",
+          "[backend_client]") {
+  for (const CopyTime copy_time :
+       {CopyTime::kAtOnce, CopyTime::kWhileIdle, CopyTime::kAfterNextRequest}) {
+    for (const bool idempotent : {false, true}) {
+      for (const char* copy_id : {"", "1"}) {
+        for (const bool first_refused : {false, true}) {
+          CheckRefusalCopy(
+              {true, first_refused, copy_id, "2", copy_time, idempotent});
+        }
+        CheckRefusalCopy({false, true, copy_id, "2", copy_time, idempotent});
+      }
+      // The same attempt is sent again after its refusal.
+      CheckRefusalCopy({true, true, "2", "2", copy_time, idempotent});
+    }
+  }
+}
+
 }  // namespace
 }  // namespace comfrey
--- a/Tests/daemon/owner_result_test.cc
+++ b/Tests/daemon/owner_result_test.cc
@@ -64,6 +64,20 @@
   }
 }
 
+// Guards against 'not run' for a request that was sent twice, since the refusal
+// of the second sending says nothing about the first.
+TEST_CASE("a refused retry does not count as not run") {
+  for (const int status : {503, 421}) {
+    BackendResult result = Answer(status, {{"X-Not-Run", "1"}});
+    result.retried = true;
+    const rpc::Result reply =
+        ToResult(result, ClassifyReply(result, MarkedNames()));
+    CHECK(reply.outcome() == rpc::OUTCOME_UNKNOWN);
+    CHECK(reply.sent_to_backend());
+    CHECK(reply.resent());
+  }
+}
+
 // Checks the classification of replies from backend servers that do not mark
 // refusals.
 TEST_CASE("without marks, Retry-After indicates shedding") {
