Test responses that are cut at any byte

Operators reported a 200 with an empty or short body after a backend server stopped in the head of its response and closed. They cut six kinds of responses after each byte, with a close and with a reset, for idempotent and non-idempotent requests and a reused connection, and send cut responses through two daemons.

--- a/Tests/daemon/backend_client_test.cc
+++ b/Tests/daemon/backend_client_test.cc
@@ -765,5 +765,96 @@
   }
 }
 
+struct CutCase {
+  std::string name;
+  std::string head;
+  std::string body;
+  // Whether the end of the connection is the end of the body.
+  bool close_delimited = false;
+};
+
+// Which connection carries the response that is cut.
+enum class CutConnection { kNewIdempotent, kNewNonIdempotent, kReused };
+
+// Sends each response cut after 0, 1, 2, ... bytes, and closes or resets the
+// connection.
+void CheckCuts(const CutCase& test, bool reset, CutConnection kind) {
+  constexpr int kThreads = 4;
+  const std::string whole = test.head + test.body;
+  std::atomic<std::size_t> cut{0};
+  BackendProtocol protocol;
+  protocol.close_delimited = true;
+  const RawServer server(
+      kIp,
+      [&](RawSocket& socket, int) {
+        bool closed = false;
+        std::string request = socket.Receive(HasHead, kTestTimeout, closed);
+        if (request.rfind("GET", 0) == 0) {
+          socket.Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+          request = socket.Receive(HasHead, kTestTimeout, closed);
+        }
+        if (HasHead(request)) {
+          socket.Send(whole.substr(0, cut));
+          if (reset) {
+            socket.ResetOnClose();
+          }
+        }
+      },
+      kThreads);
+  TimerService timers;
+  CallWatchdog watchdog(timers);
+  BackendClient client(kIp, server.Port(), watchdog, protocol);
+  const bool idempotent = kind != CutConnection::kNewNonIdempotent;
+  const auto call = [&](const std::string& method) {
+    const HttpRequest request{method, "/a", {}, ""};
+    return client.Call({&request, idempotent, Clock::now() + kTestTimeout,
+                        [] { return false; }});
+  };
+  for (; cut < whole.size(); ++cut) {
+    INFO(test.name << ", " << cut << " bytes, reset " << reset << ", kind "
+                   << static_cast<int>(kind));
+    if (kind == CutConnection::kReused) {
+      REQUIRE(call("GET").outcome == BackendOutcome::kAnswered);
+    }
+    const BackendResult result = call("POST");
+    if (test.close_delimited && !reset && cut >= test.head.size()) {
+      CHECK(result.response.body ==
+            test.body.substr(0, cut - test.head.size()));
+      continue;
+    }
+    CHECK(result.outcome == BackendOutcome::kFailed);
+    CHECK(result.response.status == 0);
+    CHECK(ToResult(result, ClassifyReply(result, protocol.headers)).outcome() ==
+          rpc::OUTCOME_UNKNOWN);
+  }
+}
+
+// Guards against an empty or short response that looks complete, since the
+// backend server ended the connection within the head or the body.
+TEST_CASE("A response that is cut at any byte is not delivered",
+          "[backend_client]") {
+  const std::vector<CutCase> cases = {
+      {"length", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "hello"},
+      {"empty", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", ""},
+      {"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+       "3\r\nhel\r\n2\r\nlo\r\n0\r\nX: 1\r\n\r\n"},
+      {"interim response",
+       "HTTP/1.1 103 Early Hints\r\nX: 1\r\n\r\n"
+       "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n",
+       "a"},
+      {"no content", "HTTP/1.1 204 No Content\r\nX: 1\r\n\r\n", ""},
+      {"ends with the connection", "HTTP/1.1 200 OK\r\nX: 1\r\n\r\n", "hello",
+       true}};
+  for (const CutCase& test : cases) {
+    for (const bool reset : {false, true}) {
+      for (const CutConnection kind :
+           {CutConnection::kNewIdempotent, CutConnection::kNewNonIdempotent,
+            CutConnection::kReused}) {
+        CheckCuts(test, reset, kind);
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace comfrey
--- a/Tests/system/registry_test.cc
+++ b/Tests/system/registry_test.cc
@@ -12,8 +12,10 @@
 #include <string>
 #include <thread>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "catch2/catch.hpp"
+#include "daemon/raw_socket.h"
 #include "fake_registry.h"
 #include "published_documents.h"
 #include "system/process.h"
@@ -229,5 +231,66 @@
   CHECK(Clock::now() - begin < std::chrono::seconds(6));
 }
 
+// Guards against a success with an empty or short body that looks complete,
+// since the backend server ended the connection within its response.
+TEST_CASE("a response cut at any byte reaches no caller as a success") {
+  const std::string whole =
+      "HTTP/1.1 200 OK\r\nX-Mark: i-1\r\nX-Attempt: 7\r\n"
+      "Content-Length: 5\r\n\r\nhello";
+  constexpr std::size_t kStep = 1;
+  std::atomic<std::size_t> cut{0};
+  std::atomic<int> requests{0};
+  RegistryFleet fleet;
+  const RawServer server(
+      AddressOf(1),
+      [&](RawSocket& socket, int connection) {
+        bool closed = false;
+        const auto has_body = [](const std::string& bytes) {
+          return absl::EndsWith(bytes, "\r\n\r\nbody");
+        };
+        if (!has_body(
+                socket.Receive(has_body, std::chrono::seconds(1), closed))) {
+          return;
+        }
+        ++requests;
+        socket.Send(whole.substr(0, cut));
+        if (connection % 2 == 0) {
+          socket.ResetOnClose();
+        }
+      },
+      4);
+  REQUIRE(WaitFor(
+      [] { return RegistryFleet::IsReady(1) && RegistryFleet::IsReady(2); }));
+  fleet.registry.Put(MakeRegistrationKey("i-2"), RegistrationOf(2, true));
+  fleet.registry.Put(
+      MakeRegistrationKey("i-1"),
+      MakeRegistration("booking",
+                       absl::StrCat(AddressOf(1), ":", server.Port()), "a",
+                       false));
+  cut = whole.size();
+  REQUIRE(WaitFor([&] {
+    const httplib::Result result = RegistryFleet::Send(2, "/a/x");
+    return requests > 0 && result && result->status == 200 &&
+           result->body == "hello";
+  }));
+  requests = 0;
+  int refusals = 0;
+  for (cut = 0; cut < whole.size(); cut += kStep) {
+    for (int vm = 1; vm <= 2; ++vm) {
+      INFO(cut << " bytes");
+      const httplib::Result result = RegistryFleet::Send(vm, "/a/x");
+      const bool refused = result && result->status == 503;
+      refusals += refused ? 1 : 0;
+      CHECK((!result || result->status == 502 || refused));
+    }
+  }
+  CHECK(requests > 0);
+  INFO(refusals << " refusals");
+  // A promise that the request did not run holds only for requests that the
+  // backend server did not receive.
+  CHECK(requests + refusals ==
+        2 * static_cast<int>((whole.size() + kStep - 1) / kStep));
+}
+
 }  // namespace
 }  // namespace comfrey
