Bound the memory of responses and the time of probes

A backend server may send bytes without end until its caller closes. Calls ended by their own limits, but each call of a daemon could take 8 MiB, and its memory limit is 32 MB. A health response without end or sent byte by byte held up all probes, since the timeout of the HTTP library applies to each read and the size has no limit.

The bodies that a daemon receives at the same time take at most 8 MiB together, besides the first 64 KiB of each, so that small responses never fail for it.

Seen to fail with the former prober: endpoint_prober_test.cc:123: Clock::now() - begin < kMaxProbeTime endpoint_prober_test.cc:127: sent < kMaxSent with expansion: < and without the shared limit: backend_client_test.cc:1009: call("/large").outcome == kFailed, 0 == 2 "Bytes without end do not outlast the limits of a call" passed before. It fails without the limits of interim responses and of a body: backend_client_test.cc:939: result.outcome == test.outcome, 3 == 2

--- a/Source/daemon/backend_client.cc
+++ b/Source/daemon/backend_client.cc
@@ -21,6 +21,7 @@
 // The memory limit of a daemon is 32 MB, and a larger response would take a
 // large part of it.
 constexpr std::size_t kMaxResponseBody = 8 << 20;
+constexpr std::size_t kMaxProbeBody = 64 << 10;
 
 // The reuse of a connection stops this long before the idle timeout of the
 // backend server. A request that is sent later may reach a closed connection
@@ -176,11 +177,12 @@
                              int port,
                              CallWatchdog& watchdog,
                              BackendProtocol protocol,
-                             std::size_t connection_limit)
+                             const BackendLimits& limits)
     : peer(absl::StrCat(ip, ":", port)),
       watchdog(watchdog),
       protocol(std::move(protocol)),
-      pool(ip, port, connection_limit, watchdog.Timers()) {}
+      responses(limits.responses),
+      pool(ip, port, limits.connections, watchdog.Timers()) {}
 
 void BackendClient::SetConnectionLimit(std::size_t limit) {
   this->pool.SetLimit(limit);
@@ -310,6 +312,28 @@
   return false;
 }
 
+ReceivedResponse BackendClient::Probe(const std::string& path,
+                                      Clock::time_point deadline) {
+  const std::string request =
+      absl::StrCat("GET ", path, " HTTP/1.1\r\nHost: ", this->peer,
+                   "\r\nConnection: close\r\n\r\n");
+  ReceivedResponse received;
+  std::unique_ptr<BackendConnection> connection =
+      this->pool.Open(deadline, received.error);
+  if (!connection) {
+    return received;
+  }
+  std::size_t sent = 0;
+  if (WriteAll(connection->socket, deadline, request, sent)) {
+    received = ReadResponse(connection->reader, "GET",
+                            {kMaxProbeBody, true, nullptr}, deadline);
+  } else {
+    received.error = "the request could not be sent completely";
+  }
+  this->pool.Close(std::move(connection));
+  return received;
+}
+
 // In a protocol with attempt ids, a response on a reused connection is matched
 // to its request by the id alone.
 bool BackendClient::MayReuse(const HttpRequest& request) const {
@@ -321,7 +345,8 @@
                                                 WireReader& reader,
                                                 bool reused) const {
   const HeaderNames& names = this->protocol.headers;
-  const ResponseLimits limits{kMaxResponseBody, this->protocol.close_delimited};
+  const ResponseLimits limits{kMaxResponseBody, this->protocol.close_delimited,
+                              this->responses};
   for (int skipped = 0; skipped <= kMaxSkippedResponses; ++skipped) {
     ReceivedResponse received =
         ReadResponse(reader, call.request->method, limits, call.deadline);
--- a/Source/daemon/backend_client.h
+++ b/Source/daemon/backend_client.h
@@ -49,6 +49,16 @@
 /// \brief Number of connections to a backend server whose slots are unknown.
 constexpr std::size_t kDefaultConnectionLimit = 16;
 
+/// \brief What the calls to one backend server may use.
+struct BackendLimits {
+  /// Connections, in use and idle, that the backend server can serve: its
+  /// slots.
+  std::size_t connections = kDefaultConnectionLimit;
+  /// Shared by the endpoints of a daemon; without it, each response has its own
+  /// limit only.
+  ResponseBudget* responses = nullptr;
+};
+
 /// \brief Sends requests to one endpoint over a pool of HTTP connections.
 class BackendClient {
  public:
@@ -56,7 +66,7 @@
                 int port,
                 CallWatchdog& watchdog,
                 BackendProtocol protocol = {},
-                std::size_t connection_limit = kDefaultConnectionLimit);
+                const BackendLimits& limits = {});
 
   BackendClient(const BackendClient&) = delete;
   BackendClient& operator=(const BackendClient&) = delete;
@@ -69,6 +79,12 @@
   /// more than 8 MiB fails the call.
   BackendResult Call(const BackendCall& call);
 
+  /// \brief Sends a GET request over a connection of its own and returns the
+  /// response, whose body has at most 64 KiB and which may end with the
+  /// connection.
+  ReceivedResponse Probe(const std::string& path,
+                         std::chrono::steady_clock::time_point deadline);
+
  private:
   // Sets `should_retry` if a reused connection ended without a response to the
   // request, so that it may be retried over a new connection.
@@ -90,6 +106,7 @@
   std::string peer;
   CallWatchdog& watchdog;
   BackendProtocol protocol;
+  ResponseBudget* responses;
   BackendConnectionPool pool;
 };
 
--- a/Source/daemon/backend_response.cc
+++ b/Source/daemon/backend_response.cc
@@ -116,12 +116,14 @@
       received.error = "the response has no length and is not chunked";
       return received;
     }
-    const WireError error =
-        ends_with_connection
-            ? reader.ReadUntilClose(deadline, limits.body_bytes,
-                                    received.response.body)
-            : ReadBody(reader, deadline, framing, limits.body_bytes,
-                       received.response.body);
+    ResponseReservation reservation(limits.budget);
+    BodyBuffer body;
+    body.max_bytes = limits.body_bytes;
+    body.reservation = &reservation;
+    const WireError error = ends_with_connection
+                                ? reader.ReadUntilClose(deadline, body)
+                                : ReadBody(reader, deadline, framing, body);
+    received.response.body = std::move(body.bytes);
     if (error != WireError::kNone) {
       return Fail(std::move(received), error, limits);
     }
--- a/Source/daemon/backend_response.h
+++ b/Source/daemon/backend_response.h
@@ -7,15 +7,18 @@
 
 #include "core/http_message.h"
 #include "daemon/http_wire.h"
+#include "daemon/response_budget.h"
 
 namespace comfrey {
 
-/// \brief What a response may be like.
+/// \brief Limits of one response.
 struct ResponseLimits {
   std::size_t body_bytes = 0;
   /// Whether the end of the connection may mark the end of a response without a
   /// length.
   bool close_delimited = false;
+  /// Shared by all responses of the daemon; may be null.
+  ResponseBudget* budget = nullptr;
 };
 
 /// \brief Result of reading one response.
--- a/Source/daemon/endpoint_prober.cc
+++ b/Source/daemon/endpoint_prober.cc
@@ -1,6 +1,5 @@
 #include "daemon/endpoint_prober.h"
 
-#include <httplib.h>
 #include <spdlog/spdlog.h>
 
 #include <chrono>
@@ -13,13 +12,15 @@
 namespace {
 
 constexpr char kHealthPath[] = "/health";
+// For the whole probe, so that a response that is sent byte by byte does not
+// hold up the probes of the other endpoints.
 constexpr std::chrono::milliseconds kProbeTimeout{500};
 constexpr int kOk = 200;
 
 // A backend server announces that it is draining by a header or at the start of
 // the body of its health endpoint.
-bool AnnouncesDraining(const httplib::Response& response) {
-  return response.has_header("Draining") ||
+bool AnnouncesDraining(const HttpResponse& response) {
+  return !FindHeader(response.headers, "Draining").empty() ||
          absl::StartsWith(response.body, "draining");
 }
 
@@ -38,12 +39,10 @@
 }
 
 void EndpointProber::Probe(OwnedEndpoint& endpoint) {
-  const EndpointConfig& config = endpoint.identity.endpoint;
-  httplib::Client client(config.ip, config.port);
-  client.set_connection_timeout(kProbeTimeout);
-  client.set_read_timeout(kProbeTimeout);
-  const httplib::Result reply = client.Get(kHealthPath);
-  const bool passed = reply && reply->status == kOk;
+  const ReceivedResponse reply = endpoint.client.Probe(
+      kHealthPath, std::chrono::steady_clock::now() + kProbeTimeout);
+  const bool replied = reply.error.empty();
+  const bool passed = replied && reply.response.status == kOk;
   this->probes.Add();
   if (!passed) {
     this->failed_probes.Add();
@@ -54,14 +53,14 @@
               passed ? ProbeResult::kPassed : ProbeResult::kFailed, now);
   // Without a reply, the drain state stays as it is: a backend server that was
   // draining may have stopped by now.
-  if (!reply) {
+  if (!replied) {
     return;
   }
-  const bool draining = AnnouncesDraining(*reply);
+  const bool draining = AnnouncesDraining(reply.response);
   if (draining != endpoint.drain.backend_server) {
     endpoint.drain.backend_server = draining;
     UpdateDraining(endpoint, now);
-    spdlog::info("backend server {} {}", config.address,
+    spdlog::info("backend server {} {}", endpoint.identity.endpoint.address,
                  draining ? "drains" : "no longer drains");
   }
 }
--- a/Source/daemon/http_wire.cc
+++ b/Source/daemon/http_wire.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <utility>
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
@@ -81,10 +82,22 @@
   return absl::SimpleHexAtoi(digits, &size);
 }
 
+// Returns false if that would exceed a limit.
+bool Append(absl::string_view bytes, BodyBuffer& body) {
+  if (bytes.size() > body.max_bytes - body.bytes.size()) {
+    return false;
+  }
+  if (body.reservation != nullptr &&
+      !body.reservation->Grow(body.bytes.size() + bytes.size())) {
+    return false;
+  }
+  body.bytes.append(bytes.data(), bytes.size());
+  return true;
+}
+
 WireError ReadChunks(WireReader& reader,
                      Clock::time_point deadline,
-                     std::size_t max_bytes,
-                     std::string& body) {
+                     BodyBuffer& body) {
   for (;;) {
     std::size_t bytes_left = kMaxChunkLine;
     std::string line;
@@ -99,7 +112,7 @@
     if (size == 0) {
       break;
     }
-    if (size > max_bytes - body.size()) {
+    if (size > body.max_bytes - body.bytes.size()) {
       return WireError::kBodyTooLarge;
     }
     error = reader.ReadBytes(deadline, size, body);
@@ -202,13 +215,15 @@
 
 WireError WireReader::ReadBytes(TimePoint deadline,
                                 std::size_t count,
-                                std::string& bytes) {
+                                BodyBuffer& body) {
   for (;;) {
-    const std::size_t taken =
-        std::min(count, this->buffer.size() - this->position);
-    bytes.append(this->buffer, this->position, taken);
-    this->position += taken;
-    count -= taken;
+    const absl::string_view received =
+        absl::string_view(this->buffer).substr(this->position, count);
+    if (!Append(received, body)) {
+      return WireError::kBodyTooLarge;
+    }
+    this->position += received.size();
+    count -= received.size();
     if (count == 0) {
       return WireError::kNone;
     }
@@ -219,15 +234,12 @@
   }
 }
 
-WireError WireReader::ReadUntilClose(TimePoint deadline,
-                                     std::size_t max_bytes,
-                                     std::string& bytes) {
+WireError WireReader::ReadUntilClose(TimePoint deadline, BodyBuffer& body) {
   for (;;) {
-    bytes.append(this->buffer, this->position, std::string::npos);
-    this->position = this->buffer.size();
-    if (bytes.size() > max_bytes) {
+    if (!Append(absl::string_view(this->buffer).substr(this->position), body)) {
       return WireError::kBodyTooLarge;
     }
+    this->position = this->buffer.size();
     const WireError error = this->FillBuffer(deadline);
     if (error != WireError::kNone) {
       return error == WireError::kClosed ? WireError::kNone : error;
@@ -302,17 +314,28 @@
 WireError ReadBody(WireReader& reader,
                    WireReader::TimePoint deadline,
                    const BodyFraming& framing,
-                   std::size_t max_bytes,
-                   std::string& body) {
+                   BodyBuffer& body) {
   if (framing.chunked) {
-    return ReadChunks(reader, deadline, max_bytes, body);
+    return ReadChunks(reader, deadline, body);
   }
-  if (framing.length > max_bytes) {
+  if (framing.length > body.max_bytes) {
     return WireError::kBodyTooLarge;
   }
   return reader.ReadBytes(deadline, framing.length, body);
 }
 
+WireError ReadBody(WireReader& reader,
+                   WireReader::TimePoint deadline,
+                   const BodyFraming& framing,
+                   std::size_t max_bytes,
+                   std::string& body) {
+  BodyBuffer buffer;
+  buffer.max_bytes = max_bytes;
+  const WireError error = ReadBody(reader, deadline, framing, buffer);
+  body = std::move(buffer.bytes);
+  return error;
+}
+
 bool IsValidHeader(const HttpHeader& header) {
   return IsToken(header.name) && IsFieldText(header.value);
 }
--- a/Source/daemon/http_wire.h
+++ b/Source/daemon/http_wire.h
@@ -8,6 +8,7 @@
 
 #include "absl/strings/string_view.h"
 #include "core/http_message.h"
+#include "daemon/response_budget.h"
 
 namespace comfrey {
 
@@ -22,6 +23,15 @@
   kBodyTooLarge,  ///< The body exceeds its limit.
 };
 
+/// \brief A body that is being received, and its limits.
+struct BodyBuffer {
+  std::string bytes;
+  std::size_t max_bytes = 0;
+  /// Limits the memory of several bodies together; null if only `max_bytes`
+  /// applies.
+  ResponseReservation* reservation = nullptr;
+};
+
 /// \brief Buffered reader of one socket; each read has a deadline. Does not own
 /// the socket.
 class WireReader {
@@ -44,16 +54,12 @@
                      std::size_t& bytes_left,
                      std::string& line);
 
-  /// \brief Reads `count` bytes and appends them to `bytes`.
-  WireError ReadBytes(TimePoint deadline,
-                      std::size_t count,
-                      std::string& bytes);
+  /// \brief Reads `count` bytes and appends them to the body.
+  WireError ReadBytes(TimePoint deadline, std::size_t count, BodyBuffer& body);
 
   /// \brief Reads until the peer closes the connection and appends the bytes to
-  /// `bytes`, which may hold at most `max_bytes`.
-  WireError ReadUntilClose(TimePoint deadline,
-                           std::size_t max_bytes,
-                           std::string& bytes);
+  /// the body.
+  WireError ReadUntilClose(TimePoint deadline, BodyBuffer& body);
 
  private:
   WireError FillBuffer(TimePoint deadline);
@@ -87,7 +93,13 @@
 std::string DetermineFraming(const std::vector<HttpHeader>& headers,
                              BodyFraming& framing);
 
-/// \brief Reads a body and decodes chunks. `body` may hold at most `max_bytes`.
+/// \brief Reads a body and decodes chunks.
+WireError ReadBody(WireReader& reader,
+                   WireReader::TimePoint deadline,
+                   const BodyFraming& framing,
+                   BodyBuffer& body);
+
+/// \brief As above; `body` may hold at most `max_bytes`.
 WireError ReadBody(WireReader& reader,
                    WireReader::TimePoint deadline,
                    const BodyFraming& framing,
--- a/Source/daemon/owned_endpoint.h
+++ b/Source/daemon/owned_endpoint.h
@@ -58,7 +58,8 @@
                 const ServiceConfig& service,
                 const std::vector<RankConfig>& ranks,
                 CallWatchdog& watchdog,
-                const BackendProtocol& protocol);
+                const BackendProtocol& protocol,
+                ResponseBudget& responses);
 
   EndpointIdentity identity;
   BackendClient client;
--- a/Source/daemon/owner_service.cc
+++ b/Source/daemon/owner_service.cc
@@ -118,7 +118,8 @@
               EndpointIdentity{
                   team, service.name, endpoint, this->identity.incarnation,
                   this->identity.started_at, this->identity.started_at_wall},
-              service, subtree->config->ranks, this->watchdog, this->protocol);
+              service, subtree->config->ranks, this->watchdog, this->protocol,
+              this->responses);
         }
         const std::lock_guard<std::mutex> endpoint_lock(owned->mutex);
         owned->configured = true;
--- a/Source/daemon/owner_service.h
+++ b/Source/daemon/owner_service.h
@@ -103,6 +103,10 @@
  private:
   struct Call;
 
+  // The responses that are being received take at most a quarter of the memory
+  // limit of a daemon, 32 MB, and one response of the largest size fits.
+  static constexpr std::size_t kMaxReceivedBytes = 8 << 20;
+
   std::shared_ptr<OwnedEndpoint> Find(const std::string& team,
                                       const std::string& service,
                                       const std::string& endpoint) const;
@@ -135,6 +139,7 @@
   Metric& refusals;
   Metric& backend_calls;
   Metric& backend_failures;
+  ResponseBudget responses{kMaxReceivedBytes};
   mutable std::mutex mutex;
   std::map<std::string, std::shared_ptr<OwnedEndpoint>> endpoints;
 };
