--- a/Source/daemon/backend_client.h
+++ b/Source/daemon/backend_client.h
@@ -2,21 +2,19 @@
 #define DAEMON_BACKEND_CLIENT_H_
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
-#include <memory>
-#include <mutex>
 #include <string>
-#include <vector>
 
 #include "absl/status/status.h"
 #include "config/daemon_settings.h"
 #include "core/http_message.h"
+#include "daemon/backend_connection_pool.h"
+#include "daemon/backend_response.h"
 #include "daemon/call_watchdog.h"
 
 namespace comfrey {
 
-struct BackendConnection;
-
 /// \brief Outcome of a call to a backend server.
 enum class BackendOutcome {
   kAnswered,   ///< A complete response arrived.
@@ -33,8 +31,8 @@
   absl::Status error;
   std::chrono::microseconds latency{0};
   /// Whether the request was retried over a new connection, because a reused
-  /// connection ended without a response. The backend server may have received
-  /// it twice.
+  /// connection ended without a response, or with one that may belong to
+  /// another request. The backend server may have received it twice.
   bool retried = false;
 };
 
@@ -48,37 +46,68 @@
   std::function<bool()> cancelled;
 };
 
+/// \brief Number of connections to a backend server whose slots are unknown.
+constexpr std::size_t kDefaultConnectionLimit = 16;
+
+/// \brief What the calls to one backend server may use.
+struct BackendLimits {
+  /// Connections, in use and idle, that the backend server can serve: its
+  /// slots.
+  std::size_t connections = kDefaultConnectionLimit;
+  /// Shared by the endpoints of a daemon; without it, each response has its own
+  /// limit only.
+  ResponseBudget* responses = nullptr;
+};
+
 /// \brief Sends requests to one endpoint over a pool of HTTP connections.
 class BackendClient {
  public:
-  BackendClient(std::string ip,
+  BackendClient(const std::string& ip,
                 int port,
                 CallWatchdog& watchdog,
-                BackendProtocol protocol = {});
-  ~BackendClient();
+                BackendProtocol protocol = {},
+                const BackendLimits& limits = {});
 
   BackendClient(const BackendClient&) = delete;
   BackendClient& operator=(const BackendClient&) = delete;
 
+  /// \brief Changes the number of connections, in use and idle, that the
+  /// backend server can serve: its slots.
+  void SetConnectionLimit(std::size_t limit);
+
   /// \brief Sends one request and waits for the complete response. A body of
   /// more than 8 MiB fails the call.
   BackendResult Call(const BackendCall& call);
 
+  /// \brief Sends a GET request over a connection of its own and returns the
+  /// response, whose body has at most 64 KiB and which may end with the
+  /// connection.
+  ReceivedResponse Probe(const std::string& path,
+                         std::chrono::steady_clock::time_point deadline);
+
  private:
-  // Sets `should_retry` if a reused connection ended without a response and
-  // the request may be retried over a new connection.
+  // Sets `should_retry` if a reused connection ended without a response to the
+  // request, so that it may be retried over a new connection.
   BackendResult CallOnce(const BackendCall& call,
                          bool allow_reuse,
                          bool& should_retry);
-  std::unique_ptr<BackendConnection> TakeConnection();
-  void ReturnConnection(std::unique_ptr<BackendConnection> connection);
+  // As CallOnce, over the given connection; returns whether it may be reused.
+  bool Exchange(const BackendCall& call,
+                BackendConnection& connection,
+                bool reused,
+                BackendResult& result,
+                bool& should_retry);
+  bool MayReuse(const HttpRequest& request) const;
+  // Skips responses to other attempts.
+  ReceivedResponse ReadOwnResponse(const BackendCall& call,
+                                   WireReader& reader,
+                                   bool reused) const;
 
-  std::string ip;
-  int port;
+  std::string peer;
   CallWatchdog& watchdog;
   BackendProtocol protocol;
-  std::mutex mutex;
-  std::vector<std::unique_ptr<BackendConnection>> idle;
+  ResponseBudget* responses;
+  BackendConnectionPool pool;
 };
 
 }  // namespace comfrey
--- a/Source/daemon/daemon.cc
+++ b/Source/daemon/daemon.cc
@@ -33,6 +33,10 @@
 // callers.
 constexpr std::chrono::milliseconds kPathTrialPeriod{200};
 constexpr std::chrono::milliseconds kPathTrialTimeout{600};
+// Number of paths that are tested at the same time. One after the other, the
+// trials of 82 suspect paths kept some of them out of use for 15 s after a
+// partition. The number is limited, since each trial opens a connection.
+constexpr std::size_t kConcurrentPathTrials = 16;
 constexpr int kNotFound = 404;
 // Calls of peers that are still in progress after this time are cancelled.
 constexpr std::chrono::milliseconds kPeerServerShutdownTimeout{100};
@@ -149,7 +153,7 @@
       recovery_thread(kRecoveryPeriod,
                       [this] { this->recovery.ReadMissingJournals(); }),
       vm_list_thread(kVmListPeriod, [this] { this->vm_list.ReadOnce(); }),
-      path_trial_thread(kPathTrialPeriod, [this] { this->RunPathTrials(); }),
+      path_trial_thread(kPathTrialPeriod, [this] { this->RunDuePathTrials(); }),
       local_service(this->settings.local_service) {}
 
 Daemon::~Daemon() {
@@ -295,26 +299,35 @@
   }
 }
 
-void Daemon::RunPathTrials() {
+void Daemon::RunDuePathTrials() {
   std::vector<std::string> ips = this->directory.BeginDueTrials();
   for (std::string& ip : this->directory.UnconnectedStandbys()) {
     ips.push_back(std::move(ip));
   }
-  for (const std::string& ip : ips) {
-    const TimePoint sent_at = Clock::now();
-    const bool reached =
-        this->owner_client
-            .RefreshStamp(ip, sent_at + kPathTrialTimeout, kPathTrialTimeout,
-                          [this] { return this->stopping.load(); })
-            .has_value();
-    if (this->stopping) {
-      return;
-    }
-    const TimePoint now = Clock::now();
-    if (reached) {
-      this->directory.RecordAccepted(ip, sent_at, now);
+  for (std::size_t begin = 0; begin < ips.size() && !this->stopping;
+       begin += kConcurrentPathTrials) {
+    const std::size_t end = std::min(begin + kConcurrentPathTrials, ips.size());
+    this->RunPathTrials({ips.begin() + static_cast<std::ptrdiff_t>(begin),
+                         ips.begin() + static_cast<std::ptrdiff_t>(end)});
+  }
+}
+
+void Daemon::RunPathTrials(const std::vector<std::string>& ips) {
+  const TimePoint sent_at = Clock::now();
+  const std::vector<std::optional<TimePoint>> replied_at =
+      this->owner_client.RefreshStamps(
+          ips, sent_at + kPathTrialTimeout,
+          [this] { return this->stopping.load(); });
+  if (this->stopping) {
+    return;
+  }
+  const TimePoint now = Clock::now();
+  for (std::size_t i = 0; i < ips.size(); ++i) {
+    if (replied_at[i]) {
+      this->directory.RecordAccepted(ips[i], sent_at, *replied_at[i]);
     } else {
-      this->directory.RecordFailure(ip, PathFailure::kTransport, sent_at, now);
+      this->directory.RecordFailure(ips[i], PathFailure::kTransport, sent_at,
+                                    now);
     }
   }
 }
--- a/Source/daemon/daemon.h
+++ b/Source/daemon/daemon.h
@@ -9,6 +9,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "absl/status/status.h"
 #include "base/counters.h"
@@ -75,7 +76,8 @@
   std::string LocalService();
   std::optional<CallerLimits> PublishedLimits();
   void ApplyRegistryView(const RegistryView& view);
-  void RunPathTrials();
+  void RunDuePathTrials();
+  void RunPathTrials(const std::vector<std::string>& ips);
   void SubscribeTimers();
   void Tick(TimePoint now);
   void SlowTick(TimePoint now);
--- a/Source/daemon/owner_client.cc
+++ b/Source/daemon/owner_client.cc
@@ -34,6 +34,7 @@
   void Set(bool ok) {
     const std::lock_guard<std::mutex> lock(this->mutex);
     this->succeeded = ok;
+    this->ended_at = Clock::now();
     this->done = true;
     this->changed.notify_all();
   }
@@ -52,15 +53,59 @@
     return this->succeeded;
   }
 
+  // Returns when the call ended; valid after Wait.
+  Clock::time_point EndedAt() const { return this->ended_at; }
+
  private:
   std::mutex mutex;
   std::condition_variable changed;
   bool done = false;
   bool succeeded = false;
+  Clock::time_point ended_at;
+};
+
+// A unary call that has been started over the pooled channel.
+template <typename Request, typename Reply>
+class StartedCall {
+ public:
+  StartedCall(ChannelPool& channels,
+              const std::string& address,
+              UnaryCall<Request, Reply> method,
+              const Request& request,
+              Reply& reply,
+              Clock::time_point deadline)
+      : channels(channels), channel(channels.Get(address)) {
+    this->context.set_deadline(ToSystemTime(deadline));
+    this->context.set_wait_for_ready(true);
+    (this->channel->stub->async()->*method)(
+        &this->context, &request, &reply,
+        [this](const grpc::Status& status) { this->end.Set(status.ok()); });
+  }
+
+  StartedCall(const StartedCall&) = delete;
+  StartedCall& operator=(const StartedCall&) = delete;
+
+  // Waits for the end of the call; returns whether it succeeded. If the call
+  // fails and is not cancelled, removes the channel from the pool.
+  bool Wait(const CancelCheck& cancelled) {
+    if (this->end.Wait(this->context, cancelled)) {
+      return true;
+    }
+    if (!cancelled()) {
+      this->channels.Remove(this->channel);
+    }
+    return false;
+  }
+
+  Clock::time_point EndedAt() const { return this->end.EndedAt(); }
+
+ private:
+  ChannelPool& channels;
+  std::shared_ptr<PeerChannel> channel;
+  grpc::ClientContext context;
+  CallEnd end;
 };
 
-// Performs a unary call over the pooled channel. If the call fails and is not
-// cancelled, removes the channel from the pool.
 template <typename Request, typename Reply>
 bool CallOnce(ChannelPool& channels,
               const std::string& address,
@@ -69,21 +114,9 @@
               Reply& reply,
               Clock::time_point deadline,
               const CancelCheck& cancelled) {
-  const std::shared_ptr<PeerChannel> channel = channels.Get(address);
-  grpc::ClientContext context;
-  context.set_deadline(ToSystemTime(deadline));
-  context.set_wait_for_ready(true);
-  CallEnd end;
-  (channel->stub->async()->*method)(
-      &context, &request, &reply,
-      [&end](const grpc::Status& status) { end.Set(status.ok()); });
-  if (end.Wait(context, cancelled)) {
-    return true;
-  }
-  if (!cancelled()) {
-    channels.Remove(channel);
-  }
-  return false;
+  StartedCall<Request, Reply> call(channels, address, method, request, reply,
+                                   deadline);
+  return call.Wait(cancelled);
 }
 
 // Performs a unary call, and retries it once over a new connection if it fails.
@@ -154,6 +187,32 @@
   return ReceivedStamp{FromProto(stamp), Clock::now()};
 }
 
+std::vector<std::optional<OwnerClient::TimePoint>> OwnerClient::RefreshStamps(
+    const std::vector<std::string>& ips,
+    TimePoint deadline,
+    const CancelCheck& cancelled) {
+  using StampCall = StartedCall<rpc::StampRequest, rpc::OwnerStamp>;
+  const UnaryCall<rpc::StampRequest, rpc::OwnerStamp> method =
+      &AsyncPeer::GetStamp;
+  const rpc::StampRequest request;
+  std::vector<rpc::OwnerStamp> stamps(ips.size());
+  std::vector<std::unique_ptr<StampCall>> calls;
+  calls.reserve(ips.size());
+  for (std::size_t i = 0; i < ips.size(); ++i) {
+    calls.push_back(std::make_unique<StampCall>(this->channels,
+                                                this->AddressOf(ips[i]), method,
+                                                request, stamps[i], deadline));
+  }
+  std::vector<std::optional<TimePoint>> replied_at(ips.size());
+  for (std::size_t i = 0; i < ips.size(); ++i) {
+    if (calls[i]->Wait(cancelled)) {
+      this->StoreStamp(ips[i], stamps[i]);
+      replied_at[i] = calls[i]->EndedAt();
+    }
+  }
+  return replied_at;
+}
+
 std::optional<rpc::LoadReply> OwnerClient::QueryLoad(
     const std::string& ip,
     const rpc::LoadRequest& request,
--- a/Source/daemon/owner_client.h
+++ b/Source/daemon/owner_client.h
@@ -44,6 +44,14 @@
                                             std::chrono::microseconds timeout,
                                             const CancelCheck& cancelled);
 
+  /// \brief Requests a new stamp from each of the owners at the same time.
+  /// Returns when each replied, or nothing for an owner whose call failed or
+  /// was cancelled, in the order of `ips`.
+  std::vector<std::optional<TimePoint>> RefreshStamps(
+      const std::vector<std::string>& ips,
+      TimePoint deadline,
+      const CancelCheck& cancelled);
+
   /// \brief Queries the load of an endpoint from its owner, for at most
   /// `timeout`; returns nothing if the call fails or is cancelled. Stores the
   /// stamp from the reply.
--- a/Tests/daemon/backend_client_test.cc
+++ b/Tests/daemon/backend_client_test.cc
@@ -13,6 +13,7 @@
 #include <thread>
 #include <vector>
 
+#include "daemon/owner_result.h"
 #include "daemon/raw_socket.h"
 
 namespace comfrey {
@@ -25,10 +26,20 @@
 
 // A client and a backend server that a handler implements.
 struct ClientFixture {
-  explicit ClientFixture(RawServer::Handler handler)
+  explicit ClientFixture(RawServer::Handler handler,
+                         const BackendProtocol& protocol = {})
       : server(kIp, std::move(handler)),
         watchdog(this->timers),
-        client(kIp, this->server.Port(), this->watchdog) {}
+        client(kIp, this->server.Port(), this->watchdog, protocol) {}
+  // The backend server has one thread for each of its slots.
+  ClientFixture(RawServer::Handler handler, int slots)
+      : server(kIp, std::move(handler), slots),
+        watchdog(this->timers),
+        client(kIp,
+               this->server.Port(),
+               this->watchdog,
+               {},
+               {static_cast<std::size_t>(slots), nullptr}) {}
 
   BackendResult Call(
       const std::string& method = "GET",
@@ -468,6 +479,11 @@
   const std::string other =
       "HTTP/1.1 200 OK\r\nX-Attempt: 6\r\nX-Mark: m\r\n"
       "Content-Length: 5\r\n\r\nother";
+  const std::string refusal_of_other =
+      "HTTP/1.1 503 S\r\nX-Attempt: 6\r\nX-Not-Run: 1\r\n"
+      "Content-Length: 0\r\n\r\n";
+  const std::string refusal_without_id =
+      "HTTP/1.1 503 S\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
   struct Case {
     std::string name;
     std::string reply;
@@ -479,6 +495,14 @@
       {"other first", other + own, BackendOutcome::kAnswered, "own"},
       {"only others", other + other + other + other + own,
        BackendOutcome::kFailed, ""},
+      {"refusal of another first", refusal_of_other + own,
+       BackendOutcome::kAnswered, "own"},
+      {"only the refusal of another", refusal_of_other, BackendOutcome::kFailed,
+       ""},
+      {"refusal without an id after another", other + refusal_without_id,
+       BackendOutcome::kFailed, ""},
+      {"refusal without an id", refusal_without_id, BackendOutcome::kAnswered,
+       ""},
       {"no signature", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx",
        BackendOutcome::kFailed, ""},
       {"error without signature",
@@ -544,5 +568,450 @@
   CHECK(connections == 2);
 }
 
+void CallInParallel(ClientFixture& fixture, int calls) {
+  std::vector<std::thread> threads;
+  std::atomic<int> answered{0};
+  threads.reserve(static_cast<std::size_t>(calls));
+  for (int i = 0; i < calls; ++i) {
+    threads.emplace_back([&] {
+      if (fixture.Call("POST", std::chrono::seconds(2), false).outcome ==
+          BackendOutcome::kAnswered) {
+        ++answered;
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  CHECK(answered == calls);
+}
+
+// Guards against requests that time out at a backend server with free slots,
+// since its own idle connections occupy all of its threads.
+TEST_CASE("Idle connections do not occupy the threads of a backend server",
+          "[backend_client]") {
+  constexpr int kSlots = 4;
+  ClientFixture fixture(
+      [](RawSocket& socket, int) {
+        bool closed = false;
+        while (HasHead(socket.Receive(HasHead, kTestTimeout, closed))) {
+          std::this_thread::sleep_for(std::chrono::milliseconds(50));
+          socket.Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        }
+      },
+      kSlots);
+  CallInParallel(fixture, kSlots);
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  CHECK(fixture.Call("POST", std::chrono::seconds(1), false).outcome ==
+        BackendOutcome::kAnswered);
+  CallInParallel(fixture, kSlots);
+  CHECK(fixture.Call("GET", std::chrono::seconds(1), true).outcome ==
+        BackendOutcome::kAnswered);
+}
+
+// Guards against idle connections that stay open for good, since later requests
+// take more recent ones or none.
+TEST_CASE("An idle connection is closed before the server's idle timeout",
+          "[backend_client]") {
+  constexpr std::chrono::seconds kIdleTimeout{2};
+  std::atomic<bool> closed_by_client{false};
+  ClientFixture fixture([&](RawSocket& socket, int) {
+    bool closed = false;
+    socket.Receive(HasHead, kTestTimeout, closed);
+    socket.Send(
+        "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=2\r\n"
+        "Content-Length: 0\r\n\r\n");
+    socket.Receive(HasHead, kIdleTimeout, closed);
+    closed_by_client = closed;
+  });
+  CHECK(fixture.Call().outcome == BackendOutcome::kAnswered);
+  std::this_thread::sleep_for(kIdleTimeout);
+  CHECK(closed_by_client);
+}
+
+// Guards against connections beyond the slots after a change of the
+// configuration.
+TEST_CASE("Fewer slots close idle connections", "[backend_client]") {
+  constexpr int kSlots = 4;
+  std::atomic<int> open{0};
+  ClientFixture fixture(
+      [&](RawSocket& socket, int) {
+        ++open;
+        bool closed = false;
+        while (HasHead(socket.Receive(HasHead, kTestTimeout, closed))) {
+          std::this_thread::sleep_for(std::chrono::milliseconds(100));
+          socket.Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        }
+        --open;
+      },
+      kSlots);
+  CallInParallel(fixture, kSlots);
+  CHECK(open == kSlots);
+  fixture.client.SetConnectionLimit(1);
+  const Clock::time_point begin = Clock::now();
+  while (open > 1 && Clock::now() - begin < std::chrono::seconds(1)) {
+    std::this_thread::yield();
+  }
+  CHECK(open == 1);
+}
+
+// When a backend server writes a copy of an earlier refusal.
+enum class CopyTime { kAtOnce, kWhileIdle, kAfterNextRequest };
+
+struct RefusalCopyCase {
+  bool with_ids = true;
+  bool first_refused = true;
+  std::string copy_id;
+  std::string second_id = "2";
+  CopyTime copy_time = CopyTime::kAtOnce;
+  bool idempotent = true;
+};
+
+std::string MakeRefusal(const std::string& id) {
+  return "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\n" +
+         (id.empty() ? "" : "X-Attempt: " + id + "\r\n") +
+         "Content-Length: 0\r\n\r\n";
+}
+
+std::string MakeOwnResponse(const std::string& id) {
+  return "HTTP/1.1 200 OK\r\nX-Attempt: " + id +
+         "\r\nContent-Length: 3\r\n\r\nown";
+}
+
+BackendResult CallWithId(BackendClient& client,
+                         const std::string& id,
+                         bool idempotent) {
+  const HttpRequest request{"POST", "/a", {{"X-Attempt", id}}, ""};
+  return client.Call({&request, idempotent,
+                      Clock::now() + std::chrono::seconds(2),
+                      [] { return false; }});
+}
+
+void CheckRefusalCopy(const RefusalCopyCase& test) {
+  INFO("ids " << test.with_ids << ", first refused " << test.first_refused
+              << ", id of the copy '" << test.copy_id << "', second id "
+              << test.second_id << ", copy time "
+              << static_cast<int>(test.copy_time) << ", idempotent "
+              << test.idempotent);
+  constexpr int kThreads = 4;
+  BackendProtocol protocol;
+  protocol.headers.not_executed = "X-Not-Run";
+  protocol.headers.attempt_id = test.with_ids ? "X-Attempt" : "";
+  std::atomic<int> runs{0};
+  std::atomic<bool> copied{false};
+  const std::string first_id = test.copy_id.empty() ? "1" : test.copy_id;
+  const std::string copy = MakeRefusal(test.copy_id);
+  const RawServer server(
+      kIp,
+      [&](RawSocket& socket, int connection) {
+        bool closed = false;
+        std::string request = socket.Receive(HasHead, kTestTimeout, closed);
+        if (connection == 0) {
+          socket.Send((test.first_refused ? MakeRefusal(first_id)
+                                          : MakeOwnResponse(first_id)) +
+                      (test.copy_time == CopyTime::kAtOnce ? copy : ""));
+          if (test.copy_time == CopyTime::kWhileIdle) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+            socket.Send(copy);
+          }
+          copied = true;
+          request = socket.Receive(HasHead, kTestTimeout, closed);
+          if (HasHead(request) &&
+              test.copy_time == CopyTime::kAfterNextRequest) {
+            socket.Send(copy);
+          }
+        }
+        if (HasHead(request)) {
+          ++runs;
+          socket.Send(MakeOwnResponse(test.second_id));
+          socket.Receive(HasHead, kTestTimeout, closed);
+        }
+      },
+      kThreads);
+  TimerService timers;
+  CallWatchdog watchdog(timers);
+  BackendClient client(kIp, server.Port(), watchdog, protocol);
+  CHECK(CallWithId(client, first_id, true).response.status ==
+        (test.first_refused ? 503 : 200));
+  while (!copied) {
+    std::this_thread::yield();
+  }
+  const BackendResult second =
+      CallWithId(client, test.second_id, test.idempotent);
+  CHECK(second.response.status == 200);
+  CHECK(second.response.body == "own");
+  CHECK(ToResult(second, ClassifyReply(second, protocol.headers)).outcome() ==
+        rpc::OUTCOME_ANSWERED);
+  CHECK((runs == 1 || (test.idempotent && second.retried && runs == 2)));
+}
+
+// Guards against 'not run' for a request that runs, since the backend server
+// writes an earlier refusal once more on a kept connection.
+TEST_CASE("A copy of an earlier refusal is not taken for a response",
+          "[backend_client]") {
+  for (const CopyTime copy_time :
+       {CopyTime::kAtOnce, CopyTime::kWhileIdle, CopyTime::kAfterNextRequest}) {
+    for (const bool idempotent : {false, true}) {
+      for (const char* copy_id : {"", "1"}) {
+        for (const bool first_refused : {false, true}) {
+          CheckRefusalCopy(
+              {true, first_refused, copy_id, "2", copy_time, idempotent});
+        }
+        CheckRefusalCopy({false, true, copy_id, "2", copy_time, idempotent});
+      }
+      // The same attempt is sent again after its refusal.
+      CheckRefusalCopy({true, true, "2", "2", copy_time, idempotent});
+    }
+  }
+}
+
+struct CutCase {
+  std::string name;
+  std::string head;
+  std::string body;
+  // Whether the end of the connection is the end of the body.
+  bool close_delimited = false;
+};
+
+// Which connection carries the response that is cut.
+enum class CutConnection { kNewIdempotent, kNewNonIdempotent, kReused };
+
+// Sends each response cut after 0, 1, 2, ... bytes, and closes or resets the
+// connection.
+void CheckCuts(const CutCase& test, bool reset, CutConnection kind) {
+  constexpr int kThreads = 4;
+  const std::string whole = test.head + test.body;
+  std::atomic<std::size_t> cut{0};
+  BackendProtocol protocol;
+  protocol.close_delimited = true;
+  const RawServer server(
+      kIp,
+      [&](RawSocket& socket, int) {
+        bool closed = false;
+        std::string request = socket.Receive(HasHead, kTestTimeout, closed);
+        if (request.rfind("GET", 0) == 0) {
+          socket.Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+          request = socket.Receive(HasHead, kTestTimeout, closed);
+        }
+        if (HasHead(request)) {
+          socket.Send(whole.substr(0, cut));
+          if (reset) {
+            socket.ResetOnClose();
+          }
+        }
+      },
+      kThreads);
+  TimerService timers;
+  CallWatchdog watchdog(timers);
+  BackendClient client(kIp, server.Port(), watchdog, protocol);
+  const bool idempotent = kind != CutConnection::kNewNonIdempotent;
+  const auto call = [&](const std::string& method) {
+    const HttpRequest request{method, "/a", {}, ""};
+    return client.Call({&request, idempotent, Clock::now() + kTestTimeout,
+                        [] { return false; }});
+  };
+  for (; cut < whole.size(); ++cut) {
+    INFO(test.name << ", " << cut << " bytes, reset " << reset << ", kind "
+                   << static_cast<int>(kind));
+    if (kind == CutConnection::kReused) {
+      REQUIRE(call("GET").outcome == BackendOutcome::kAnswered);
+    }
+    const BackendResult result = call("POST");
+    if (test.close_delimited && !reset && cut >= test.head.size()) {
+      CHECK(result.response.body ==
+            test.body.substr(0, cut - test.head.size()));
+      continue;
+    }
+    CHECK(result.outcome == BackendOutcome::kFailed);
+    CHECK(result.response.status == 0);
+    CHECK(ToResult(result, ClassifyReply(result, protocol.headers)).outcome() ==
+          rpc::OUTCOME_UNKNOWN);
+  }
+}
+
+// Guards against an empty or short response that looks complete, since the
+// backend server ended the connection within the head or the body.
+TEST_CASE("A response that is cut at any byte is not delivered",
+          "[backend_client]") {
+  const std::vector<CutCase> cases = {
+      {"length", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "hello"},
+      {"empty", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", ""},
+      {"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+       "3\r\nhel\r\n2\r\nlo\r\n0\r\nX: 1\r\n\r\n"},
+      {"interim response",
+       "HTTP/1.1 103 Early Hints\r\nX: 1\r\n\r\n"
+       "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n",
+       "a"},
+      {"no content", "HTTP/1.1 204 No Content\r\nX: 1\r\n\r\n", ""},
+      {"ends with the connection", "HTTP/1.1 200 OK\r\nX: 1\r\n\r\n", "hello",
+       true}};
+  for (const CutCase& test : cases) {
+    for (const bool reset : {false, true}) {
+      for (const CutConnection kind :
+           {CutConnection::kNewIdempotent, CutConnection::kNewNonIdempotent,
+            CutConnection::kReused}) {
+        CheckCuts(test, reset, kind);
+      }
+    }
+  }
+}
+
+struct EndlessCase {
+  std::string name;
+  std::string start;
+  std::string repeated;
+  BackendOutcome outcome;  // When the bytes are sent as fast as possible.
+};
+
+std::vector<EndlessCase> MakeEndlessCases() {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string bytes(16 << 10, 'x');
+  const auto failed = BackendOutcome::kFailed;
+  return {
+      {"start line", "", "x", failed},
+      {"header line", ok + "X: ", bytes, failed},
+      {"header lines", ok, "X: 1\r\n", failed},
+      {"interim responses", "", "HTTP/1.1 103 E\r\nX: 1\r\n\r\n", failed},
+      {"length beyond the limit", ok + "Content-Length: 99999999999\r\n\r\n",
+       bytes, failed},
+      {"chunks", chunked, "4000\r\n" + bytes + "\r\n", failed},
+      {"small chunks", chunked, "1\r\nx\r\n", failed},
+      {"chunk size", chunked, "0", failed},
+      {"chunk extension", chunked + "1;", "x", failed},
+      {"trailers", chunked + "0\r\n", "X: 1\r\n", failed},
+      {"close-delimited body", ok + "\r\n", bytes, failed},
+      {"bytes after the response", ok + "Content-Length: 0\r\n\r\n", bytes,
+       BackendOutcome::kAnswered},
+  };
+}
+
+// Sends bytes without end over the first connection, until the client closes
+// it; replies to each request of the others.
+void CheckEndless(const EndlessCase& test, bool slow, bool idempotent) {
+  INFO(test.name << ", slow " << slow << ", idempotent " << idempotent);
+  constexpr int kThreads = 4;
+  constexpr std::chrono::milliseconds kMargin{100};
+  const std::chrono::milliseconds time_limit(slow ? 300 : 5000);
+  std::atomic<bool> closed_by_client{false};
+  BackendProtocol protocol;
+  protocol.close_delimited = true;
+  const RawServer server(
+      kIp,
+      [&](RawSocket& socket, int connection) {
+        bool closed = false;
+        if (connection > 0) {
+          while (HasHead(socket.Receive(HasHead, kTestTimeout, closed))) {
+            socket.Send("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown");
+          }
+          return;
+        }
+        socket.Receive(HasHead, kTestTimeout, closed);
+        socket.Send(test.start);
+        // Many repeats at once, so that the test is not limited by its own
+        // system calls.
+        std::string block = test.repeated;
+        while (!slow && block.size() < (8 << 10)) {
+          block += test.repeated;
+        }
+        closed = false;
+        while (!closed && socket.Send(slow ? block.substr(0, 8) : block)) {
+          socket.Receive(HasHead, std::chrono::milliseconds(slow ? 5 : 0),
+                         closed);
+        }
+        closed_by_client = true;
+      },
+      kThreads);
+  TimerService timers;
+  CallWatchdog watchdog(timers);
+  BackendClient client(kIp, server.Port(), watchdog, protocol);
+  const auto call = [&](std::chrono::milliseconds time) {
+    const HttpRequest request{"POST", "/a", {}, ""};
+    return client.Call(
+        {&request, idempotent, Clock::now() + time, [] { return false; }});
+  };
+  const Clock::time_point begin = Clock::now();
+  const BackendResult result = call(time_limit);
+  CHECK(Clock::now() - begin < time_limit + kMargin);
+  if (slow && test.outcome != BackendOutcome::kAnswered) {
+    CHECK(result.outcome != BackendOutcome::kAnswered);
+  } else {
+    CHECK(result.outcome == test.outcome);
+  }
+  CHECK(result.response.body.empty());
+  const BackendResult next = call(kTestTimeout);
+  CHECK(next.response.body == "own");
+  const Clock::time_point end = Clock::now();
+  while (!closed_by_client && Clock::now() - end < std::chrono::seconds(2)) {
+    std::this_thread::yield();
+  }
+  CHECK(closed_by_client);
+}
+
+// Guards against a call that outlasts its deadline, and against memory and
+// connections that are taken without bound, since a backend server sends bytes
+// until its caller closes.
+TEST_CASE("Bytes without end do not outlast the limits of a call",
+          "[backend_client]") {
+  for (const EndlessCase& test : MakeEndlessCases()) {
+    for (const bool slow : {false, true}) {
+      for (const bool idempotent : {false, true}) {
+        CheckEndless(test, slow, idempotent);
+      }
+    }
+  }
+}
+
+// Guards against more memory than a daemon may use, since several backend
+// servers send bodies without end at the same time.
+TEST_CASE("Responses share one limit of memory", "[backend_client]") {
+  constexpr std::size_t kBudget = 1 << 20;
+  constexpr int kThreads = 4;
+  const std::string large(kBudget / 2, 'x');
+  const std::string small(kUncountedResponseBytes, 'x');
+  const auto with_length = [](const std::string& body) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+  };
+  std::atomic<bool> holding{false};
+  const RawServer server(
+      kIp,
+      [&](RawSocket& socket, int) {
+        bool closed = false;
+        const std::string head = socket.Receive(HasHead, kTestTimeout, closed);
+        if (head.find(" /endless ") != std::string::npos) {
+          socket.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+          socket.Send("f0000\r\n" + std::string(0xf0000, 'x') + "\r\n");
+          holding = true;
+          socket.Receive(HasHead, kTestTimeout, closed);
+          return;
+        }
+        socket.Send(with_length(
+            head.find(" /large ") != std::string::npos ? large : small));
+      },
+      kThreads);
+  TimerService timers;
+  CallWatchdog watchdog(timers);
+  ResponseBudget budget(kBudget);
+  BackendClient client(kIp, server.Port(), watchdog, {}, {kThreads, &budget});
+  const auto call = [&](const std::string& target,
+                        std::chrono::milliseconds time) {
+    const HttpRequest request{"POST", target, {}, ""};
+    return client.Call(
+        {&request, false, Clock::now() + time, [] { return false; }});
+  };
+  std::thread endless(
+      [&] { call("/endless", std::chrono::milliseconds(3000)); });
+  while (!holding) {
+    std::this_thread::yield();
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  CHECK(call("/large", kTestTimeout).outcome == BackendOutcome::kFailed);
+  CHECK((call("/small", kTestTimeout).response.body == small));
+  endless.join();
+  CHECK((call("/large", kTestTimeout).response.body == large));
+  CHECK(budget.Take(kBudget));
+}
+
 }  // namespace
 }  // namespace comfrey
