--- a/Source/core/placement.cc
+++ b/Source/core/placement.cc
@@ -76,7 +76,8 @@
   std::vector<std::chrono::microseconds> waits;
   for (const PlannedEndpoint& planned : tier) {
     const PlacementHint& hint = input.hints[planned.view];
-    if (hint.offer_result == OfferResult::kNoRoom) {
+    if (hint.offer_result == OfferResult::kNoRoom &&
+        hint.expected_wait.count() > 0) {
       waits.push_back(hint.expected_wait);
     }
   }
@@ -87,14 +88,15 @@
   return waits[kMinRefusals - 1];
 }
 
-// Endpoints with a full queue come last, and before them those with an unknown
-// wait, since their queues may be of any length.
+// Endpoints with a full queue come last. An unknown wait counts as the longest
+// one for which a request stays in its region, since the queue may be of any
+// length, but is probably shorter than a long one that is known.
 std::optional<std::uint32_t> FindShortestWait(const PlacementInput& input,
                                               const Tier& tier,
                                               bool suspect) {
   const std::chrono::microseconds refused_wait = RefusedWait(input, tier);
   std::optional<std::uint32_t> best;
-  std::tuple<bool, bool, std::chrono::microseconds, std::uint64_t> best_key;
+  std::tuple<bool, std::chrono::microseconds, std::uint64_t> best_key;
   for (const PlannedEndpoint& planned : tier) {
     const PlacementHint& hint = input.hints[planned.view];
     if (hint.offer_result == OfferResult::kExcluded ||
@@ -104,8 +106,9 @@
       continue;
     }
     const bool is_full = input.views[planned.view].full_until > input.now;
-    const auto key = std::make_tuple(is_full, IsWaitUnknown(hint),
-                                     hint.expected_wait, input.rng());
+    const auto wait = IsWaitUnknown(hint) ? input.policy.local_wait_limit
+                                          : hint.expected_wait;
+    const auto key = std::make_tuple(is_full, wait, input.rng());
     if (!best || key < best_key) {
       best = planned.view;
       best_key = key;
@@ -121,19 +124,12 @@
       }));
 }
 
-std::size_t CountBusy(const PlacementInput& input, const Tier& tier) {
-  return static_cast<std::size_t>(
-      std::count_if(tier.begin(), tier.end(), [&](const PlannedEndpoint& p) {
-        return input.hints[p.view].offer_result == OfferResult::kBusy;
-      }));
-}
-
 // Finds a free slot in the region, unless the limit of tries in the tier has
 // been reached.
 std::optional<std::uint32_t> FindFreeSlotNearby(const PlacementInput& input,
                                                 const Tier& tier,
                                                 std::size_t max_tries) {
-  if (CountBusy(input, tier) >= max_tries) {
+  if (CountTried(input, tier) >= max_tries) {
     return std::nullopt;
   }
   return FindFreeSlot(input, tier, input.policy.free_slot_wait_limit,
--- a/Source/core/placement.h
+++ b/Source/core/placement.h
@@ -66,8 +66,8 @@
   /// A wait that was reported longer ago does not keep an endpoint from being
   /// tried for a free slot, since queued requests may have been dropped.
   std::chrono::microseconds max_wait_age{std::chrono::milliseconds(500)};
-  /// Maximum number of busy endpoints of the failure domain that are tried for
-  /// a free slot.
+  /// Maximum number of endpoints of the failure domain that are tried for a
+  /// free slot.
   std::size_t max_failure_domain_tries = 3;
   /// The same for the other failure domains of the region.
   std::size_t max_region_tries = 2;
--- a/Source/daemon/backend_client.cc
+++ b/Source/daemon/backend_client.cc
@@ -282,6 +282,11 @@
     received.error = "the request could not be sent completely";
   }
   this->watchdog.Remove(watch);
+  // The shutdown of a cancelled call looks like the end of a response that ends
+  // with its connection.
+  if (stopped && received.error.empty() && received.ended_with_connection) {
+    received.error = "the call was cancelled before the end of the response";
+  }
 
   if (received.error.empty()) {
     result.outcome = BackendOutcome::kAnswered;
@@ -307,6 +312,7 @@
   }
   result.outcome =
       stopped ? BackendOutcome::kCancelled : BackendOutcome::kFailed;
+  result.over_budget = received.over_budget;
   result.error = absl::UnavailableError(
       absl::StrCat("response from ", this->peer, ": ", received.error));
   return false;
--- a/Source/daemon/backend_client.h
+++ b/Source/daemon/backend_client.h
@@ -34,6 +34,9 @@
   /// connection ended without a response, or with one that may belong to
   /// another request. The backend server may have received it twice.
   bool retried = false;
+  /// Whether the call failed because the daemon had no memory left for the
+  /// response, which is no fault of the backend server.
+  bool over_budget = false;
 };
 
 /// \brief Parameters of one call to a backend server.
--- a/Source/daemon/backend_response.cc
+++ b/Source/daemon/backend_response.cc
@@ -60,6 +60,8 @@
     case WireError::kBodyTooLarge:
       return absl::StrCat("the body of the response exceeds ",
                           limits.body_bytes, " bytes");
+    case WireError::kOverBudget:
+      return "the daemon receives too many large responses at the same time";
   }
   return "";
 }
@@ -69,6 +71,7 @@
                       const ResponseLimits& limits) {
   received.error = DescribeError(error, limits);
   received.timed_out = error == WireError::kTimedOut;
+  received.over_budget = error == WireError::kOverBudget;
   return received;
 }
 
@@ -88,12 +91,16 @@
       received.received_bytes = interim > 0 || reader.HasBufferedBytes() ||
                                 !head.start_line.empty() ||
                                 error == WireError::kMalformed;
+      received.undecidable =
+          interim == 0 &&
+          (error == WireError::kMalformed || error == WireError::kHeadTooLarge);
       return Fail(std::move(received), error, limits);
     }
     received.received_bytes = true;
     status = ParseStatusLine(head.start_line);
     if (status == 0 || status == kSwitchingProtocols ||
         interim >= kMaxInterimResponses) {
+      received.undecidable = status == 0 && interim == 0;
       return Fail(std::move(received), WireError::kMalformed, limits);
     }
   }
@@ -124,6 +131,7 @@
                                 ? reader.ReadUntilClose(deadline, body)
                                 : ReadBody(reader, deadline, framing, body);
     received.response.body = std::move(body.bytes);
+    received.ended_with_connection = ends_with_connection;
     if (error != WireError::kNone) {
       return Fail(std::move(received), error, limits);
     }
--- a/Source/daemon/backend_response.h
+++ b/Source/daemon/backend_response.h
@@ -26,9 +26,14 @@
   std::string error;  ///< Empty if the response is complete.
   bool timed_out = false;
   bool received_bytes = false;
-  /// Whether the response may belong to another request.
+  /// Whether the response, or the bytes that are none, may follow the response
+  /// to an earlier request.
   bool undecidable = false;
   bool reusable = false;  ///< Whether the connection may be reused.
+  /// Whether the end of the connection marked the end of the response.
+  bool ended_with_connection = false;
+  /// Whether the daemon had no memory left for the response.
+  bool over_budget = false;
   HttpResponse response;
 };
 
--- a/Source/daemon/daemon.cc
+++ b/Source/daemon/daemon.cc
@@ -65,6 +65,14 @@
   return MakeLocalReply(CallerOutcome::kNotRun, kNotFound, "no such page");
 }
 
+// A stop does not wait for idle connections of the addresses that serve only
+// pages, since their requests may be repeated.
+FrontendLimits MakePageLimits() {
+  FrontendLimits limits;
+  limits.stop_idle_time = std::chrono::milliseconds(0);
+  return limits;
+}
+
 }  // namespace
 
 Daemon::Daemon(DaemonSettings daemon_settings,
@@ -122,8 +130,14 @@
                {static_cast<std::size_t>(this->settings.max_connections),
                 this->settings.max_body_bytes, this->settings.max_header_bytes},
                this->MakeCallerPages()),
-      status_frontend(RespondNotFound, this->counters, {}, this->MakePages()),
-      ready_frontend(RespondNotFound, this->counters, {}, this->MakePages()),
+      status_frontend(RespondNotFound,
+                      this->counters,
+                      MakePageLimits(),
+                      this->MakePages()),
+      ready_frontend(RespondNotFound,
+                     this->counters,
+                     MakePageLimits(),
+                     this->MakePages()),
       config_watcher(
           ConfigServiceClient(this->settings.config_service.ip,
                               this->settings.config_service.port),
@@ -354,6 +368,7 @@
           spdlog::warn("stop: {} requests of callers are aborted",
                        this->frontend.CountInProgress());
           this->frontend.Abort();
+          this->owner.AbortBackendCalls();
         }
       });
   this->stopping = true;
@@ -362,6 +377,10 @@
   this->frontend.Stop();
   spdlog::info("stop: all callers are answered");
   this->timers.Unsubscribe(abort);
+  for (HttpFrontend* pages : {&this->status_frontend, &this->ready_frontend}) {
+    pages->Abort();
+    pages->Stop();
+  }
   this->WaitForForwardedRequests(abort_at);
   // Ends the calls to backend servers that remain, which the server of the
   // peers would wait for. The timers run on, since they end these calls.
--- a/Source/daemon/http_frontend.cc
+++ b/Source/daemon/http_frontend.cc
@@ -85,9 +85,6 @@
 // A request is forwarded to the owner in one message, which limits the size of
 // its body.
 constexpr std::size_t kMaxBodyBytes = 3 << 20;
-// After Stop, an idle connection is read for this long, since its caller may
-// have sent a request before it could learn of the stop.
-constexpr std::chrono::seconds kStopIdleTimeout{1};
 // Closing a socket with unread bytes resets the connection, and the caller may
 // receive the reset before the reply. The connection is therefore read until
 // the caller closes it, for at most this time.
@@ -226,6 +223,7 @@
       return MakeRefusal(kBadRequest, "the request ended early");
     case WireError::kNone:
     case WireError::kMalformed:
+    case WireError::kOverBudget:
       break;
   }
   return MakeRefusal(kBadRequest, "the request is malformed");
@@ -538,7 +536,8 @@
     return true;
   }
   const Clock::time_point deadline = std::min<Clock::time_point>(
-      this->stop_time.load() + kStopIdleTimeout, idle_since + timeout);
+      this->stop_time.load() + this->limits.stop_idle_time,
+      idle_since + timeout);
   return WaitForSocket(socket, POLLIN, deadline);
 }
 
--- a/Source/daemon/http_frontend.h
+++ b/Source/daemon/http_frontend.h
@@ -32,6 +32,9 @@
   std::size_t header_bytes = 16 << 10;
   /// Limit for the write of a whole response.
   std::chrono::milliseconds response_timeout{30'000};
+  /// After Stop, an idle connection is read for this long, since its caller may
+  /// have sent a request before it could learn of the stop.
+  std::chrono::milliseconds stop_idle_time{1000};
 };
 
 /// \brief Callbacks for the pages of the daemon, which the frontend serves
--- a/Source/daemon/http_wire.cc
+++ b/Source/daemon/http_wire.cc
@@ -82,17 +82,16 @@
   return absl::SimpleHexAtoi(digits, &size);
 }
 
-// Returns false if that would exceed a limit.
-bool Append(absl::string_view bytes, BodyBuffer& body) {
+WireError Append(absl::string_view bytes, BodyBuffer& body) {
   if (bytes.size() > body.max_bytes - body.bytes.size()) {
-    return false;
+    return WireError::kBodyTooLarge;
   }
   if (body.reservation != nullptr &&
       !body.reservation->Grow(body.bytes.size() + bytes.size())) {
-    return false;
+    return WireError::kOverBudget;
   }
   body.bytes.append(bytes.data(), bytes.size());
-  return true;
+  return WireError::kNone;
 }
 
 WireError ReadChunks(WireReader& reader,
@@ -219,8 +218,9 @@
   for (;;) {
     const absl::string_view received =
         absl::string_view(this->buffer).substr(this->position, count);
-    if (!Append(received, body)) {
-      return WireError::kBodyTooLarge;
+    const WireError limit = Append(received, body);
+    if (limit != WireError::kNone) {
+      return limit;
     }
     this->position += received.size();
     count -= received.size();
@@ -236,8 +236,10 @@
 
 WireError WireReader::ReadUntilClose(TimePoint deadline, BodyBuffer& body) {
   for (;;) {
-    if (!Append(absl::string_view(this->buffer).substr(this->position), body)) {
-      return WireError::kBodyTooLarge;
+    const WireError limit =
+        Append(absl::string_view(this->buffer).substr(this->position), body);
+    if (limit != WireError::kNone) {
+      return limit;
     }
     this->position = this->buffer.size();
     const WireError error = this->FillBuffer(deadline);
--- a/Source/daemon/http_wire.h
+++ b/Source/daemon/http_wire.h
@@ -21,6 +21,7 @@
   kMalformed,     ///< Not HTTP/1.1, or its length is ambiguous.
   kHeadTooLarge,  ///< The start line and headers exceed their limit.
   kBodyTooLarge,  ///< The body exceeds its limit.
+  kOverBudget,    ///< The memory that messages share is exhausted.
 };
 
 /// \brief A body that is being received, and its limits.
--- a/Source/daemon/owner_result.cc
+++ b/Source/daemon/owner_result.cc
@@ -135,7 +135,8 @@
     case BackendOutcome::kNotSent:
       return BackendReplyClass::kNotSent;
     case BackendOutcome::kFailed:
-      return BackendReplyClass::kFailed;
+      return result.over_budget ? BackendReplyClass::kCancelled
+                                : BackendReplyClass::kFailed;
     case BackendOutcome::kTimedOut:
       return BackendReplyClass::kTimedOut;
     case BackendOutcome::kCancelled:
--- a/Source/daemon/registry_watcher.cc
+++ b/Source/daemon/registry_watcher.cc
@@ -20,6 +20,7 @@
 // be in force within 2.5 s.
 constexpr milliseconds kDelayAfterChange{400};
 constexpr milliseconds kMinRetryDelay{100};
+constexpr milliseconds kStopPeriod{100};
 constexpr milliseconds kMaxRetryDelay{1000};
 
 bool HasMissingRegistrations(const RegistryView& view) {
@@ -56,10 +57,21 @@
     this->stopping = true;
     this->changed.notify_all();
   }
-  this->source.stop();
-  if (this->thread.joinable()) {
-    this->thread.join();
+  if (!this->thread.joinable()) {
+    return;
   }
+  // A read that begins just after the source was stopped is not ended by it,
+  // and a watch may last for kWatchTimeout. The source is therefore stopped
+  // until the thread has ended.
+  std::unique_lock<std::mutex> lock(this->mutex);
+  while (!this->ended) {
+    lock.unlock();
+    this->source.stop();
+    lock.lock();
+    this->changed.wait_for(lock, kStopPeriod, [this] { return this->ended; });
+  }
+  lock.unlock();
+  this->thread.join();
 }
 
 void RegistryWatcher::Run() {
@@ -70,6 +82,8 @@
     lock.lock();
     this->changed.wait_for(lock, pause, [this] { return this->stopping; });
   }
+  this->ended = true;
+  this->changed.notify_all();
 }
 
 // Reads the registry once. Returns the delay until the next read.
--- a/Source/daemon/registry_watcher.h
+++ b/Source/daemon/registry_watcher.h
@@ -63,6 +63,7 @@
   std::mutex mutex;
   std::condition_variable changed;
   bool stopping = false;
+  bool ended = false;
   std::thread thread;
 };
 
--- a/Tests/core/placement_test.cc
+++ b/Tests/core/placement_test.cc
@@ -306,5 +306,57 @@
   CHECK(full->mode == PlacementMode::kQueue);
 }
 
+// Guards against a request that is refused because all of its tries were offers
+// to suspect endpoints or full queues of a large region.
+TEST_CASE("a request reaches a queue although many endpoints are suspect") {
+  constexpr std::size_t kEndpoints = 40;
+  constexpr std::size_t kSuspects = 30;
+  constexpr int kMaxPlacements = 16;
+  PlacementFixture fixture;
+  fixture.views.assign(kEndpoints, EndpointView());
+  fixture.hints.assign(kEndpoints, PlacementHint());
+  int placements = 0;
+  for (auto next = fixture.Next(); next; next = fixture.Next()) {
+    REQUIRE(++placements <= kMaxPlacements);
+    if (next->mode == PlacementMode::kQueue && next->view >= kSuspects) {
+      break;
+    }
+    fixture.hints[next->view].offer_result =
+        next->view < kSuspects ? OfferResult::kSuspect : OfferResult::kBusy;
+    fixture.hints[next->view].expected_wait = milliseconds(140);
+  }
+}
+
+// Guards against a long queue, or a way to another region, while endpoints of
+// the region have not been tried.
+TEST_CASE("an endpoint that was not tried comes before a long queue") {
+  PlacementFixture fixture;
+  fixture.policy.max_failure_domain_tries = 0;
+  fixture.policy.max_region_tries = 0;
+  fixture.hints[0].offer_result = OfferResult::kBusy;
+  fixture.hints[0].expected_wait = seconds(2);
+  fixture.hints[1] = fixture.hints[0];
+  const auto untried = fixture.Next();
+  REQUIRE(untried);
+  CHECK(untried->mode == PlacementMode::kQueue);
+  CHECK((untried->view == 2 || untried->view == 3));
+}
+
+// Guards against leaving out endpoints with room, because two others refused
+// the request without a known wait.
+TEST_CASE("refusals without a wait do not exclude other queues") {
+  PlacementFixture fixture;
+  fixture.hints[0].offer_result = OfferResult::kNoRoom;
+  fixture.hints[1].offer_result = OfferResult::kNoRoom;
+  for (std::size_t i = 2; i < 4; ++i) {
+    fixture.hints[i].offer_result = OfferResult::kBusy;
+    fixture.hints[i].expected_wait = milliseconds(50);
+  }
+  const auto queued = fixture.Next();
+  REQUIRE(queued);
+  CHECK(queued->mode == PlacementMode::kQueue);
+  CHECK((queued->view == 2 || queued->view == 3));
+}
+
 }  // namespace
 }  // namespace comfrey
--- a/Tests/daemon/backend_client_test.cc
+++ b/Tests/daemon/backend_client_test.cc
@@ -1013,5 +1013,32 @@
   CHECK(budget.Take(kBudget));
 }
 
+// Guards against taking a truncated response for a complete one, because the
+// shutdown of a cancelled call looks like the end of the response.
+TEST_CASE("A cancelled call does not end a response without a length",
+          "[backend_client]") {
+  std::atomic<bool> sent{false};
+  const RawServer server(kIp, [&](RawSocket& socket, int /*connection*/) {
+    bool closed = false;
+    socket.Receive(HasHead, kTestTimeout, closed);
+    socket.Send("HTTP/1.1 200 OK\r\nX-Mark: m\r\nX-Attempt: 7\r\n\r\npart");
+    sent = true;
+    socket.Receive([](const std::string&) { return false; }, kTestTimeout,
+                   closed);
+  });
+  TimerService timers;
+  CallWatchdog watchdog(timers);
+  BackendClient client(kIp, server.Port(), watchdog, SignedProtocol());
+  HttpRequest request{"GET", "/a", {{"X-Attempt", "7"}}, ""};
+  for (const bool idempotent : {true, false}) {
+    sent = false;
+    const BackendResult result =
+        client.Call({&request, idempotent, Clock::now() + kTestTimeout,
+                     [&sent] { return sent.load(); }});
+    CHECK(result.outcome == BackendOutcome::kCancelled);
+    CHECK(result.response.body.empty());
+  }
+}
+
 }  // namespace
 }  // namespace comfrey
--- a/Tests/daemon/http_frontend_test.cc
+++ b/Tests/daemon/http_frontend_test.cc
@@ -41,7 +41,8 @@
   explicit FakeDaemon(
       std::size_t connections = 10,
       FrontendPages pages = MakePages(),
-      std::chrono::milliseconds response_timeout = std::chrono::seconds(30))
+      std::chrono::milliseconds response_timeout = std::chrono::seconds(30),
+      std::chrono::milliseconds stop_idle_time = std::chrono::seconds(1))
       : port(FreePort()),
         frontend(
             [this](const HttpRequest& request, const CancelCheck& cancelled) {
@@ -49,7 +50,7 @@
             },
             this->counters,
             FrontendLimits{connections, kBodyLimit, kHeaderLimit,
-                           response_timeout},
+                           response_timeout, stop_idle_time},
             std::move(pages)) {
     REQUIRE(this->frontend.Start(kIp, this->port).ok());
   }
@@ -480,7 +481,8 @@
 // Guards against requests that a planned stop interrupts or breaks off.
 TEST_CASE("A stop completes requests and refuses later ones",
           "[http_frontend]") {
-  FakeDaemon daemon;
+  FakeDaemon daemon(10, MakePages(), std::chrono::seconds(30),
+                    std::chrono::seconds(3));
   bool closed = false;
   std::promise<void> release;
   const std::shared_future<void> released = release.get_future().share();
