--- a/Tests/system/registry_test.cc
+++ b/Tests/system/registry_test.cc
@@ -20,6 +20,7 @@
 #include "daemon/raw_socket.h"
 #include "fake_registry.h"
 #include "published_documents.h"
+#include "system/fleet.h"
 #include "system/process.h"
 
 namespace comfrey {
@@ -35,8 +36,7 @@
 constexpr std::chrono::seconds kTestTimeout{20};
 
 std::string AddressOf(int vm) {
-  constexpr int kOctet = 250;
-  return absl::StrCat("127.", 1 + getpid() % kOctet, ".201.", vm);
+  return absl::StrCat(LoopbackPrefix(), vm);
 }
 
 bool WaitFor(const std::function<bool()>& condition) {
