Keep a published configuration in force if one of its entries is unreadable

One route had the kind "upload", which the decoder did not know, and it rejected the whole version; the fleet had no configuration.

Cause: an error in any entry made the decoder reject the version.

Change: only an unreadable version number or list of entries rejects a version. A route of an unknown kind is non-idempotent. A route that cannot be read keeps its host and prefix and is answered with 503, not run, never with 404 or by another route; if its place cannot be read, requests without a route are answered with 503. Unreadable limits keep those in force. Each such entry is logged, counted (comfrey_config_unusable_entries) and listed by comfreyctl status. Numbers beyond the range of their type, a start time or a duration beyond that of a point in time, and more than 10,000 slots are rejected or bounded; an odd item of a page neither ends the process nor the listing.

--- a/Source/config/config_store.cc
+++ b/Source/config/config_store.cc
@@ -219,9 +219,13 @@
                  const ConfigVersion& version,
                  TeamConfig config) {
   const std::string team = config.team;
+  std::vector<IniError> errors = config.entry_errors;
   ReplaceSubtree(store,
                  {team, version, "", 0,
                   std::make_shared<const TeamConfig>(std::move(config))});
+  if (!errors.empty()) {
+    store.rejected[team] = {version, 0, std::move(errors)};
+  }
 }
 
 std::vector<SubtreeVersion> ListVersions(const ConfigStore& store) {
--- a/Source/config/config_store.h
+++ b/Source/config/config_store.h
@@ -118,7 +118,7 @@
 
 /// \brief Puts the configuration of a team that was decoded from another format
 /// in force, without a comparison of versions. The subtree has no text and is
-/// not sent to peers.
+/// not sent to peers. Entries that could not be read are listed as rejected.
 void ReplaceTeam(ConfigStore& store,
                  const ConfigVersion& version,
                  TeamConfig config);
--- a/Source/config/registry.h
+++ b/Source/config/registry.h
@@ -27,6 +27,9 @@
 /// \brief A route of the published configuration.
 struct PublishedRoute {
   std::string name;
+  /// Why the route cannot be used; empty if it can. Only `name`, `host` and
+  /// `prefix` of such a route are set. Its requests are refused as not run.
+  std::string problem;
   std::string host;
   /// Path prefix that starts and ends with a slash.
   std::string prefix;
@@ -47,12 +50,28 @@
   std::string health_path;
 };
 
+/// \brief An entry of the published configuration that could not be read, or
+/// not completely.
+struct EntryProblem {
+  /// Kind and name of the entry, for example "route r-1".
+  std::string entry;
+  std::string cause;
+  /// What becomes of the entry.
+  std::string effect;
+};
+
 /// \brief The configuration that the registry publishes.
 struct PublishedConfig {
   std::uint64_t version = 0;
   std::vector<PublishedRoute> routes;
   std::vector<PublishedService> services;
-  CallerLimits limits;
+  /// Absent if the published limits could not be read.
+  std::optional<CallerLimits> limits = CallerLimits();
+  std::vector<EntryProblem> problems;
+  /// Whether a route is missing from `routes` because its host or prefix could
+  /// not be read. A request without a route may then be a request of that
+  /// route.
+  bool lacks_routes = false;
 };
 
 /// \brief A change of one registration.
--- a/Source/config/registry_view.cc
+++ b/Source/config/registry_view.cc
@@ -113,6 +113,9 @@
 std::vector<RankConfig> BuildRanks(const PublishedConfig& config) {
   std::map<std::string, RankConfig> ranks;
   for (const PublishedRoute& route : config.routes) {
+    if (!route.problem.empty()) {
+      continue;
+    }
     RankConfig rank;
     rank.name = RankName(route);
     rank.urgency = std::clamp(route.priority + 1, 1, kMaxUrgency);
@@ -173,10 +176,14 @@
 RouteConfig BuildRoute(const PublishedRoute& published) {
   RouteConfig route;
   route.name = published.name;
-  route.service = published.services.front().service;
-  route.rank = RankName(published);
   route.host = published.host;
   route.path = published.prefix;
+  if (!published.problem.empty()) {
+    route.unusable = true;
+    return route;
+  }
+  route.service = published.services.front().service;
+  route.rank = RankName(published);
   route.repeat_safe = published.idempotent;
   route.max_attempts = published.max_attempts;
   route.deadline = published.timeout;
@@ -186,6 +193,41 @@
   return route;
 }
 
+std::vector<IniError> BuildEntryErrors(const RegistryView& view) {
+  constexpr char kSource[] = "published configuration";
+  std::vector<IniError> errors;
+  if (!view.config_problem.empty()) {
+    AddIniError(errors,
+                {kSource, 0, "", "", "", view.config_problem,
+                 "the version in force stays in use; publish a valid one"});
+  }
+  for (const EntryProblem& problem : view.config->problems) {
+    AddIniError(errors, {kSource, 0, problem.entry, "", "", problem.cause,
+                         problem.effect});
+  }
+  return errors;
+}
+
+// Replaces the configuration in use; returns whether it was newer.
+bool ApplyConfig(RegistryView& view, const RegistryUpdate& update) {
+  bool changed = false;
+  if (update.config &&
+      (!view.config || view.config->version < update.config->version)) {
+    std::optional<CallerLimits> limits = update.config->limits;
+    if (!limits && view.config) {
+      limits = view.config->limits;
+    }
+    view.config = update.config;
+    view.config->limits = limits.value_or(CallerLimits());
+    changed = true;
+  }
+  if (update.config || !update.config_problem.empty()) {
+    changed |= view.config_problem != update.config_problem;
+    view.config_problem = update.config_problem;
+  }
+  return changed;
+}
+
 }  // namespace
 
 void RecordFailedRead(RegistryView& view) {
@@ -199,12 +241,7 @@
     view.last_read_succeeded = true;
     view.reconnected_at = now;
   }
-  bool changed = false;
-  if (update.config &&
-      (!view.config || view.config->version < update.config->version)) {
-    view.config = update.config;
-    changed = true;
-  }
+  bool changed = ApplyConfig(view, update);
   for (const RegistrationChange& change : update.registrations) {
     changed |= ApplyRegistration(view, change, now);
   }
@@ -241,6 +278,8 @@
   team.team = kRegistryTeam;
   team.generation = std::max<std::uint64_t>(view.config->version, 1);
   team.ranks = BuildRanks(*view.config);
+  team.lacks_routes = view.config->lacks_routes;
+  team.entry_errors = BuildEntryErrors(view);
   team.caller_limits = view.config->limits;
   std::map<std::string, std::vector<EndpointConfig>> endpoints;
   for (const auto& [address, registration] : FindLatestRegistrations(view)) {
--- a/Source/config/registry_view.h
+++ b/Source/config/registry_view.h
@@ -29,6 +29,9 @@
 /// backend servers have had time to register again.
 struct RegistryView {
   std::optional<PublishedConfig> config;
+  /// Why a newer published configuration is not in `config`; empty if the
+  /// newest one is.
+  std::string config_problem;
   /// By instance.
   std::map<std::string, KnownRegistration> registrations;
   /// Revision of the last applied update.
@@ -48,7 +51,8 @@
 
 /// \brief Applies the result of a read; returns whether the configuration or an
 /// endpoint in use changed. A configuration that is not newer than the one in
-/// use is ignored.
+/// use is ignored. A configuration whose limits could not be read keeps those
+/// of the one in use.
 bool ApplyRegistryUpdate(RegistryView& view,
                          const RegistryUpdate& update,
                          std::chrono::steady_clock::time_point now);
--- a/Source/config/route_table.cc
+++ b/Source/config/route_table.cc
@@ -31,6 +31,10 @@
     ranks.emplace(rank.name, &rank);
   }
   for (const RouteConfig& route : routes->config->routes) {
+    if (route.unusable) {
+      routes->by_host[route.host].push_back({&route, nullptr, nullptr, {}});
+      continue;
+    }
     const auto service = services.find(route.service);
     const auto rank = ranks.find(route.rank);
     if (service == services.end() || rank == ranks.end()) {
@@ -161,6 +165,9 @@
   if (had_hosts || has_hosts) {
     AssignHosts(table);
   }
+  table.lacks_routes = std::any_of(
+      table.teams.begin(), table.teams.end(),
+      [](const auto& entry) { return entry.second->config->lacks_routes; });
 }
 
 RouteTable WithTeam(const RouteTable& table,
@@ -189,6 +196,10 @@
         !MatchesConditions(*candidate.route, method, header)) {
       continue;
     }
+    if (candidate.route->unusable) {
+      match.status = MatchStatus::kUnusableRoute;
+      return match;
+    }
     match.status = MatchStatus::kFound;
     match.team = routes.config.get();
     match.service = candidate.service;
@@ -202,30 +213,11 @@
   return match;
 }
 
-}  // namespace
-
-const ServiceConfig* SelectService(const RouteMatch& match, double draw) {
-  if (match.shares == nullptr) {
-    return match.service;
-  }
-  double total = 0;
-  for (const ResolvedShare& share : *match.shares) {
-    total += share.weight;
-  }
-  double left = draw * total;
-  for (const ResolvedShare& share : *match.shares) {
-    left -= share.weight;
-    if (left < 0) {
-      return share.service;
-    }
-  }
-  return match.shares->back().service;
-}
-
-RouteMatch MatchRoute(const RouteTable& table,
-                      absl::string_view method,
-                      absl::string_view target,
-                      HeaderLookup header) {
+// Finds the route of a request among the routes whose place is known.
+RouteMatch FindMatch(const RouteTable& table,
+                     absl::string_view method,
+                     absl::string_view target,
+                     HeaderLookup header) {
   RouteMatch match;
   if (!table.hosts.empty()) {
     const std::string host = NormalizeHost(header("Host").value_or(""));
@@ -278,4 +270,36 @@
   return match;
 }
 
+}  // namespace
+
+const ServiceConfig* SelectService(const RouteMatch& match, double draw) {
+  if (match.shares == nullptr) {
+    return match.service;
+  }
+  double total = 0;
+  for (const ResolvedShare& share : *match.shares) {
+    total += share.weight;
+  }
+  double left = draw * total;
+  for (const ResolvedShare& share : *match.shares) {
+    left -= share.weight;
+    if (left < 0) {
+      return share.service;
+    }
+  }
+  return match.shares->back().service;
+}
+
+RouteMatch MatchRoute(const RouteTable& table,
+                      absl::string_view method,
+                      absl::string_view target,
+                      HeaderLookup header) {
+  RouteMatch match = FindMatch(table, method, target, header);
+  if (table.lacks_routes && (match.status == MatchStatus::kNoTeam ||
+                             match.status == MatchStatus::kNoRoute)) {
+    match.status = MatchStatus::kUnusableRoute;
+  }
+  return match;
+}
+
 }  // namespace comfrey
--- a/Source/config/route_table.h
+++ b/Source/config/route_table.h
@@ -20,7 +20,8 @@
   int weight = 0;
 };
 
-/// \brief A route with the objects to which its names refer.
+/// \brief A route with the objects to which its names refer; an unusable route
+/// refers to none.
 struct ResolvedRoute {
   const RouteConfig* route = nullptr;
   const ServiceConfig* service = nullptr;
@@ -49,6 +50,8 @@
   /// By host. If several teams have routes for a host, the team whose name
   /// sorts first serves it.
   absl::flat_hash_map<std::string, std::shared_ptr<const TeamRoutes>> hosts;
+  /// Whether a team lacks routes whose place is not known.
+  bool lacks_routes = false;
 };
 
 /// \brief Builds a table from configurations that were parsed without errors.
@@ -75,6 +78,10 @@
   /// No route of the team matches path, method and headers; answered with the
   /// HTTP status 404.
   kNoRoute,
+  /// The route of the request was published, but cannot be used; answered with
+  /// the HTTP status 503. Also used if no route matches while the place of such
+  /// a route is not known.
+  kUnusableRoute,
 };
 
 /// \brief The result of MatchRoute. The pointers are valid as long as the table
--- a/Source/config/team_config.h
+++ b/Source/config/team_config.h
@@ -111,6 +111,10 @@
 /// team.
 struct RouteConfig {
   std::string name;
+  /// Whether the route was published but cannot be used. It has a host and a
+  /// path, but neither service nor rank, and its requests are refused as not
+  /// run.
+  bool unusable = false;
   std::string service;
   std::string rank;
   /// HTTP method in upper case; empty for any method.
@@ -161,8 +165,14 @@
   std::vector<ServiceConfig> services;
   std::vector<RankConfig> ranks;
   std::vector<RouteConfig> routes;
+  /// Whether a route was published whose place is not known, so that a request
+  /// without a route may be one of its requests.
+  bool lacks_routes = false;
   /// Set if the source of the configuration defines limits for callers.
   std::optional<CallerLimits> caller_limits;
+  /// Entries of the source that could not be read, while the others are in
+  /// force.
+  std::vector<IniError> entry_errors;
 };
 
 /// \brief Parses and validates a subtree; appends all errors to `errors`.
--- a/Source/ctl/status_command.cc
+++ b/Source/ctl/status_command.cc
@@ -77,12 +77,22 @@
   return RenderTable(rows, "");
 }
 
+// Names the version of which nothing is in force, or of which only the listed
+// entries are not.
 std::string RenderRejectedConfig(const TeamReport& team) {
-  std::string text = absl::StrCat(
-      "  refused: team ", team.team, ", version ",
-      FormatConfigVersion(team.refused->version), "; in force is ",
-      team.in_force ? FormatConfigVersion(team.in_force->version) : "none",
-      "\n");
+  const bool partial =
+      team.in_force && team.in_force->version == team.refused->version;
+  std::string text =
+      partial
+          ? absl::StrCat("  refused: entries of team ", team.team, ", version ",
+                         FormatConfigVersion(team.refused->version),
+                         "; its other entries are in force\n")
+          : absl::StrCat(
+                "  refused: team ", team.team, ", version ",
+                FormatConfigVersion(team.refused->version), "; in force is ",
+                team.in_force ? FormatConfigVersion(team.in_force->version)
+                              : "none",
+                "\n");
   for (const IniError& error : team.refused->errors) {
     absl::StrAppend(&text, "    ", FormatIniError(error), "\n");
   }
--- a/Source/daemon/config_keeper.cc
+++ b/Source/daemon/config_keeper.cc
@@ -19,6 +19,7 @@
       older(counters.Counter("comfrey_config_older_total")),
       invalid(counters.Counter("comfrey_config_invalid_total")),
       conflicts(counters.Counter("comfrey_config_conflicts_total")),
+      unusable_entries(counters.Gauge("comfrey_config_unusable_entries")),
       gate(MakeBootstrapGate(bootstrap_peers,
                              seeds,
                              std::chrono::steady_clock::now())) {}
@@ -43,6 +44,14 @@
   if (same_generation) {
     version.revision = known->second->version.revision + 1;
   }
+  this->unusable_entries.Set(
+      static_cast<std::int64_t>(team.entry_errors.size()));
+  if (!same_generation) {
+    for (const IniError& error : team.entry_errors) {
+      spdlog::warn("configuration {} of the registry: {}", version.generation,
+                   FormatIniError(error));
+    }
+  }
   ReplaceTeam(this->store, version, std::move(team));
   auto next = std::make_shared<const ConfigStore>(this->store);
   this->publish(next);
--- a/Source/daemon/config_keeper.h
+++ b/Source/daemon/config_keeper.h
@@ -74,6 +74,7 @@
   Metric& older;
   Metric& invalid;
   Metric& conflicts;
+  Metric& unusable_entries;
   std::mutex mutex;
   ConfigStore store;
   BootstrapGate gate;
--- a/Source/daemon/daemon_pages.cc
+++ b/Source/daemon/daemon_pages.cc
@@ -193,6 +193,9 @@
       return "no team is served under this path; check its first segment";
     case MatchStatus::kNoRoute:
       return "no route of the team matches; check path, method and headers";
+    case MatchStatus::kUnusableRoute:
+      return "the published route cannot be used; see the refused entries in "
+             "comfreyctl status";
   }
   return "";
 }
@@ -207,6 +210,8 @@
       return ExplainedMatch::kNoTeam;
     case MatchStatus::kNoRoute:
       return ExplainedMatch::kNoRoute;
+    case MatchStatus::kUnusableRoute:
+      return ExplainedMatch::kUnusableRoute;
   }
   return ExplainedMatch::kUnknown;
 }
--- a/Source/daemon/ingress.cc
+++ b/Source/daemon/ingress.cc
@@ -45,6 +45,10 @@
     return MakeLocalReply(CallerOutcome::kNotRun, kBadRequest,
                           "the request target is not a valid absolute path");
   }
+  if (status == MatchStatus::kUnusableRoute) {
+    return MakeLocalReply(CallerOutcome::kNotRun, kUnavailable,
+                          "the published route cannot be used");
+  }
   return MakeLocalReply(CallerOutcome::kNotRun, kNotFound,
                         status == MatchStatus::kNoTeam
                             ? "no team is served under this path"
--- a/Source/platform/registry_client.cc
+++ b/Source/platform/registry_client.cc
@@ -43,6 +43,23 @@
                sizeof(kKeepaliveProbeCount));
 }
 
+// Returns the last key of a page, or "" if no item has one.
+std::string LastKey(const json& items) {
+  std::string last;
+  for (const json& item : items) {
+    const auto key = item.find("key");
+    if (key != item.end() && key->is_string()) {
+      last = key->get<std::string>();
+    }
+  }
+  return last;
+}
+
+bool HasMore(const json& page) {
+  const auto more = page.find("has_more");
+  return more != page.end() && more->is_boolean() && more->get<bool>();
+}
+
 }  // namespace
 
 /// \brief One response of the registry; `body` is null if the key does not
@@ -143,9 +160,11 @@
     }
     for (const json& item : *items) {
       AddItem(item, update);
-      last_key = item.value("key", last_key);
     }
-    more = response->body.value("has_more", false) && !items->empty();
+    // A page that does not advance would be read again without end.
+    const std::string page_end = LastKey(*items);
+    more = HasMore(response->body) && page_end > last_key;
+    last_key = page_end;
   }
   return update;
 }
--- a/Source/platform/registry_decoder.cc
+++ b/Source/platform/registry_decoder.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <limits>
+#include <map>
 #include <optional>
 #include <set>
 #include <utility>
@@ -20,6 +21,19 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
+// Longer durations have the same effect. Much longer ones exceed the range of
+// the types that hold points in time.
+constexpr std::chrono::hours kMaxDuration{24};
+// Ranges of ServiceConfig and ServiceShare.
+constexpr int kMaxSlots = 10'000;
+constexpr int kMaxWeight = 1'000'000;
+constexpr int kMaxInt = std::numeric_limits<int>::max();
+constexpr std::int64_t kMaxInt64 = std::numeric_limits<std::int64_t>::max();
+// Latest start of a backend server, in Unix milliseconds, that a point in time
+// with a resolution of nanoseconds can hold.
+constexpr std::int64_t kMaxStartTime = kMaxInt64 / 1'000'000;
+constexpr char kUnnamed[] = "(unnamed)";
+
 absl::Status FieldError(absl::string_view field, absl::string_view expected) {
   return absl::InvalidArgumentError(
       absl::StrCat("field \"", field, "\" is not ", expected));
@@ -33,25 +47,34 @@
   return found->get<std::string>();
 }
 
+// The values are integers of any size, so a number beyond 64 bits is an error
+// and does not wrap around.
 absl::StatusOr<std::int64_t> ReadInt64(const json& object,
                                        const char* field,
-                                       std::int64_t min) {
+                                       std::int64_t min,
+                                       std::int64_t max) {
   const auto found = object.find(field);
-  if (found == object.end() || !found->is_number_integer() ||
-      found->get<std::int64_t>() < min) {
-    return FieldError(field, absl::StrCat("a whole number of at least ", min));
+  const bool fits =
+      found != object.end() && found->is_number_integer() &&
+      !(found->is_number_unsigned() &&
+        found->get<std::uint64_t>() > static_cast<std::uint64_t>(max)) &&
+      found->get<std::int64_t>() >= min && found->get<std::int64_t>() <= max;
+  if (!fits) {
+    return FieldError(field,
+                      absl::StrCat("a whole number from ", min, " to ", max));
   }
   return found->get<std::int64_t>();
 }
 
-absl::StatusOr<int> ReadInt(const json& object, const char* field, int min) {
-  const absl::StatusOr<std::int64_t> number = ReadInt64(object, field, min);
+absl::StatusOr<int> ReadInt(const json& object,
+                            const char* field,
+                            int min,
+                            int max) {
+  const absl::StatusOr<std::int64_t> number =
+      ReadInt64(object, field, min, max);
   if (!number.ok()) {
     return number.status();
   }
-  if (*number > std::numeric_limits<int>::max()) {
-    return FieldError(field, "within the range of a 32-bit integer");
-  }
   return static_cast<int>(*number);
 }
 
@@ -65,7 +88,8 @@
   if (!duration.ok()) {
     return FieldError(field, "a duration with a unit");
   }
-  return std::chrono::duration_cast<milliseconds>(*duration);
+  return std::min<milliseconds>(
+      std::chrono::duration_cast<milliseconds>(*duration), kMaxDuration);
 }
 
 absl::StatusOr<std::uint64_t> ReadVersion(const json& object) {
@@ -94,7 +118,7 @@
   std::int64_t total = 0;
   for (const json& part : *split) {
     absl::StatusOr<std::string> service = ReadString(part, "service");
-    const absl::StatusOr<int> weight = ReadInt(part, "weight", 0);
+    const absl::StatusOr<int> weight = ReadInt(part, "weight", 0, kMaxWeight);
     if (!service.ok() || !weight.ok()) {
       return FieldError("traffic_split", "a list of services and weights");
     }
@@ -106,15 +130,6 @@
                                 "a list with a positive total weight");
 }
 
-absl::Status ReadKind(const json& spec, PublishedRoute& route) {
-  const absl::StatusOr<std::string> kind = ReadString(spec, "kind");
-  if (!kind.ok() || (*kind != "safe" && *kind != "unsafe")) {
-    return FieldError("kind", "\"safe\" or \"unsafe\"");
-  }
-  route.idempotent = *kind == "safe";
-  return absl::OkStatus();
-}
-
 template <typename T>
 absl::Status AssignResult(absl::StatusOr<T> result, T& value) {
   if (!result.ok()) {
@@ -124,32 +139,91 @@
   return absl::OkStatus();
 }
 
-absl::StatusOr<PublishedRoute> ReadRoute(const json& spec, std::string name) {
-  PublishedRoute route;
-  route.name = std::move(name);
+// Kinds of requests that are not idempotent: "unsafe" and, with large bodies,
+// "upload". A kind that this release does not know is treated like them, since
+// its requests may not be safe to repeat.
+void ReadKind(const json& spec, PublishedRoute& route, EntryProblem& problem) {
+  const absl::StatusOr<std::string> kind = ReadString(spec, "kind");
+  route.idempotent = kind.ok() && *kind == "safe";
+  if (!kind.ok()) {
+    problem.cause = std::string(kind.status().message());
+  } else if (*kind != "safe" && *kind != "unsafe" && *kind != "upload") {
+    problem.cause = absl::StrCat("kind \"", *kind, "\" is not known");
+  }
+}
+
+// Reads the fields that determine which requests a route gets.
+absl::Status ReadPlace(const json& spec, PublishedRoute& route) {
   for (const absl::Status& status :
        {AssignResult(ReadString(spec, "host"), route.host),
-        AssignResult(ReadString(spec, "prefix"), route.prefix),
-        ReadKind(spec, route),
-        AssignResult(ReadDuration(spec, "timeout"), route.timeout),
-        AssignResult(ReadDuration(spec, "target_latency"), route.target),
-        AssignResult(ReadInt(spec, "priority", 0), route.priority),
-        AssignResult(ReadInt(spec, "max_attempts", 1), route.max_attempts),
-        ReadServices(spec, route)}) {
+        AssignResult(ReadString(spec, "prefix"), route.prefix)}) {
     if (!status.ok()) {
       return status;
     }
   }
+  if (route.host.empty()) {
+    return FieldError("host", "a host name");
+  }
   if (!absl::StartsWith(route.prefix, "/") ||
       !absl::EndsWith(route.prefix, "/")) {
     return FieldError("prefix", "a path that begins and ends with a slash");
   }
+  std::transform(route.host.begin(), route.host.end(), route.host.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return absl::OkStatus();
+}
+
+// Reads the fields that determine how the requests of a route are handled.
+absl::Status ReadHandling(const json& spec, PublishedRoute& route) {
+  for (const absl::Status& status :
+       {AssignResult(ReadDuration(spec, "timeout"), route.timeout),
+        AssignResult(ReadDuration(spec, "target_latency"), route.target),
+        AssignResult(ReadInt(spec, "priority", 0, kMaxInt), route.priority),
+        AssignResult(ReadInt(spec, "max_attempts", 1, kMaxInt),
+                     route.max_attempts),
+        ReadServices(spec, route)}) {
+    if (!status.ok()) {
+      return status;
+    }
+  }
   if (route.timeout <= milliseconds(0)) {
     return FieldError("timeout", "a positive duration");
   }
-  std::transform(route.host.begin(), route.host.end(), route.host.begin(),
-                 [](unsigned char c) { return std::tolower(c); });
-  return route;
+  return absl::OkStatus();
+}
+
+// Records why a route cannot be used. The route stays in the configuration, so
+// that its requests are not taken for requests without a route.
+void MarkUnusable(PublishedRoute& route,
+                  absl::string_view cause,
+                  PublishedConfig& config) {
+  route.problem = std::string(cause);
+  config.problems.push_back({absl::StrCat("route ", route.name), route.problem,
+                             "its requests are refused as not run"});
+}
+
+void AddRoute(const json& spec, std::string name, PublishedConfig& config) {
+  PublishedRoute route;
+  route.name = std::move(name);
+  const absl::Status place = ReadPlace(spec, route);
+  if (!place.ok()) {
+    config.lacks_routes = true;
+    config.problems.push_back({absl::StrCat("route ", route.name),
+                               std::string(place.message()),
+                               "requests without a route are refused as not "
+                               "run"});
+    return;
+  }
+  EntryProblem kind_problem{absl::StrCat("route ", route.name), "",
+                            "its requests are treated as non-idempotent"};
+  ReadKind(spec, route, kind_problem);
+  const absl::Status handling = ReadHandling(spec, route);
+  if (!handling.ok()) {
+    MarkUnusable(route, handling.message(), config);
+  } else if (!kind_problem.cause.empty()) {
+    config.problems.push_back(std::move(kind_problem));
+  }
+  config.routes.push_back(std::move(route));
 }
 
 absl::StatusOr<CallerLimits> ReadLimits(const json& spec) {
@@ -157,8 +231,10 @@
   std::int64_t max_header_bytes = 0;
   std::int64_t max_body_bytes = 0;
   for (const absl::Status& status :
-       {AssignResult(ReadInt64(spec, "max_header_bytes", 1), max_header_bytes),
-        AssignResult(ReadInt64(spec, "max_body_bytes", 0), max_body_bytes),
+       {AssignResult(ReadInt64(spec, "max_header_bytes", 1, kMaxInt64),
+                     max_header_bytes),
+        AssignResult(ReadInt64(spec, "max_body_bytes", 0, kMaxInt64),
+                     max_body_bytes),
         AssignResult(ReadDuration(spec, "header_timeout"),
                      limits.header_timeout),
         AssignResult(ReadDuration(spec, "idle_timeout"),
@@ -172,64 +248,91 @@
   return limits;
 }
 
-absl::Status ReadResource(const json& resource, PublishedConfig& config) {
+void AddService(const json& spec, std::string name, PublishedConfig& config) {
+  PublishedService service;
+  service.name = std::move(name);
+  const absl::Status status =
+      AssignResult(ReadString(spec, "health_path"), service.health_path);
+  if (!status.ok()) {
+    config.problems.push_back({absl::StrCat("service ", service.name),
+                               std::string(status.message()),
+                               "the service is used without it"});
+  }
+  config.services.push_back(std::move(service));
+}
+
+void AddLimits(const json& spec, PublishedConfig& config) {
+  const absl::StatusOr<CallerLimits> limits = ReadLimits(spec);
+  if (limits.ok()) {
+    config.limits = *limits;
+    return;
+  }
+  config.limits = std::nullopt;
+  config.problems.push_back({"limits", std::string(limits.status().message()),
+                             "the limits in force stay in use"});
+}
+
+// Adds a resource of the configuration. A resource of a kind that this release
+// does not know is ignored, and one that cannot be read costs only itself.
+void AddResource(const json& resource, PublishedConfig& config) {
   const absl::StatusOr<std::string> kind = ReadString(resource, "entry_kind");
+  if (kind.ok() && *kind != "limits" && *kind != "routes" &&
+      *kind != "services") {
+    return;
+  }
   const auto metadata = resource.find("metadata");
   const auto spec = resource.find("spec");
-  if (!kind.ok() || metadata == resource.end() || !metadata->is_object() ||
-      spec == resource.end() || !spec->is_object()) {
-    return absl::InvalidArgumentError(
-        "a resource has no entry_kind, metadata or spec");
+  const absl::StatusOr<std::string> name =
+      metadata == resource.end() ? FieldError("metadata", "an object")
+                                 : ReadString(*metadata, "name");
+  if (!kind.ok() || spec == resource.end() || !spec->is_object() ||
+      (*kind == "services" && !name.ok())) {
+    config.lacks_routes |= !kind.ok() || *kind == "routes";
+    if (kind.ok() && *kind == "limits") {
+      config.limits = std::nullopt;
+    }
+    config.problems.push_back(
+        {kind.ok() ? *kind : "resource",
+         "the entry has no entry_kind, no spec or no name", "it is ignored"});
+    return;
   }
   if (*kind == "limits") {
-    return AssignResult(ReadLimits(*spec), config.limits);
+    AddLimits(*spec, config);
+  } else if (*kind == "services") {
+    AddService(*spec, *name, config);
+  } else {
+    AddRoute(*spec, name.value_or(kUnnamed), config);
   }
-  if (*kind != "routes" && *kind != "services") {
-    return absl::OkStatus();
-  }
-  absl::StatusOr<std::string> name = ReadString(*metadata, "name");
-  if (!name.ok()) {
-    return name.status();
-  }
-  if (*kind == "services") {
-    PublishedService service;
-    service.name = *std::move(name);
-    absl::Status status =
-        AssignResult(ReadString(*spec, "health_path"), service.health_path);
-    config.services.push_back(std::move(service));
-    return status;
-  }
-  PublishedRoute route;
-  absl::Status status = AssignResult(ReadRoute(*spec, *name), route);
-  if (!status.ok()) {
-    return absl::InvalidArgumentError(
-        absl::StrCat("route ", *name, ": ", status.message()));
-  }
-  config.routes.push_back(std::move(route));
-  return absl::OkStatus();
 }
 
-// Rejects a route whose destination is unclear: one that has the host and
-// prefix of another route, or that names an unknown service.
-absl::Status CheckRoutes(const PublishedConfig& config) {
+// Marks the routes whose destination is unclear: those that share host and
+// prefix with another route, and those that name an unknown service.
+void CheckRoutes(PublishedConfig& config) {
   std::set<std::string> services;
   for (const PublishedService& service : config.services) {
     services.insert(service.name);
   }
-  std::set<std::pair<std::string, std::string>> seen_prefixes;
+  std::map<std::pair<std::string, std::string>, int> places;
   for (const PublishedRoute& route : config.routes) {
-    if (!seen_prefixes.emplace(route.host, route.prefix).second) {
-      return absl::InvalidArgumentError(absl::StrCat(
-          "route ", route.name, ": another route has its host and prefix"));
+    ++places[{route.host, route.prefix}];
+  }
+  for (PublishedRoute& route : config.routes) {
+    if (!route.problem.empty()) {
+      continue;
     }
-    for (const ServiceShare& share : route.services) {
-      if (services.count(share.service) == 0) {
-        return absl::InvalidArgumentError(absl::StrCat(
-            "route ", route.name, ": service ", share.service, " is unknown"));
-      }
+    if (places[{route.host, route.prefix}] > 1) {
+      MarkUnusable(route, "another route has its host and prefix", config);
+      continue;
+    }
+    const auto unknown = std::find_if(
+        route.services.begin(), route.services.end(),
+        [&](const ServiceShare& s) { return services.count(s.service) == 0; });
+    if (unknown != route.services.end()) {
+      MarkUnusable(route,
+                   absl::StrCat("service ", unknown->service, " is unknown"),
+                   config);
     }
   }
-  return absl::OkStatus();
 }
 
 absl::StatusOr<json> ParseObject(absl::string_view text) {
@@ -241,7 +344,8 @@
 }
 
 std::uint64_t ReadRevision(const json& item, const char* field) {
-  const absl::StatusOr<std::int64_t> revision = ReadInt64(item, field, 0);
+  const absl::StatusOr<std::int64_t> revision =
+      ReadInt64(item, field, 0, kMaxInt64);
   return revision.ok() ? static_cast<std::uint64_t>(*revision) : 0;
 }
 
@@ -294,24 +398,19 @@
     return object.status();
   }
   PublishedConfig config;
-  absl::Status status = AssignResult(ReadVersion(*object), config.version);
-  if (!status.ok()) {
-    return status;
+  const absl::Status version =
+      AssignResult(ReadVersion(*object), config.version);
+  if (!version.ok()) {
+    return version;
   }
   const auto resources = object->find("resources");
   if (resources == object->end() || !resources->is_array()) {
     return FieldError("resources", "a list");
   }
   for (const json& resource : *resources) {
-    status = ReadResource(resource, config);
-    if (!status.ok()) {
-      return status;
-    }
-  }
-  status = CheckRoutes(config);
-  if (!status.ok()) {
-    return status;
+    AddResource(resource, config);
   }
+  CheckRoutes(config);
   return config;
 }
 
@@ -331,10 +430,10 @@
         AssignResult(ReadString(*object, "address"), address),
         AssignResult(ReadString(*object, "zone"), endpoint.failure_domain),
         AssignResult(ReadString(*object, "version"), software_version),
-        AssignResult(ReadInt(*object, "slots", 1), endpoint.slots),
+        AssignResult(ReadInt(*object, "slots", 1, kMaxSlots), endpoint.slots),
         AssignResult(ReadString(*object, "state"), state),
         AssignResult(ReadDuration(*object, "cold_remaining"), cold_remaining),
-        AssignResult(ReadInt64(*object, "sequence", 0), sequence)}) {
+        AssignResult(ReadInt64(*object, "sequence", 0, kMaxInt64), sequence)}) {
     if (!status.ok()) {
       return status;
     }
@@ -347,7 +446,8 @@
     return FieldError("address", "an IP address with a port");
   }
   if (object->contains("born")) {
-    const absl::StatusOr<std::int64_t> started = ReadInt64(*object, "born", 0);
+    const absl::StatusOr<std::int64_t> started =
+        ReadInt64(*object, "born", 0, kMaxStartTime);
     if (!started.ok()) {
       return started.status();
     }
--- a/Source/platform/registry_decoder.h
+++ b/Source/platform/registry_decoder.h
@@ -16,8 +16,9 @@
 /// follows.
 inline constexpr char kRegistrationKeyPrefix[] = "servers/";
 
-/// \brief Decodes the published configuration. Errors in a route name the
-/// route; errors in a field name the field.
+/// \brief Decodes the published configuration. It fails only if the version or
+/// the list of entries cannot be read; an entry that cannot be read is listed
+/// in PublishedConfig::problems.
 absl::StatusOr<PublishedConfig> DecodeConfig(absl::string_view text);
 
 /// \brief Decodes the registration of one backend server.
--- a/Source/report/route_explanation.cc
+++ b/Source/report/route_explanation.cc
@@ -7,8 +7,9 @@
 
 template <>
 struct EnumNames<ExplainedMatch> {
-  static constexpr std::array<absl::string_view, 6> kNames = {
-      "unknown", "found", "bad_target", "no_team", "no_route", "not_ready"};
+  static constexpr std::array<absl::string_view, 7> kNames = {
+      "unknown",  "found",     "bad_target",    "no_team",
+      "no_route", "not_ready", "unusable_route"};
 };
 
 template <>
--- a/Source/report/route_explanation.h
+++ b/Source/report/route_explanation.h
@@ -27,6 +27,8 @@
   kNoRoute,
   /// The daemon is not ready or is draining; HTTP status 503.
   kNotReady,
+  /// The route was published, but cannot be used; HTTP status 503.
+  kUnusableRoute,
 };
 
 /// \brief Location of an endpoint relative to the reporting daemon.
--- a/Tests/config/registry_view_test.cc
+++ b/Tests/config/registry_view_test.cc
@@ -117,6 +117,50 @@
   CHECK(view.config->version == 6);
 }
 
+// Guards against limits of the defaults in place of the published ones.
+TEST_CASE("unreadable limits keep the limits in force") {
+  RegistryView view;
+  RegistryUpdate first = MakeListing({});
+  first.config->limits->body_bytes = 777;
+  ApplyRegistryUpdate(view, first, kNow);
+  RegistryUpdate second;
+  second.config = MakeConfig(6);
+  second.config->limits = std::nullopt;
+  REQUIRE(ApplyRegistryUpdate(view, second, kNow));
+  CHECK(BuildRegistryTeam(view, kSettings)->caller_limits->body_bytes == 777);
+}
+
+// Guards against an unusable version or entry that is not reported, and against
+// a report that stays after a valid version.
+TEST_CASE("problems of the published configuration are reported") {
+  RegistryView view;
+  ApplyRegistryUpdate(view, MakeListing({}), kNow);
+  CHECK(BuildRegistryTeam(view, kSettings)->entry_errors.empty());
+  RegistryUpdate damaged;
+  damaged.config_problem = "the value is not a JSON object";
+  CHECK(ApplyRegistryUpdate(view, damaged, kNow));
+  CHECK_FALSE(ApplyRegistryUpdate(view, damaged, kNow));
+  CHECK(view.config->version == 4);
+  CHECK(BuildRegistryTeam(view, kSettings)->entry_errors.size() == 1);
+  RegistryUpdate partial;
+  partial.config = MakeConfig(6);
+  partial.config->routes[0].problem = "no timeout";
+  partial.config->problems = {{"route visits", "no timeout", "refused"}};
+  partial.config->lacks_routes = true;
+  CHECK(ApplyRegistryUpdate(view, partial, kNow));
+  const auto team = BuildRegistryTeam(view, kSettings);
+  REQUIRE(team->entry_errors.size() == 1);
+  CHECK(team->entry_errors[0].section == "route visits");
+  CHECK(team->lacks_routes);
+  REQUIRE(team->routes.size() == 1);
+  CHECK(team->routes[0].unusable);
+  CHECK(team->ranks.empty());
+  RegistryUpdate valid;
+  valid.config = MakeConfig(7);
+  CHECK(ApplyRegistryUpdate(view, valid, kNow));
+  CHECK(BuildRegistryTeam(view, kSettings)->entry_errors.empty());
+}
+
 // Guards against requests to a backend server that removed its registration.
 TEST_CASE("a removed registration is dropped at once without an outage") {
   RegistryView view;
--- a/Tests/config/route_table_test.cc
+++ b/Tests/config/route_table_test.cc
@@ -294,6 +294,36 @@
   CHECK(MatchHost(table, "shop.example", "/x").team->team == "b");
 }
 
+// Guards against a 404, or another route, for a request whose published route
+// cannot be used.
+TEST_CASE("requests of an unusable route match no other route") {
+  auto config = std::make_shared<TeamConfig>(*ParseConfig(
+      "t", MakeRouteSection("all", "host = shop.example\npath = /\n")));
+  RouteConfig unusable;
+  unusable.name = "orders";
+  unusable.unusable = true;
+  unusable.host = "shop.example";
+  unusable.path = "/orders/";
+  config->routes.push_back(unusable);
+  RouteTable table = BuildRouteTable({config});
+  CHECK(MatchHost(table, "shop.example", "/orders/1").status ==
+        MatchStatus::kUnusableRoute);
+  CHECK(MatchHost(table, "shop.example", "/other").status ==
+        MatchStatus::kFound);
+  CHECK(MatchHost(table, "else.example", "/orders/1").status ==
+        MatchStatus::kNoTeam);
+  auto lacking = std::make_shared<TeamConfig>(*config);
+  lacking->lacks_routes = true;
+  SetTeam(table, lacking);
+  CHECK(MatchHost(table, "else.example", "/orders/1").status ==
+        MatchStatus::kUnusableRoute);
+  CHECK(MatchHost(table, "shop.example", "/other").status ==
+        MatchStatus::kFound);
+  SetTeam(table, config);
+  CHECK(MatchHost(table, "else.example", "/orders/1").status ==
+        MatchStatus::kNoTeam);
+}
+
 // Guards against a split that does not follow its weights.
 TEST_CASE("a split divides the requests by weight") {
   std::vector<IniError> errors;
--- a/Tests/platform/registry_client_test.cc
+++ b/Tests/platform/registry_client_test.cc
@@ -122,6 +122,34 @@
   CHECK(client.ReadAll().ok());
 }
 
+// Guards against an odd item that ends the process or the listing.
+TEST_CASE("odd items of a page do not end the listing") {
+  FakeStore store;
+  int pages = 0;
+  store.handler = [&](const httplib::Request& request,
+                      httplib::Response& response) {
+    if (request.path == "/kv-key") {
+      SetJsonBody(response,
+                  json::object({{"key", 7}, {"store_revision", "x"}}));
+      return;
+    }
+    ++pages;
+    const json odd = json::array(
+        {MakeRegistrationItem("servers/i-1", 5), 7, nullptr, json::array(),
+         json::object({{"key", 9}}), json::object({{"key", json::array()}})});
+    SetJsonBody(response, {{"items", request.has_param("after")
+                                         ? json::array({json::array(), 8})
+                                         : odd},
+                           {"has_more", true},
+                           {"store_revision", -1}});
+  };
+  RegistryClient client(kIp, store.port);
+  const auto update = client.ReadAll();
+  REQUIRE(update.ok());
+  CHECK(update->registrations.size() == 1);
+  CHECK(pages == 2);
+}
+
 // Guards against changes that are missed or that are read repeatedly.
 TEST_CASE("a watch asks for changes after a revision") {
   FakeStore store;
