Ask the budget before a request on a reset connection is sent again

Cause: BackendClient sent an idempotent request again over a new connection when a reused one ended without a response, and the ingress charged it to the budget afterwards.

Change: the owner sends each request once. A connection that ends at its reuse leaves the outcome unknown and is no evidence of a fault; the ingress repeats the request if its budget and max_attempts permit. Only a request of which no byte was sent is sent over another connection by the owner.

Tests: 'A request on a connection that ends at its reuse is sent once' (before, the backend server got the request twice), 'a stale connection leaves the outcome unknown', 'a request whose response was lost is not sent again without budget'.

--- a/Source/core/retry_budget.cc
+++ b/Source/core/retry_budget.cc
@@ -39,11 +39,6 @@
       std::min(budget.max_percent, budget.balance_percent + kPercentPerAttempt);
 }
 
-void ChargeRetry(RetryBudget& budget) {
-  budget.balance_percent = std::max(
-      -budget.max_percent, budget.balance_percent - kPercentPerAttempt);
-}
-
 // The retries of all daemons are not counted in one place, so each daemon uses
 // only its own part of the slack. kMargin keeps the retries below the share
 // although some first attempts that are recorded here are not yet counted in
--- a/Source/core/retry_budget.h
+++ b/Source/core/retry_budget.h
@@ -32,7 +32,7 @@
   std::int64_t percent_per_first_attempt = 10;
   /// Limit of the balance that can be saved up; 20 retries by default.
   std::int64_t max_percent = 2000;
-  std::int64_t balance_percent = 0;  ///< Negative after ChargeRetry.
+  std::int64_t balance_percent = 0;
 };
 
 /// \brief Adds the share of one first attempt to the budget. Call it once for
@@ -47,10 +47,6 @@
 /// \brief Adds back a retry that was taken but not sent.
 void ReturnRetry(RetryBudget& budget);
 
-/// \brief Subtracts a retry that was sent without TakeRetry. The balance can
-/// become negative, down to -max_percent.
-void ChargeRetry(RetryBudget& budget);
-
 /// \brief Sets the limits from those of the whole fleet.
 ///
 /// `share` is the limit of retries as a share of the first attempts, 0 to 1.
--- a/Source/daemon/backend_client.cc
+++ b/Source/daemon/backend_client.cc
@@ -190,16 +190,12 @@
 
 BackendResult BackendClient::Call(const BackendCall& call) {
   const Clock::time_point start = Clock::now();
-  bool should_retry = false;
-  BackendResult result = this->CallOnce(call, call.idempotent, should_retry);
-  if (should_retry) {
-    result = this->CallOnce(call, false, should_retry);
-    result.retried = true;
-    if (result.outcome == BackendOutcome::kNotSent) {
-      // The request may have reached the backend server over the first
-      // connection.
-      result.outcome = BackendOutcome::kFailed;
-    }
+  BackendResult result = this->CallOnce(call, call.idempotent);
+  // Only a request of which no byte was sent is sent again here. Others may
+  // have run, so the ingress decides about them, which knows the budget for
+  // retries.
+  if (result.connection_stale && result.outcome == BackendOutcome::kNotSent) {
+    result = this->CallOnce(call, false);
   }
   result.latency = std::chrono::duration_cast<std::chrono::microseconds>(
       Clock::now() - start);
@@ -207,9 +203,7 @@
 }
 
 BackendResult BackendClient::CallOnce(const BackendCall& call,
-                                      bool allow_reuse,
-                                      bool& should_retry) {
-  should_retry = false;
+                                      bool allow_reuse) {
   BackendResult result;
   const Clock::time_point start = Clock::now();
   const std::string invalid = ValidateRequest(*call.request);
@@ -226,8 +220,7 @@
   }
   // The backend server may close an idle connection between its check and its
   // use, and then it is unknown whether the request ran. A request that must
-  // not run twice therefore gets a new connection, which takes about 1 ms. An
-  // idempotent request is retried over a new connection.
+  // not run twice therefore gets a new connection, which takes about 1 ms.
   std::unique_ptr<BackendConnection> connection =
       allow_reuse && this->MayReuse(*call.request) ? this->pool.Take()
                                                    : nullptr;
@@ -242,8 +235,7 @@
       return result;
     }
   }
-  const bool keep =
-      this->Exchange(call, *connection, reused, result, should_retry);
+  const bool keep = this->Exchange(call, *connection, reused, result);
   if (keep) {
     this->pool.Keep(std::move(connection));
   } else {
@@ -255,8 +247,7 @@
 bool BackendClient::Exchange(const BackendCall& call,
                              BackendConnection& connection,
                              bool reused,
-                             BackendResult& result,
-                             bool& should_retry) {
+                             BackendResult& result) {
   if (!reused && !IsOpenAndIdle(connection)) {
     result.error = absl::UnavailableError(absl::StrCat(
         "send to ", this->peer,
@@ -296,9 +287,8 @@
     return received.reusable && !stopped &&
            !MayBeRepeated(result.response, names);
   }
-  should_retry = reused && !stopped && !received.timed_out &&
-                 (!received.received_bytes || received.undecidable) &&
-                 Clock::now() < call.deadline;
+  result.connection_stale = reused && !stopped && !received.timed_out &&
+                            (!received.received_bytes || received.undecidable);
   if (sent == 0 && !stopped) {
     result.error = absl::UnavailableError(
         absl::StrCat("send to ", this->peer, ": ", received.error));
--- a/Source/daemon/backend_client.h
+++ b/Source/daemon/backend_client.h
@@ -30,10 +30,10 @@
   HttpResponse response;
   absl::Status error;
   std::chrono::microseconds latency{0};
-  /// Whether the request was retried over a new connection, because a reused
-  /// connection ended without a response, or with one that may belong to
-  /// another request. The backend server may have received it twice.
-  bool retried = false;
+  /// Whether a reused connection ended without a response, or with one that may
+  /// belong to another request. The backend server may have closed it while it
+  /// was idle, so this is no evidence of a fault.
+  bool connection_stale = false;
   /// Whether the call failed because the daemon had no memory left for the
   /// response, which is no fault of the backend server.
   bool over_budget = false;
@@ -89,17 +89,12 @@
                          std::chrono::steady_clock::time_point deadline);
 
  private:
-  // Sets `should_retry` if a reused connection ended without a response to the
-  // request, so that it may be retried over a new connection.
-  BackendResult CallOnce(const BackendCall& call,
-                         bool allow_reuse,
-                         bool& should_retry);
+  BackendResult CallOnce(const BackendCall& call, bool allow_reuse);
   // As CallOnce, over the given connection; returns whether it may be reused.
   bool Exchange(const BackendCall& call,
                 BackendConnection& connection,
                 bool reused,
-                BackendResult& result,
-                bool& should_retry);
+                BackendResult& result);
   bool MayReuse(const HttpRequest& request) const;
   // Skips responses to other attempts.
   ReceivedResponse ReadOwnResponse(const BackendCall& call,
--- a/Source/daemon/endpoint_directory.cc
+++ b/Source/daemon/endpoint_directory.cc
@@ -635,14 +635,6 @@
              RetryVerdict::kAllowed;
 }
 
-void EndpointDirectory::ChargeRetryOf(const ServiceId& id) {
-  const std::lock_guard<std::mutex> lock(this->mutex);
-  const auto found = this->services.find(id);
-  if (found != this->services.end()) {
-    ChargeRetry(found->second.budget);
-  }
-}
-
 void EndpointDirectory::ReturnRetryOf(const ServiceId& id) {
   const std::lock_guard<std::mutex> lock(this->mutex);
   const auto found = this->services.find(id);
--- a/Source/daemon/endpoint_directory.h
+++ b/Source/daemon/endpoint_directory.h
@@ -148,9 +148,6 @@
   bool TakeRetryOf(const ServiceId& service,
                    RepeatPolicy repeat,
                    AttemptOutcome previous);
-  /// \brief Takes a retry from the budget for a request that an owner has
-  /// retried.
-  void ChargeRetryOf(const ServiceId& service);
   /// \brief Returns a retry to the budget that no backend server received.
   void ReturnRetryOf(const ServiceId& service);
 
--- a/Source/daemon/ingress_attempt.cc
+++ b/Source/daemon/ingress_attempt.cc
@@ -256,9 +256,6 @@
   if (call.transport == TransportOutcome::kReplied) {
     this->dependencies.directory.RecordReply(
         request.service, request.match.rank->name, call.result, now);
-    if (call.result.resent()) {
-      this->dependencies.directory.ChargeRetryOf(request.service);
-    }
     attempt.reason = call.result.reason();
     attempt.sent = call.result.sent_to_backend();
     attempt.detail = call.result.detail();
--- a/Source/daemon/owner_result.cc
+++ b/Source/daemon/owner_result.cc
@@ -121,6 +121,8 @@
       return "not sent";
     case BackendReplyClass::kFailed:
       return "failed";
+    case BackendReplyClass::kStaleConnection:
+      return "stale connection";
     case BackendReplyClass::kTimedOut:
       return "timed out";
     case BackendReplyClass::kCancelled:
@@ -135,8 +137,11 @@
     case BackendOutcome::kNotSent:
       return BackendReplyClass::kNotSent;
     case BackendOutcome::kFailed:
-      return result.over_budget ? BackendReplyClass::kCancelled
-                                : BackendReplyClass::kFailed;
+      if (result.over_budget) {
+        return BackendReplyClass::kCancelled;
+      }
+      return result.connection_stale ? BackendReplyClass::kStaleConnection
+                                     : BackendReplyClass::kFailed;
     case BackendOutcome::kTimedOut:
       return BackendReplyClass::kTimedOut;
     case BackendOutcome::kCancelled:
@@ -176,6 +181,7 @@
     case BackendReplyClass::kShed:
     case BackendReplyClass::kNotExecuted:
       return FinishOutcome::kShed;
+    case BackendReplyClass::kStaleConnection:
     case BackendReplyClass::kCancelled:
       return FinishOutcome::kCancelled;
     case BackendReplyClass::kOtherInstance:
@@ -213,6 +219,7 @@
       break;
     case BackendReplyClass::kDraining:
     case BackendReplyClass::kOtherInstance:
+    case BackendReplyClass::kStaleConnection:
     case BackendReplyClass::kCancelled:
       return;
   }
@@ -235,11 +242,13 @@
       RecordRequest(suspicion, policy, true, now);
       return;
     // These replies are caused by load, draining, another backend server at the
-    // address or the caller, and are no evidence of a fault.
+    // address, a connection that was closed while idle, or the caller, and are
+    // no evidence of a fault.
     case BackendReplyClass::kShed:
     case BackendReplyClass::kNotExecuted:
     case BackendReplyClass::kDraining:
     case BackendReplyClass::kOtherInstance:
+    case BackendReplyClass::kStaleConnection:
     case BackendReplyClass::kCancelled:
       return;
   }
@@ -247,18 +256,6 @@
 
 rpc::Result ToResult(const BackendResult& backend, BackendReplyClass reply) {
   rpc::Result result;
-  const bool not_run = reply == BackendReplyClass::kNotExecuted ||
-                       reply == BackendReplyClass::kOtherInstance;
-  if (not_run && backend.retried) {
-    // The refusal concerns the retry; the request that was sent before may have
-    // run.
-    result = MakeUnknownResult(
-        rpc::REFUSAL_BACKEND_FAILED,
-        "the backend server refused a retry and did not answer the request");
-    result.set_sent_to_backend(true);
-    result.set_resent(true);
-    return result;
-  }
   switch (reply) {
     case BackendReplyClass::kOk:
     case BackendReplyClass::kServerError:
@@ -292,6 +289,7 @@
       return MakeNotRunResult(rpc::REFUSAL_BACKEND_CONNECT,
                               backend.error.message());
     case BackendReplyClass::kFailed:
+    case BackendReplyClass::kStaleConnection:
     case BackendReplyClass::kTimedOut:
     case BackendReplyClass::kCancelled:
       result = MakeUnknownResult(rpc::REFUSAL_BACKEND_FAILED,
@@ -299,7 +297,6 @@
       break;
   }
   result.set_sent_to_backend(true);
-  result.set_resent(backend.retried);
   return result;
 }
 
--- a/Source/daemon/owner_result.h
+++ b/Source/daemon/owner_result.h
@@ -25,6 +25,7 @@
   kUnmarkedRefusal,  ///< Refused; the response does not say whether it ran.
   kNotSent,
   kFailed,
+  kStaleConnection,  ///< A reused connection ended without a response.
   kTimedOut,
   kCancelled,
 };
