Accept a retry slack with decimals

The platform computes the slack from the size of the fleet (25.294...), and the settings required a whole number.

Change: decimals are dropped.

--- a/Source/config/daemon_settings.cc
+++ b/Source/config/daemon_settings.cc
@@ -131,6 +131,22 @@
   };
 }
 
+// Reads a number of retries. A platform that computes it from the size of its
+// fleet may write decimals, which are dropped.
+FieldReader SlackField(int& value) {
+  return [&value](absl::string_view text) -> Problem {
+    double number = 0;
+    if (!absl::SimpleAtod(text, &number) ||
+        !(number >= 0 && number <= kMaxRetrySlack)) {
+      return FieldProblem{
+          "the value is not a number of retries",
+          absl::StrCat("write a number from 0 to ", kMaxRetrySlack)};
+    }
+    value = static_cast<int>(number);
+    return std::nullopt;
+  };
+}
+
 struct SectionRules {
   absl::string_view name;
   std::vector<FieldRule> rules;
@@ -184,8 +200,7 @@
        {{"close_delimited", BoolField(settings.backend.close_delimited)}}},
       {"repeats",
        {{"share", RatioField(settings.retry_budget.share)},
-        {"slack",
-         IntegerField(settings.retry_budget.slack, 0, kMaxRetrySlack)}}},
+        {"slack", SlackField(settings.retry_budget.slack)}}},
       {"limits",
        {{"connections",
          IntegerField(settings.max_connections, 1, kMaxConnections)},
--- a/Tests/config/daemon_settings_test.cc
+++ b/Tests/config/daemon_settings_test.cc
@@ -212,6 +212,19 @@
   CHECK(s.max_drain_time == std::chrono::milliseconds(6500));
 }
 
+// Guards against a daemon that does not start because the platform computed the
+// slack from the size of its fleet.
+TEST_CASE("a slack with decimals is rounded down") {
+  std::vector<IniError> errors;
+  const DaemonSettings settings = ParseDaemonSettings(
+      "d.ini",
+      absl::StrReplaceAll(kRegistryExample,
+                          {{"slack = 58", "slack = 25.294117647058822"}}),
+      errors);
+  CHECK(errors.empty());
+  CHECK(settings.retry_budget.slack == 25);
+}
+
 // Guards against a daemon that starts with invalid settings.
 TEST_CASE("invalid settings of a registry are rejected") {
   const std::vector<std::pair<std::string, std::string>> cases = {
@@ -224,6 +237,9 @@
       {"close_delimited = true", "close_delimited = yes"},
       {"share = 0.2", "share = -1"},
       {"slack = 58", "slack = many"},
+      {"slack = 58", "slack = -0.5"},
+      {"slack = 58", "slack = 1e300"},
+      {"slack = 58", "slack = nan"},
       {"10.1.0.35:8141", "10.1.0.35"},
   };
   for (const auto& [old_text, new_text] : cases) {
