Stream request bodies of more than 64 KiB through both daemons

What callers saw: a body of more than 3 MB was refused with 413 although the published limit was 64 MB, and each daemon held several copies of a body.

Cause: the body was read as a whole, and forwarded in one message.

Change: the frontend holds up to 64 KiB of a body and makes a stream of a larger one. A new call, ForwardUpload, sends the head; the owner asks for the body when the request has a slot and a connection to the backend server, so a refusal leaves the body with its caller and the request can be offered elsewhere. Each daemon holds a part of 32 KiB and the windows of its connections. Small requests use Forward as before. A body of a request with an idempotency key is still held (limit 3 MB), since its record has a hash of it. A backend server that answers before it has read the body gets the rest as long as it takes bytes; otherwise its answer is delivered if its attempt id shows that it is its own. A body that does not arrive is no evidence against the backend server. Reading of caller requests moves to caller_request, the stream of the HTTP library to reply_stream.

Tests: upload_test (nine cases, raw sockets, bytes checked), 'a large body passes two daemons unchanged' (registry). All of them test what did not exist.

--- a/Source/core/http_message.cc
+++ b/Source/core/http_message.cc
@@ -21,6 +21,16 @@
 
 }  // namespace
 
+BodyPart ReadPart(BodyStream& stream,
+                  std::chrono::steady_clock::time_point deadline) {
+  stream.started = true;
+  return stream.read(deadline);
+}
+
+bool HasBody(const HttpRequest& request) {
+  return request.stream != nullptr || !request.body.empty();
+}
+
 absl::string_view FindHeader(const std::vector<HttpHeader>& headers,
                              absl::string_view name) {
   for (const HttpHeader& header : headers) {
--- a/Source/daemon/backend_client.cc
+++ b/Source/daemon/backend_client.cc
@@ -1,8 +1,10 @@
 #include "daemon/backend_client.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <utility>
 
@@ -29,6 +31,9 @@
 constexpr std::chrono::milliseconds kIdleMargin{1000};
 constexpr std::chrono::seconds kDefaultIdleTimeout{5};
 constexpr std::chrono::seconds kMaxIdleTimeout{60};
+// How often a request that cannot be sent on at once checks whether the backend
+// server has answered it already.
+constexpr std::chrono::milliseconds kSendPollPeriod{50};
 // Largest number of responses to other attempts that are skipped before the
 // response to the current request.
 constexpr int kMaxSkippedResponses = 3;
@@ -75,14 +80,113 @@
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
       call.deadline - now);
   absl::StrAppend(&text, names.time_left, ": ", left.count(), "\r\n");
-  if (!request.body.empty() ||
-      (request.method != "GET" && request.method != "HEAD")) {
-    absl::StrAppend(&text, "Content-Length: ", request.body.size(), "\r\n");
+  if (request.stream && !request.stream->length) {
+    absl::StrAppend(&text, "Transfer-Encoding: chunked\r\n");
+  } else if (HasBody(request) ||
+             (request.method != "GET" && request.method != "HEAD")) {
+    absl::StrAppend(
+        &text, "Content-Length: ",
+        request.stream ? *request.stream->length : request.body.size(), "\r\n");
   }
   absl::StrAppend(&text, "\r\n", request.body);
   return text;
 }
 
+// Frames one part of a body that is sent in chunks.
+std::string MakeChunk(const BodyPart& part) {
+  std::string chunk;
+  if (!part.bytes.empty()) {
+    chunk =
+        absl::StrCat(absl::Hex(part.bytes.size()), "\r\n", part.bytes, "\r\n");
+  }
+  if (part.kind == BodyPartKind::kEnd) {
+    absl::StrAppend(&chunk, "0\r\n\r\n");
+  }
+  return chunk;
+}
+
+// Whether a response has arrived, or the connection has ended. An interim
+// response (1xx) says nothing about the request.
+bool HasArrivedResponse(int socket) {
+  constexpr absl::string_view kInterim = "HTTP/1.1 1";
+  if (!WaitForSocket(socket, POLLIN, Clock::now())) {
+    return false;
+  }
+  std::array<char, kInterim.size()> start{};
+  const ssize_t count =
+      ::recv(socket, start.data(), start.size(), MSG_PEEK | MSG_DONTWAIT);
+  return count <= 0 ||
+         absl::string_view(start.data(), static_cast<std::size_t>(count)) !=
+             kInterim;
+}
+
+// How the sending of a request ended.
+enum class SendEnd {
+  kSent,
+  // The backend server does not take the request and has sent bytes or closed
+  // the connection.
+  kInterrupted,
+  kFailed,          // The deadline passed, or the call was cancelled.
+  kBodyIncomplete,  // The caller did not send the whole body in time.
+};
+
+// A request that is being sent over a connection.
+struct Sending {
+  int socket = -1;
+  Clock::time_point deadline;
+  // Whether a response that arrives before the end of the request can be
+  // attributed to it.
+  bool attributable = false;
+  std::size_t sent = 0;
+};
+
+// Sends bytes. A backend server may answer before it reads the whole request;
+// as long as it takes bytes, it gets them, and otherwise its response is read.
+SendEnd SendBytes(Sending& sending, absl::string_view bytes) {
+  for (;;) {
+    std::size_t count = 0;
+    const Clock::time_point poll = std::min<Clock::time_point>(
+        sending.deadline, Clock::now() + kSendPollPeriod);
+    const bool complete = WriteAll(sending.socket, poll, bytes, count);
+    sending.sent += count;
+    bytes.remove_prefix(count);
+    if (complete) {
+      return SendEnd::kSent;
+    }
+    if (sending.attributable && HasArrivedResponse(sending.socket)) {
+      return SendEnd::kInterrupted;
+    }
+    const bool broken = Clock::now() < poll;
+    if (broken || Clock::now() >= sending.deadline) {
+      return SendEnd::kFailed;
+    }
+  }
+}
+
+// Sends the body of a request part by part, as it arrives.
+SendEnd SendStream(Sending& sending,
+                   const BackendCall& call,
+                   const std::atomic<bool>& stopped) {
+  BodyStream& stream = *call.request->stream;
+  while (Clock::now() < call.deadline && !stopped) {
+    const BodyPart part =
+        ReadPart(stream, std::min<Clock::time_point>(
+                             call.deadline, Clock::now() + kSendPollPeriod));
+    if (part.kind == BodyPartKind::kFailed) {
+      return SendEnd::kBodyIncomplete;
+    }
+    if (part.kind == BodyPartKind::kTimedOut) {
+      continue;
+    }
+    const SendEnd end =
+        SendBytes(sending, stream.length ? part.bytes : MakeChunk(part));
+    if (end != SendEnd::kSent || part.kind == BodyPartKind::kEnd) {
+      return end;
+    }
+  }
+  return SendEnd::kBodyIncomplete;
+}
+
 // Returns why a complete response does not come from the backend server, or "".
 // Checked only if backend servers sign their responses.
 std::string ValidateResponse(const HttpResponse& response,
@@ -265,10 +369,17 @@
   const HeaderNames& names = this->protocol.headers;
   const std::string request =
       BuildRequest(call, this->peer, names, Clock::now());
-  std::size_t sent = 0;
+  Sending sending{socket, call.deadline, HasAttemptId(*call.request, names), 0};
+  SendEnd send_end = SendBytes(sending, request);
+  if (send_end == SendEnd::kSent && call.request->stream) {
+    send_end = SendStream(sending, call, stopped);
+  }
+  const bool interrupted = send_end == SendEnd::kInterrupted;
   ReceivedResponse received;
-  if (WriteAll(socket, call.deadline, request, sent)) {
-    received = this->ReadOwnResponse(call, connection.reader, reused);
+  if (send_end == SendEnd::kSent || interrupted) {
+    received =
+        this->ReadOwnResponse(call, connection.reader, reused || interrupted);
+    received.reusable = received.reusable && !interrupted;
   } else {
     received.error = "the request could not be sent completely";
   }
@@ -289,11 +400,18 @@
   }
   result.connection_stale = reused && !stopped && !received.timed_out &&
                             (!received.received_bytes || received.undecidable);
-  if (sent == 0 && !stopped) {
+  if (sending.sent == 0 && !stopped) {
     result.error = absl::UnavailableError(
         absl::StrCat("send to ", this->peer, ": ", received.error));
     return false;
   }
+  // A caller that sends its body slowly says nothing about the backend server.
+  if (send_end == SendEnd::kBodyIncomplete) {
+    result.outcome = BackendOutcome::kCancelled;
+    result.error = absl::CancelledError(absl::StrCat(
+        "send to ", this->peer, ": the body of the request did not arrive"));
+    return false;
+  }
   if (received.timed_out || Clock::now() >= call.deadline) {
     result.outcome = BackendOutcome::kTimedOut;
     result.error = absl::DeadlineExceededError(
--- a/Source/daemon/forward_call.cc
+++ b/Source/daemon/forward_call.cc
@@ -6,6 +6,8 @@
 #include <condition_variable>
 #include <mutex>
 #include <string>
+#include <type_traits>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 
@@ -18,35 +20,31 @@
 // for the reply to arrive.
 constexpr std::chrono::milliseconds kReplyGrace{50};
 
-// Receives the replies of one Forward call on gRPC's threads.
-class ForwardReactor : public grpc::ClientReadReactor<rpc::ForwardReply> {
+// Receives the replies of one call on gRPC's threads. `Base` is the reactor of
+// the call.
+template <typename Base>
+class ReplyReceiver : public Base {
  public:
-  ForwardReactor(rpc::Peer::Stub& stub, const rpc::ForwardRequest& request) {
-    stub.async()->Forward(&this->context, &request, this);
-    this->StartRead(&this->reply);
-    this->StartCall();
-  }
-
   void OnReadDone(bool ok) override {
-    if (!ok) {
-      return;
-    }
     {
       const std::lock_guard<std::mutex> lock(this->mutex);
-      if (this->reply.has_result()) {
-        this->result = this->reply.result();
-        this->has_result = true;
+      if (ok) {
+        this->Store(this->reply);
+      } else {
+        this->ended = true;
       }
-      this->accepted = true;
       this->changed.notify_all();
     }
-    this->StartRead(&this->reply);
+    if (ok) {
+      this->StartRead(&this->reply);
+    }
   }
 
   void OnDone(const grpc::Status& final_status) override {
     const std::lock_guard<std::mutex> lock(this->mutex);
     this->status = final_status;
     this->done = true;
+    this->ended = true;
     this->changed.notify_all();
   }
 
@@ -55,7 +53,7 @@
   bool WaitAccepted(Clock::time_point deadline, const CancelCheck& cancelled) {
     std::unique_lock<std::mutex> lock(this->mutex);
     return this->WaitUntil(lock, deadline, cancelled,
-                           [this] { return this->accepted || this->done; });
+                           [this] { return this->accepted || this->ended; });
   }
 
   // Waits for the end of the call, and cancels it at the deadline or when the
@@ -84,7 +82,8 @@
   rpc::Result TakeResult() { return std::move(this->result); }
   const grpc::Status& Status() const { return this->status; }
 
- private:
+ protected:
+  // Waits for the condition. Returns whether the request was cancelled before.
   template <typename Condition>
   bool WaitUntil(std::unique_lock<std::mutex>& lock,
                  Clock::time_point deadline,
@@ -107,12 +106,130 @@
   std::mutex mutex;
   std::condition_variable changed;
   bool accepted = false;
+  bool body_requested = false;
   bool has_result = false;
+  // Whether no further reply can arrive.
+  bool ended = false;
   bool done = false;
+
+ private:
+  void Store(rpc::ForwardReply& received) {
+    if (received.has_result()) {
+      this->result = std::move(*received.mutable_result());
+      this->has_result = true;
+    }
+    this->body_requested =
+        this->body_requested || received.has_body_requested();
+    this->accepted = true;
+  }
+
   rpc::Result result;
   grpc::Status status;
 };
 
+// A call whose request is one message.
+class ForwardReactor
+    : public ReplyReceiver<grpc::ClientReadReactor<rpc::ForwardReply>> {
+ public:
+  ForwardReactor(rpc::Peer::Stub& stub, const rpc::ForwardRequest& request) {
+    stub.async()->Forward(&this->context, &request, this);
+    this->StartRead(&this->reply);
+    this->StartCall();
+  }
+};
+
+// A call whose request is a head and the parts of a body.
+class UploadReactor
+    : public ReplyReceiver<
+          grpc::ClientBidiReactor<rpc::UploadPart, rpc::ForwardReply>> {
+ public:
+  UploadReactor(rpc::Peer::Stub& stub, const rpc::ForwardRequest& request) {
+    *this->part.mutable_head() = request;
+    stub.async()->ForwardUpload(&this->context, this);
+    // The parts are written by another thread than those of gRPC, so the call
+    // must not end before EndBody.
+    this->AddHold();
+    this->StartRead(&this->reply);
+    this->StartWrite(&this->part);
+    this->StartCall();
+  }
+
+  void OnWriteDone(bool ok) override {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->writing = false;
+    this->ended = this->ended || !ok;
+    this->changed.notify_all();
+  }
+
+  // Sends the body once the owner asks for it. Returns whether the request was
+  // cancelled before; the call is cancelled if the body cannot be read.
+  bool SendBody(BodyStream& body,
+                Clock::time_point deadline,
+                const CancelCheck& cancelled) {
+    bool stopped = false;
+    {
+      std::unique_lock<std::mutex> lock(this->mutex);
+      stopped = this->WaitUntil(lock, deadline, cancelled, [this] {
+        return this->body_requested || this->IsOver();
+      });
+    }
+    bool sending = this->MaySend();
+    while (sending && !stopped && Clock::now() < deadline) {
+      const BodyPart next =
+          ReadPart(body, std::min<Clock::time_point>(
+                             deadline, Clock::now() + kCancelPollPeriod));
+      if (next.kind == BodyPartKind::kFailed) {
+        this->context.TryCancel();
+        break;
+      }
+      if (next.kind == BodyPartKind::kTimedOut) {
+        stopped = cancelled();
+        sending = this->MaySend();
+        continue;
+      }
+      stopped = this->SendPart(next, deadline, cancelled);
+      sending = next.kind == BodyPartKind::kBytes && this->MaySend();
+    }
+    this->RemoveHold();
+    return stopped;
+  }
+
+ private:
+  bool IsOver() const { return this->has_result || this->ended; }
+
+  bool MaySend() {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    return this->body_requested && !this->IsOver();
+  }
+
+  // Sends a part and waits until gRPC has taken it, so that at most one part is
+  // held. Returns whether the request was cancelled.
+  bool SendPart(const BodyPart& next,
+                Clock::time_point deadline,
+                const CancelCheck& cancelled) {
+    std::unique_lock<std::mutex> lock(this->mutex);
+    const auto written = [this] { return !this->writing || this->IsOver(); };
+    if (this->WaitUntil(lock, deadline, cancelled, written)) {
+      return true;
+    }
+    if (this->writing || this->IsOver()) {
+      return false;
+    }
+    this->part.Clear();
+    this->part.set_body(next.bytes);
+    this->part.set_last(next.kind == BodyPartKind::kEnd);
+    this->writing = true;
+    lock.unlock();
+    this->StartWrite(&this->part);
+    lock.lock();
+    return this->WaitUntil(lock, deadline, cancelled, written);
+  }
+
+  rpc::UploadPart part;
+  // Whether `part` is being written. The constructor writes the head.
+  bool writing = true;
+};
+
 absl::Status CallError(absl::string_view action,
                        const std::string& address,
                        const std::string& cause) {
@@ -145,33 +262,32 @@
              time - Clock::now());
 }
 
-ForwardCallResult ForwardOnce(PeerChannel& owner,
-                              const rpc::ForwardRequest& request,
+namespace {
+
+// Waits for the replies of a call that was started, and sends the body of an
+// upload.
+template <typename Reactor>
+ForwardCallResult AwaitResult(const std::string& address,
+                              Reactor& reactor,
+                              BodyStream* body,
                               const ForwardLimits& limits) {
-  const Clock::time_point start = Clock::now();
-  const Clock::time_point accept_deadline =
-      std::min(limits.deadline, start + limits.accept_timeout);
   ForwardCallResult call;
-  // The call starts only when the connection is open. Without a connection, the
-  // owner certainly did not receive the request.
-  if (!WaitConnected(*owner.channel, accept_deadline, limits.cancelled)) {
-    call.transport = TransportOutcome::kNotSent;
-    call.cancelled = Clock::now() < accept_deadline;
-    call.error =
-        CallError("connect to", owner.address,
-                  call.cancelled ? kCancelledError : "no connection in time");
-    return call;
-  }
   // The accept time starts here, since the handshake of a new connection takes
   // additional round trips.
   const Clock::time_point sent_at = Clock::now();
-  ForwardReactor reactor(*owner.stub, request);
   call.cancelled = reactor.WaitAccepted(
       std::min(limits.deadline, sent_at + limits.accept_timeout),
       limits.cancelled);
   call.accept_time = std::chrono::duration_cast<std::chrono::microseconds>(
       Clock::now() - sent_at);
   const bool accepted_in_time = reactor.Accepted();
+  if constexpr (std::is_same_v<Reactor, UploadReactor>) {
+    const Clock::time_point body_deadline =
+        accepted_in_time && !call.cancelled ? limits.deadline : sent_at;
+    const bool cancelled_in_body =
+        reactor.SendBody(*body, body_deadline, limits.cancelled);
+    call.cancelled = call.cancelled || cancelled_in_body;
+  }
   const bool cancelled_later = reactor.WaitDone(
       accepted_in_time ? limits.deadline + kReplyGrace : Clock::now(),
       limits.cancelled);
@@ -184,13 +300,13 @@
   }
   if (call.cancelled) {
     call.transport = TransportOutcome::kCancelled;
-    call.error = CallError("forward to", owner.address, kCancelledError);
+    call.error = CallError("forward to", address, kCancelledError);
     return call;
   }
   if (!accepted_in_time) {
     call.transport = TransportOutcome::kNotAccepted;
     call.error =
-        CallError("forward to", owner.address,
+        CallError("forward to", address,
                   reactor.Status().error_code() == grpc::StatusCode::CANCELLED
                       ? "accept timeout"
                       : reactor.Status().error_message());
@@ -199,10 +315,37 @@
   const bool timed_out = Clock::now() >= limits.deadline;
   call.transport =
       timed_out ? TransportOutcome::kTimedOut : TransportOutcome::kFailed;
-  call.error = CallError("forward to", owner.address,
+  call.error = CallError("forward to", address,
                          timed_out ? "no result by the deadline"
                                    : reactor.Status().error_message());
   return call;
 }
 
+}  // namespace
+
+ForwardCallResult ForwardOnce(PeerChannel& owner,
+                              const rpc::ForwardRequest& request,
+                              BodyStream* body,
+                              const ForwardLimits& limits) {
+  const Clock::time_point accept_deadline =
+      std::min(limits.deadline, Clock::now() + limits.accept_timeout);
+  // The call starts only when the connection is open. Without a connection, the
+  // owner certainly did not receive the request.
+  if (!WaitConnected(*owner.channel, accept_deadline, limits.cancelled)) {
+    ForwardCallResult call;
+    call.transport = TransportOutcome::kNotSent;
+    call.cancelled = Clock::now() < accept_deadline;
+    call.error =
+        CallError("connect to", owner.address,
+                  call.cancelled ? kCancelledError : "no connection in time");
+    return call;
+  }
+  if (body != nullptr) {
+    UploadReactor reactor(*owner.stub, request);
+    return AwaitResult(owner.address, reactor, body, limits);
+  }
+  ForwardReactor reactor(*owner.stub, request);
+  return AwaitResult(owner.address, reactor, nullptr, limits);
+}
+
 }  // namespace comfrey
--- a/Source/daemon/forward_call.h
+++ b/Source/daemon/forward_call.h
@@ -6,6 +6,7 @@
 #include <memory>
 
 #include "absl/status/status.h"
+#include "core/http_message.h"
 #include "daemon/channel_pool.h"
 #include "peer.grpc.pb.h"
 
@@ -47,9 +48,12 @@
   CancelCheck cancelled = [] { return false; };
 };
 
-/// \brief Sends one attempt to the owner and waits for the result.
+/// \brief Sends one attempt to the owner and waits for the result. If `body` is
+/// not null, the request has no body of its own, and parts of `body` are read
+/// and sent once the owner asks for them.
 ForwardCallResult ForwardOnce(PeerChannel& owner,
                               const rpc::ForwardRequest& request,
+                              BodyStream* body,
                               const ForwardLimits& limits);
 
 /// \brief Converts a deadline to system time, which gRPC requires.
--- a/Source/daemon/http_frontend.cc
+++ b/Source/daemon/http_frontend.cc
@@ -18,26 +18,19 @@
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
+#include "daemon/caller_request.h"
 #include "daemon/connection_pool.h"
 #include "daemon/http_wire.h"
+#include "daemon/reply_stream.h"
 
 namespace comfrey {
 
 /// \brief One request of a caller and the reply to it.
 struct HttpFrontend::Exchange {
-  HttpRequest request;
-  // Reply to a request that is rejected before the handler; the connection is
-  // closed after it.
-  std::optional<IngressReply> refusal;
+  CallerRequest caller;
   // Set if the reply comes from the handler or is a refusal; not set for a
   // page.
   std::optional<HttpResponse> reply;
-  bool close = false;
-  // The caller reset the connection, or closed it before a request began; no
-  // reply is sent.
-  bool disconnected = false;
-  int socket = -1;
-  CallerLimits limits;
 };
 
 /// \brief Server of the HTTP library that accepts connections and writes
@@ -75,16 +68,6 @@
 
 using Clock = std::chrono::steady_clock;
 
-// Limit for the whole body, as CallerLimits::header_timeout is for the whole
-// head. A limit for each read would let a caller that sends single bytes at
-// intervals hold a connection indefinitely.
-constexpr std::chrono::seconds kBodyTimeout{10};
-// Limit for the write of one piece of at most kWriteSize bytes.
-constexpr std::chrono::seconds kWriteTimeout{5};
-constexpr std::size_t kWriteSize = 64 << 10;
-// A request is forwarded to the owner in one message, which limits the size of
-// its body.
-constexpr std::size_t kMaxBodyBytes = 3 << 20;
 // Closing a socket with unread bytes resets the connection, and the caller may
 // receive the reset before the reply. The connection is therefore read until
 // the caller closes it, for at most this time.
@@ -95,91 +78,14 @@
 // is a few milliseconds.
 constexpr std::chrono::milliseconds kRefuseTimeout{20};
 constexpr std::chrono::seconds kStartTimeout{5};
-// Longest request target: the longest request line that the library accepts,
-// less the other parts of the line.
-constexpr std::size_t kMaxTarget = 8000;
-
-constexpr int kBadRequest = 400;
-constexpr int kRequestTimeout = 408;
 constexpr int kContentTooLarge = 413;
-constexpr int kTargetTooLong = 414;
-constexpr int kUnsupportedMediaType = 415;
-constexpr int kExpectationFailed = 417;
-constexpr int kHeaderTooLarge = 431;
-constexpr int kNotImplemented = 501;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
-constexpr std::array<absl::string_view, 7> kMethods = {
-    "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"};
 constexpr char kPagePrefix[] = "/comfrey/";
 
-// Stream between the library and a connection. It gives the library a request
-// that is already checked, and sends the response that the library writes.
-class ReplyStream : public httplib::Stream {
- public:
-  ReplyStream(int connection,
-              std::string input,
-              std::chrono::milliseconds timeout)
-      : connection(connection), input(std::move(input)), timeout(timeout) {}
-
-  using httplib::Stream::write;
-
-  bool is_readable() const override { return true; }
-  bool is_writable() const override { return true; }
-
-  ssize_t read(char* bytes, std::size_t size) override {
-    const std::size_t count =
-        std::min(size, this->input.size() - this->position);
-    std::memcpy(bytes, this->input.data() + this->position, count);
-    this->position += count;
-    return static_cast<ssize_t>(count);
-  }
-
-  ssize_t write(const char* bytes, std::size_t size) override {
-    if (this->failed) {
-      return -1;
-    }
-    // The library calls the handler through this stream too, so the time counts
-    // from the first write.
-    if (!this->deadline) {
-      this->deadline = Clock::now() + this->timeout;
-    }
-    for (std::size_t written = 0; written < size;) {
-      const absl::string_view piece(bytes + written,
-                                    std::min(size - written, kWriteSize));
-      std::size_t sent = 0;
-      const Clock::time_point limit = std::min<Clock::time_point>(
-          *this->deadline, Clock::now() + kWriteTimeout);
-      if (!WriteAll(this->connection, limit, piece, sent)) {
-        this->failed = true;
-        return -1;
-      }
-      written += sent;
-    }
-    return static_cast<ssize_t>(size);
-  }
-
-  void get_remote_ip_and_port(std::string& /*ip*/,
-                              int& /*port*/) const override {}
-  void get_local_ip_and_port(std::string& /*ip*/,
-                             int& /*port*/) const override {}
-  socket_t socket() const override { return this->connection; }
-
-  bool Failed() const { return this->failed; }
-
- private:
-  int connection;
-  std::string input;
-  std::size_t position = 0;
-  std::chrono::milliseconds timeout;
-  // Limit for the whole response; set at the first write.
-  std::optional<Clock::time_point> deadline;
-  bool failed = false;
-};
-
 // Counts one request for the time of its handler, also if it throws.
 class CountWhileAlive {
  public:
@@ -202,118 +108,6 @@
                         errno != EINTR);
 }
 
-IngressReply MakeRefusal(int status, const std::string& text) {
-  return MakeLocalReply(CallerOutcome::kNotRun, status, text);
-}
-
-IngressReply MakeReadRefusal(WireError error, const CallerLimits& limits) {
-  switch (error) {
-    case WireError::kTimedOut:
-      return MakeRefusal(kRequestTimeout, "the request did not arrive in time");
-    case WireError::kHeadTooLarge:
-      return MakeRefusal(
-          kHeaderTooLarge,
-          absl::StrCat("the headers exceed ", limits.header_bytes, " bytes"));
-    case WireError::kBodyTooLarge:
-      return MakeRefusal(
-          kContentTooLarge,
-          absl::StrCat("the body exceeds ", limits.body_bytes, " bytes"));
-    case WireError::kClosed:
-    case WireError::kReset:
-      return MakeRefusal(kBadRequest, "the request ended early");
-    case WireError::kNone:
-    case WireError::kMalformed:
-    case WireError::kOverBudget:
-      break;
-  }
-  return MakeRefusal(kBadRequest, "the request is malformed");
-}
-
-// Converts the target "http://host/path" to "/path" and sets the Host header to
-// "host" (RFC 9112, section 3.2.2).
-void ConvertAbsoluteForm(HttpRequest& request) {
-  constexpr absl::string_view kScheme = "http://";
-  if (!absl::StartsWithIgnoreCase(request.target, kScheme)) {
-    return;
-  }
-  const std::string rest = request.target.substr(kScheme.size());
-  const std::size_t end = std::min(rest.find_first_of("/?"), rest.size());
-  for (HttpHeader& header : request.headers) {
-    if (absl::EqualsIgnoreCase(header.name, "Host")) {
-      header.value = rest.substr(0, end);
-    }
-  }
-  request.target = rest.substr(end);
-  if (request.target.empty() || request.target.front() != '/') {
-    request.target.insert(0, "/");
-  }
-}
-
-// Parses the request line and checks the headers. Sets `close` if the
-// connection must be closed after the reply. Returns a refusal if the request
-// is malformed or not supported.
-std::optional<IngressReply> ParseRequestHead(const MessageHead& head,
-                                             HttpRequest& request,
-                                             bool& close) {
-  const std::vector<std::string> parts = absl::StrSplit(head.start_line, ' ');
-  if (parts.size() != 3 || !IsToken(parts[0]) || !IsValidTarget(parts[1]) ||
-      (parts[2] != "HTTP/1.1" && parts[2] != "HTTP/1.0")) {
-    return MakeRefusal(kBadRequest, "the request line is malformed");
-  }
-  const bool old_version = parts[2] == "HTTP/1.0";
-  close = old_version || HasConnectionOption(head.headers, "close");
-  request.method = parts[0];
-  request.target = parts[1];
-  if (request.target.size() > kMaxTarget) {
-    return MakeRefusal(kTargetTooLong, absl::StrCat("the target exceeds ",
-                                                    kMaxTarget, " bytes"));
-  }
-  if (std::find(kMethods.begin(), kMethods.end(), request.method) ==
-      kMethods.end()) {
-    return MakeRefusal(kNotImplemented, "the method is not supported");
-  }
-  const auto hosts = std::count_if(
-      head.headers.begin(), head.headers.end(), [](const HttpHeader& header) {
-        return absl::EqualsIgnoreCase(header.name, "Host");
-      });
-  if (hosts > 1 || (hosts == 0 && !old_version)) {
-    return MakeRefusal(kBadRequest, "the header Host is missing or repeated");
-  }
-  if (old_version && !FindHeader(head.headers, "Transfer-Encoding").empty()) {
-    return MakeRefusal(kBadRequest, "HTTP/1.0 has no transfer encodings");
-  }
-  if (!FindHeader(head.headers, "Content-Encoding").empty()) {
-    return MakeRefusal(kUnsupportedMediaType,
-                       "encoded request bodies are not supported");
-  }
-  const absl::string_view expect = FindHeader(head.headers, "Expect");
-  if (!expect.empty() && !absl::EqualsIgnoreCase(expect, "100-continue")) {
-    return MakeRefusal(kExpectationFailed,
-                       "the only supported expectation is 100-continue");
-  }
-  request.headers = head.headers;
-  ConvertAbsoluteForm(request);
-  if (request.target.front() != '/' &&
-      !(request.method == "OPTIONS" && request.target == "*")) {
-    return MakeRefusal(kBadRequest, "the target is not a path");
-  }
-  return std::nullopt;
-}
-
-// Removes the hop-by-hop headers, including those that the Connection header
-// names, and the headers that are set again when the message is sent on.
-void RemoveConnectionHeaders(std::vector<HttpHeader>& headers) {
-  const std::vector<HttpHeader> all = headers;
-  const auto removed = [&all](const HttpHeader& header) {
-    return IsHopByHopHeader(header.name) ||
-           absl::EqualsIgnoreCase(header.name, "Content-Length") ||
-           absl::EqualsIgnoreCase(header.name, "Expect") ||
-           HasConnectionOption(all, header.name);
-  };
-  headers.erase(std::remove_if(headers.begin(), headers.end(), removed),
-                headers.end());
-}
-
 ExplainQuery ReadExplainQuery(const httplib::Request& request) {
   ExplainQuery query;
   query.method = request.get_param_value("method");
@@ -484,13 +278,13 @@
       return;
     }
     Exchange exchange;
-    exchange.socket = socket;
-    exchange.limits = this->EffectiveLimits();
-    this->ReadRequest(reader, socket, exchange);
-    if (exchange.disconnected || !this->Reply(socket, exchange)) {
+    exchange.caller.socket = socket;
+    exchange.caller.limits = this->EffectiveLimits();
+    ReadCallerRequest(reader, exchange.caller);
+    if (exchange.caller.disconnected || !this->Reply(socket, exchange)) {
       return;
     }
-    if (exchange.close) {
+    if (exchange.caller.close) {
       CloseAfterReply(socket, Clock::now() + kCloseTimeout, this->aborting);
       return;
     }
@@ -505,7 +299,6 @@
   limits.body_bytes = this->limits.body_bytes;
   if (this->pages.caller_limits) {
     limits = this->pages.caller_limits().value_or(limits);
-    limits.body_bytes = std::min(limits.body_bytes, kMaxBodyBytes);
   }
   return limits;
 }
@@ -541,54 +334,9 @@
   return WaitForSocket(socket, POLLIN, deadline);
 }
 
-void HttpFrontend::ReadRequest(WireReader& reader,
-                               int socket,
-                               Exchange& exchange) const {
-  MessageHead head;
-  const CallerLimits& limits = exchange.limits;
-  WireError error = ReadHead(reader, Clock::now() + limits.header_timeout,
-                             limits.header_bytes, head);
-  if (error != WireError::kNone) {
-    exchange.disconnected =
-        error == WireError::kReset ||
-        (error == WireError::kClosed && head.start_line.empty() &&
-         !reader.HasBufferedBytes());
-    exchange.refusal = MakeReadRefusal(error, limits);
-    return;
-  }
-  exchange.refusal = ParseRequestHead(head, exchange.request, exchange.close);
-  if (exchange.refusal) {
-    return;
-  }
-  BodyFraming framing;
-  const std::string ambiguous = DetermineFraming(head.headers, framing);
-  if (!ambiguous.empty()) {
-    exchange.refusal = MakeRefusal(kBadRequest, ambiguous);
-    return;
-  }
-  if (framing.length > limits.body_bytes) {
-    exchange.refusal = MakeReadRefusal(WireError::kBodyTooLarge, limits);
-    return;
-  }
-  const bool has_body = framing.chunked || framing.length > 0;
-  if (has_body && !reader.HasBufferedBytes() &&
-      !FindHeader(head.headers, "Expect").empty()) {
-    std::size_t sent = 0;
-    WriteAll(socket, Clock::now() + kWriteTimeout,
-             "HTTP/1.1 100 Continue\r\n\r\n", sent);
-  }
-  error = ReadBody(reader, Clock::now() + kBodyTimeout, framing,
-                   limits.body_bytes, exchange.request.body);
-  if (error != WireError::kNone) {
-    exchange.refusal = MakeReadRefusal(error, limits);
-    return;
-  }
-  RemoveConnectionHeaders(exchange.request.headers);
-}
-
 void HttpFrontend::RefuseConnection(int socket, ConnectionAction action) {
   Exchange exchange;
-  exchange.refusal =
+  exchange.caller.refusal =
       MakeRefusal(kUnavailable, "the limit of caller connections is reached");
   // The reply is sent without reading the request, since a slow caller would
   // delay the other connections beyond the limit. The write does not block,
@@ -600,18 +348,20 @@
 }
 
 bool HttpFrontend::Reply(int socket, Exchange& exchange) {
-  const bool head_only = exchange.request.method == "HEAD";
-  const bool page = !exchange.refusal && this->IsPage(exchange.request);
+  const bool head_only = exchange.caller.request.method == "HEAD";
+  const bool page =
+      !exchange.caller.refusal && this->IsPage(exchange.caller.request);
   // The library gets neither the headers nor the body of the request. Otherwise
   // it would apply a Range header to the response of the backend server or
   // compress it, although the backend server has already handled both headers.
   ReplyStream stream(
       socket,
       absl::StrCat(head_only ? "HEAD " : "GET ",
-                   page ? exchange.request.target : std::string("/"),
+                   page ? exchange.caller.request.target : std::string("/"),
                    " HTTP/1.1\r\n\r\n"),
       this->limits.response_timeout);
-  exchange.close = exchange.close || exchange.refusal.has_value();
+  exchange.caller.close =
+      exchange.caller.close || exchange.caller.refusal.has_value();
   current = &exchange;
   const bool written = this->server->Respond(stream);
   current = nullptr;
@@ -621,24 +371,32 @@
 void HttpFrontend::HandleRequest(httplib::Response& response) {
   Exchange& exchange = *current;
   IngressReply reply;
-  if (exchange.refusal) {
+  if (exchange.caller.refusal) {
     this->rejected.Add();
-    reply = std::move(*exchange.refusal);
+    reply = std::move(*exchange.caller.refusal);
   } else if (this->stopping) {
     // An endpoint that works on it at the end of the grace period would be
     // broken off.
     this->rejected.Add();
-    exchange.close = true;
+    exchange.caller.close = true;
     reply = MakeRefusal(kUnavailable, "the daemon is stopping");
   } else if (!this->pages.ready()) {
     reply = MakeRefusal(kUnavailable, "the daemon has no configuration yet");
   } else {
-    const int socket = exchange.socket;
+    const int socket = exchange.caller.socket;
     const CountWhileAlive counted(this->in_progress);
-    reply = this->handler(exchange.request, [this, socket] {
+    reply = this->handler(exchange.caller.request, [this, socket] {
       return this->aborting || HasDisconnected(socket);
     });
   }
+  if (exchange.caller.stream_error == WireError::kBodyTooLarge) {
+    // The backend server has received a part of the body, so this does not say
+    // that the request did not run.
+    reply = MakeLocalReply(
+        CallerOutcome::kUnknown, kContentTooLarge,
+        absl::StrCat("the body exceeds ", exchange.caller.limits.body_bytes,
+                     " bytes"));
+  }
   response.status = reply.response.status;
   if (response.status != kNoContent && response.status != kNotModified) {
     response.body = std::move(reply.response.body);
@@ -653,7 +411,7 @@
     response.headers.clear();
     const bool without_body = response.status == kNoContent ||
                               response.status == kNotModified ||
-                              exchange.request.method == "HEAD";
+                              exchange.caller.request.method == "HEAD";
     // A response to HEAD or with status 304 may state the length that a GET
     // response would have.
     const std::string stated(
@@ -668,16 +426,18 @@
       response.headers.emplace(header.name, header.value);
     }
   }
-  exchange.close = exchange.close || this->stopping;
+  // The rest of a body that was not sent on cannot be told from a request.
+  exchange.caller.close =
+      exchange.caller.close || this->stopping || HasUnreadBody(exchange.caller);
   response.headers.erase("Connection");
   response.headers.erase("Keep-Alive");
-  if (exchange.close) {
+  if (exchange.caller.close) {
     response.set_header("Connection", "close");
   } else {
     response.set_header(
         "Keep-Alive",
         absl::StrCat("timeout=", std::chrono::floor<std::chrono::seconds>(
-                                     exchange.limits.idle_timeout)
+                                     exchange.caller.limits.idle_timeout)
                                      .count()));
   }
 }
--- a/Source/daemon/http_frontend.h
+++ b/Source/daemon/http_frontend.h
@@ -22,7 +22,6 @@
 namespace comfrey {
 
 class CallerServer;
-class WireReader;
 enum class ConnectionAction;
 
 /// \brief Limits on the connections and requests of callers.
@@ -104,7 +103,6 @@
   CallerLimits EffectiveLimits() const;
   bool IsPage(const HttpRequest& request) const;
   bool WaitForRequest(int socket) const;
-  void ReadRequest(WireReader& reader, int socket, Exchange& exchange) const;
   void RefuseConnection(int socket, ConnectionAction action);
   bool Reply(int socket, Exchange& exchange);
   void HandleRequest(httplib::Response& response);
--- a/Source/daemon/http_wire.cc
+++ b/Source/daemon/http_wire.cc
@@ -94,39 +94,18 @@
   return WireError::kNone;
 }
 
-WireError ReadChunks(WireReader& reader,
-                     Clock::time_point deadline,
-                     BodyBuffer& body) {
-  for (;;) {
-    std::size_t bytes_left = kMaxChunkLine;
-    std::string line;
-    WireError error = reader.ReadLine(deadline, bytes_left, line);
-    if (error != WireError::kNone) {
-      return error == WireError::kHeadTooLarge ? WireError::kMalformed : error;
-    }
-    std::size_t size = 0;
-    if (!ParseChunkSize(line, size)) {
-      return WireError::kMalformed;
-    }
-    if (size == 0) {
-      break;
-    }
-    if (size > body.max_bytes - body.bytes.size()) {
-      return WireError::kBodyTooLarge;
-    }
-    error = reader.ReadBytes(deadline, size, body);
-    if (error != WireError::kNone) {
-      return error;
-    }
-    // Only CR LF may follow the bytes of a chunk.
-    std::string end;
-    bytes_left = 2;
-    error = reader.ReadLine(deadline, bytes_left, end);
-    if (error != WireError::kNone) {
-      return error == WireError::kHeadTooLarge ? WireError::kMalformed : error;
-    }
-  }
-  // Trailers are checked and discarded, since the daemon does not use them.
+// A line that ends a chunk or states the size of the next one must be received
+// as a whole; a line that is too long is malformed.
+WireError ReadChunkLine(WireReader& reader,
+                        Clock::time_point deadline,
+                        std::size_t max_bytes,
+                        std::string& line) {
+  const WireError error = reader.ReadLine(deadline, max_bytes, line);
+  return error == WireError::kHeadTooLarge ? WireError::kMalformed : error;
+}
+
+// Trailers are checked and discarded, since the daemon does not use them.
+WireError ReadTrailers(WireReader& reader, Clock::time_point deadline) {
   std::size_t bytes_left = kMaxTrailers;
   for (;;) {
     std::string line;
@@ -144,6 +123,45 @@
   }
 }
 
+// Reads the line with the size of the next chunk, or the end of the body.
+WireError BeginChunk(WireReader& reader,
+                     Clock::time_point deadline,
+                     BodyProgress& progress) {
+  if (!progress.in_trailers) {
+    std::string line;
+    const WireError error =
+        ReadChunkLine(reader, deadline, kMaxChunkLine, line);
+    if (error != WireError::kNone) {
+      return error;
+    }
+    std::size_t size = 0;
+    if (!ParseChunkSize(line, size)) {
+      return WireError::kMalformed;
+    }
+    if (size > progress.max_bytes - progress.received) {
+      return WireError::kBodyTooLarge;
+    }
+    progress.left = size;
+    if (size > 0) {
+      return WireError::kNone;
+    }
+    progress.in_trailers = true;
+  }
+  const WireError error = ReadTrailers(reader, deadline);
+  progress.ended = error == WireError::kNone;
+  return error;
+}
+
+// Only CR LF may follow the bytes of a chunk.
+WireError EndChunk(WireReader& reader,
+                   Clock::time_point deadline,
+                   BodyProgress& progress) {
+  std::string line;
+  const WireError error = ReadChunkLine(reader, deadline, 2, line);
+  progress.at_chunk_end = error != WireError::kNone;
+  return error;
+}
+
 }  // namespace
 
 WireError WireReader::FillBuffer(TimePoint deadline) {
@@ -234,6 +252,19 @@
   }
 }
 
+WireError WireReader::ReadSome(TimePoint deadline,
+                               std::size_t count,
+                               BodyBuffer& body) {
+  if (!this->HasBufferedBytes()) {
+    const WireError error = this->FillBuffer(deadline);
+    if (error != WireError::kNone) {
+      return error;
+    }
+  }
+  return this->ReadBytes(
+      deadline, std::min(count, this->buffer.size() - this->position), body);
+}
+
 WireError WireReader::ReadUntilClose(TimePoint deadline, BodyBuffer& body) {
   for (;;) {
     const WireError limit =
@@ -313,17 +344,57 @@
   return "";
 }
 
+BodyProgress::BodyProgress(const BodyFraming& framing, std::size_t max_bytes)
+    : chunked(framing.chunked),
+      max_bytes(max_bytes),
+      left(framing.length),
+      ended(!framing.chunked && framing.length == 0) {}
+
+WireError ReadBodyPart(WireReader& reader,
+                       WireReader::TimePoint deadline,
+                       std::size_t part_bytes,
+                       BodyProgress& progress,
+                       BodyBuffer& part) {
+  while (progress.left == 0 && !progress.ended) {
+    const WireError error = progress.at_chunk_end
+                                ? EndChunk(reader, deadline, progress)
+                                : BeginChunk(reader, deadline, progress);
+    if (error != WireError::kNone) {
+      return error;
+    }
+  }
+  if (progress.ended) {
+    return WireError::kNone;
+  }
+  if (progress.left > progress.max_bytes - progress.received) {
+    return WireError::kBodyTooLarge;
+  }
+  const std::size_t before = part.bytes.size();
+  const WireError error =
+      reader.ReadSome(deadline, std::min(progress.left, part_bytes), part);
+  const std::size_t count = part.bytes.size() - before;
+  progress.left -= count;
+  progress.received += count;
+  if (error == WireError::kNone && progress.left == 0) {
+    progress.at_chunk_end = progress.chunked;
+    progress.ended = !progress.chunked;
+  }
+  return error;
+}
+
 WireError ReadBody(WireReader& reader,
                    WireReader::TimePoint deadline,
                    const BodyFraming& framing,
                    BodyBuffer& body) {
-  if (framing.chunked) {
-    return ReadChunks(reader, deadline, body);
-  }
-  if (framing.length > body.max_bytes) {
-    return WireError::kBodyTooLarge;
+  BodyProgress progress(framing, body.max_bytes);
+  while (!progress.ended) {
+    const WireError error =
+        ReadBodyPart(reader, deadline, body.max_bytes, progress, body);
+    if (error != WireError::kNone) {
+      return error;
+    }
   }
-  return reader.ReadBytes(deadline, framing.length, body);
+  return WireError::kNone;
 }
 
 WireError ReadBody(WireReader& reader,
--- a/Source/daemon/http_wire.h
+++ b/Source/daemon/http_wire.h
@@ -58,6 +58,9 @@
   /// \brief Reads `count` bytes and appends them to the body.
   WireError ReadBytes(TimePoint deadline, std::size_t count, BodyBuffer& body);
 
+  /// \brief Reads 1 to `count` bytes and appends them to the body.
+  WireError ReadSome(TimePoint deadline, std::size_t count, BodyBuffer& body);
+
   /// \brief Reads until the peer closes the connection and appends the bytes to
   /// the body.
   WireError ReadUntilClose(TimePoint deadline, BodyBuffer& body);
@@ -83,6 +86,32 @@
   std::size_t length = 0;
 };
 
+/// \brief A body that is read in parts.
+struct BodyProgress {
+  BodyProgress(const BodyFraming& framing, std::size_t max_bytes);
+
+  bool chunked;
+  /// Limit of the whole body.
+  std::size_t max_bytes;
+  std::size_t received = 0;
+  /// Bytes that are left of the body or of the chunk that is being read.
+  std::size_t left = 0;
+  /// Whether the bytes of a chunk were read and its line end was not.
+  bool at_chunk_end = false;
+  /// Whether the last chunk was read and the trailers were not.
+  bool in_trailers = false;
+  bool ended = false;
+};
+
+/// \brief Reads the next part of a body, at least 1 byte and at most
+/// `part_bytes`, unless the body ends, and appends it to `part`. After a
+/// time-out it can be called again.
+WireError ReadBodyPart(WireReader& reader,
+                       WireReader::TimePoint deadline,
+                       std::size_t part_bytes,
+                       BodyProgress& progress,
+                       BodyBuffer& part);
+
 /// \brief Reads the start line and the headers, at most `max_bytes` in total.
 WireError ReadHead(WireReader& reader,
                    WireReader::TimePoint deadline,
--- a/Source/daemon/ingress.cc
+++ b/Source/daemon/ingress.cc
@@ -338,8 +338,10 @@
 // if the request was already sent to a backend server.
 bool Ingress::MayTryNextEndpoint(const IngressRequest& context,
                                  Progress& progress) {
+  const bool body_was_sent =
+      context.message.stream && context.message.stream->started;
   if (++progress.tries > kMaxTries || Clock::now() >= context.deadline ||
-      context.cancelled()) {
+      context.cancelled() || body_was_sent) {
     return false;
   }
   if (progress.sent == 0 || progress.has_unused_retry) {
--- a/Source/daemon/ingress_attempt.cc
+++ b/Source/daemon/ingress_attempt.cc
@@ -63,7 +63,7 @@
 // between regions are billed by volume.
 bool AttemptSender::CheckRemoteLoad(const IngressRequest& request,
                                     IngressAttempt& attempt) {
-  if (!attempt.chosen.remote || request.message.body.empty() ||
+  if (!attempt.chosen.remote || !HasBody(request.message) ||
       attempt.chosen.round_trip >
           request.match.rank->target / kTargetPerLoadQuery) {
     return true;
@@ -148,6 +148,9 @@
     message.set_idempotency_key(request.key->key);
   }
   RequestToProto(request.message, message);
+  if (request.message.stream && request.message.stream->length) {
+    message.set_body_length(*request.message.stream->length);
+  }
   const std::string& expected = this->dependencies.headers.expected_instance;
   if (!expected.empty() && !attempt.chosen.instance.empty()) {
     rpc::Header& header = *message.add_headers();
@@ -236,7 +239,7 @@
                                                             request.read_at)
           .count());
   const ForwardCallResult call = this->dependencies.owners.Forward(
-      attempt.ip, attempt.message,
+      attempt.ip, attempt.message, request.message.stream.get(),
       {request.deadline,
        this->dependencies.directory.AcceptTimeoutOf(attempt.ip),
        request.cancelled});
--- a/Source/daemon/owner_client.cc
+++ b/Source/daemon/owner_client.cc
@@ -152,10 +152,11 @@
 
 ForwardCallResult OwnerClient::Forward(const std::string& ip,
                                        const rpc::ForwardRequest& request,
+                                       BodyStream* body,
                                        const ForwardLimits& limits) {
   const std::shared_ptr<PeerChannel> channel =
       this->channels.Get(this->AddressOf(ip));
-  ForwardCallResult call = ForwardOnce(*channel, request, limits);
+  ForwardCallResult call = ForwardOnce(*channel, request, body, limits);
   if (call.transport == TransportOutcome::kReplied) {
     this->StoreStamp(ip, call.result.stamp());
   } else if (!call.cancelled) {
--- a/Source/daemon/owner_client.h
+++ b/Source/daemon/owner_client.h
@@ -28,10 +28,12 @@
 
   OwnerClient(ChannelPool& channels, int peer_port);
 
-  /// \brief Sends one attempt. If the call fails or gets no reply, the next
-  /// call uses a new connection.
+  /// \brief Sends one attempt, whose body is read from `body` unless it is
+  /// null. If the call fails or gets no reply, the next call uses a new
+  /// connection.
   ForwardCallResult Forward(const std::string& ip,
                             const rpc::ForwardRequest& request,
+                            BodyStream* body,
                             const ForwardLimits& limits);
 
   /// \brief Returns the newest stamp of the owner, or nothing if none is known.
--- a/Source/daemon/owner_service.cc
+++ b/Source/daemon/owner_service.cc
@@ -156,6 +156,7 @@
         request, callbacks, *endpoint, deadline,     RequestFromProto(request),
         {},      0,         {},        Clock::now(), {},
         {}};
+    call.request.stream = callbacks.body;
     result = this->Run(call);
     this->FillStatus(*endpoint, result);
     this->LogResult(call, *endpoint, result);
--- a/Source/daemon/owner_service.h
+++ b/Source/daemon/owner_service.h
@@ -38,6 +38,8 @@
   std::function<void()> accepted;
   /// Returns whether the ingress has cancelled the call.
   std::function<bool()> cancelled;
+  /// The body of an upload; null if the request holds its body.
+  std::shared_ptr<BodyStream> body = nullptr;
 };
 
 /// \brief Arguments of a FenceKey call to the owner of a former home of a key.
--- a/Source/daemon/peer_server.h
+++ b/Source/daemon/peer_server.h
@@ -19,7 +19,8 @@
 
 /// \brief gRPC server for calls of other daemons and of comfreyctl.
 class PeerServer
-    : public rpc::Peer::WithCallbackMethod_Forward<rpc::Peer::Service> {
+    : public rpc::Peer::WithCallbackMethod_Forward<
+          rpc::Peer::WithCallbackMethod_ForwardUpload<rpc::Peer::Service>> {
  public:
   PeerServer(OwnerService& owner, KeyJournal& journal, PeerRunner& runner);
 
@@ -33,6 +34,8 @@
   grpc::ServerWriteReactor<rpc::ForwardReply>* Forward(
       grpc::CallbackServerContext* context,
       const rpc::ForwardRequest* request) override;
+  grpc::ServerBidiReactor<rpc::UploadPart, rpc::ForwardReply>* ForwardUpload(
+      grpc::CallbackServerContext* context) override;
   grpc::Status GetStamp(grpc::ServerContext* context,
                         const rpc::StampRequest* request,
                         rpc::OwnerStamp* reply) override;
--- a/Tests/system/registry_test.cc
+++ b/Tests/system/registry_test.cc
@@ -1,6 +1,7 @@
 #include <httplib.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <csignal>
@@ -279,6 +280,56 @@
   CHECK(result->status == 200);
 }
 
+// Guards against a large body that is changed, cut or refused between the
+// daemons, and against one that uses up the tries of its request.
+TEST_CASE("a large body passes two daemons unchanged") {
+  RegistryFleet fleet;
+  REQUIRE(WaitFor(
+      [] { return RegistryFleet::IsReady(1) && RegistryFleet::IsReady(2); }));
+  fleet.registry.Put(MakeRegistrationKey("i-1"), RegistrationOf(1, true));
+  // The daemon on the first VM has learned of the drain once several requests
+  // in a row go to the second one.
+  REQUIRE(WaitFor([&] {
+    constexpr int kRequests = 10;
+    const int runs = fleet.backend_two.runs;
+    for (int i = 0; i < kRequests; ++i) {
+      RegistryFleet::Send(1, "/a/x");
+    }
+    return fleet.backend_two.runs == runs + kRequests;
+  }));
+  std::string body;
+  for (int i = 0; body.size() < 900'000; ++i) {
+    absl::StrAppend(&body, i, ",");
+  }
+  httplib::Client client(AddressOf(1), kCallerPort);
+  client.set_read_timeout(kTestTimeout);
+  const httplib::Headers headers = {
+      {"Host", "shop.example"}, {"X-Attempt", "7"}, {"X-Left", "8000"}};
+  const auto send_chunks = [&body](std::size_t offset,
+                                   httplib::DataSink& sink) {
+    constexpr std::size_t kChunk = 50'000;
+    sink.write(body.data() + offset, std::min(kChunk, body.size() - offset));
+    if (offset + kChunk >= body.size()) {
+      sink.done();
+    }
+    return true;
+  };
+  for (int i = 0; i < 3; ++i) {
+    const int runs = fleet.backend_two.runs;
+    const httplib::Result by_length =
+        client.Post("/a/u", headers, body, "image/jpeg");
+    REQUIRE(by_length);
+    CHECK(by_length->status == 200);
+    CHECK(absl::EndsWith(by_length->body, " left " + body));
+    const httplib::Result by_chunks =
+        client.Post("/a/u", headers, send_chunks, "image/jpeg");
+    REQUIRE(by_chunks);
+    CHECK(by_chunks->status == 200);
+    CHECK(absl::EndsWith(by_chunks->body, " left " + body));
+    CHECK(fleet.backend_two.runs == runs + 2);
+  }
+}
+
 // Guards against a success with an empty or short body that looks complete,
 // since the backend server ended the connection within its response.
 TEST_CASE("a response cut at any byte reaches no caller as a success") {
