Handle pipelined idempotent requests side by side

What callers saw: a request that a caller sent behind another one on its connection was not read before the earlier one was answered. Callers give up a request that is not read within a second.

Responses leave in the order of the requests. Any other request stays unread until all earlier ones are answered, and nothing is read behind a request that closes the connection. A stop answers the requests that run before it closes the connection. A thread that cannot be started no longer ends the process (WorkerPool).

--- a/Source/daemon/daemon.cc
+++ b/Source/daemon/daemon.cc
@@ -275,6 +275,9 @@
 FrontendPages Daemon::MakeCallerPages() {
   FrontendPages pages = this->MakePages();
   pages.enabled = !this->settings.status_listen;
+  pages.is_idempotent = [this](const HttpRequest& request) {
+    return this->ingress.IsIdempotent(request);
+  };
   return pages;
 }
 
--- a/Source/daemon/http_frontend.cc
+++ b/Source/daemon/http_frontend.cc
@@ -27,7 +27,12 @@
 
 /// \brief One request of a caller and the reply to it.
 struct HttpFrontend::Exchange {
+  explicit Exchange(CallerPipeline& pipeline) : pipeline(pipeline) {}
+
+  CallerPipeline& pipeline;
   CallerRequest caller;
+  // The reply to a request that was handled before an earlier one was answered.
+  std::optional<IngressReply> early_reply;
   // Set if the reply comes from the handler or is a refusal; not set for a
   // page.
   std::optional<HttpResponse> reply;
@@ -78,6 +83,8 @@
 // is a few milliseconds.
 constexpr std::chrono::milliseconds kRefuseTimeout{20};
 constexpr std::chrono::seconds kStartTimeout{5};
+// Threads for the requests that callers send behind others.
+constexpr std::size_t kPipelineThreads = 64;
 constexpr int kContentTooLarge = 413;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
@@ -99,6 +106,11 @@
   std::atomic<int>& count;
 };
 
+IngressReply MakeHandlerFailure() {
+  return MakeLocalReply(CallerOutcome::kUnknown, kBadGateway,
+                        "the daemon failed to handle the request");
+}
+
 // Whether the caller has closed or reset its connection.
 bool HasDisconnected(int socket) {
   char byte = 0;
@@ -167,6 +179,7 @@
       pages(std::move(pages)),
       rejected(counters.Counter("comfrey_frontend_rejected_total")),
       stop_event(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)),
+      pipelines(kPipelineThreads),
       server(std::make_unique<CallerServer>(
           [this](int socket) { this->ServeConnection(socket); })) {
   const std::size_t connections = this->limits.connections;
@@ -180,6 +193,11 @@
     const int enabled = 1;
     ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
   });
+  this->pipelines.is_idempotent = this->pages.is_idempotent;
+  this->pipelines.handle = [this](const HttpRequest& request,
+                                  const CancelCheck& cancelled) {
+    return this->HandleSafely(request, cancelled);
+  };
   this->AddRoutes();
 }
 
@@ -246,16 +264,14 @@
   this->server->Get(".*", [this](const auto&, auto& response) {
     this->HandleRequest(response);
   });
-  this->server->set_exception_handler([](const auto&, auto& response,
-                                         const std::exception_ptr&) {
-    // Replaces the default reply of the library, which contains the text of the
-    // exception.
-    current->reply = MakeLocalReply(CallerOutcome::kUnknown, kBadGateway,
-                                    "the daemon failed to handle the request")
-                         .response;
-    response.status = current->reply->status;
-    response.body = current->reply->body;
-  });
+  this->server->set_exception_handler(
+      [](const auto&, auto& response, const std::exception_ptr&) {
+        // Replaces the default reply of the library, which contains the text of
+        // the exception.
+        current->reply = MakeHandlerFailure().response;
+        response.status = current->reply->status;
+        response.body = current->reply->body;
+      });
   this->server->set_post_routing_handler(
       [this](const auto&, auto& response) { this->CompleteHeaders(response); });
 }
@@ -272,15 +288,23 @@
 
 void HttpFrontend::ServeRequests(int socket) {
   WireReader reader(socket);
+  CallerPipeline pipeline(this->pipelines, reader, socket);
   for (;;) {
-    reader.ReleaseBuffer();
-    if (!reader.HasBufferedBytes() && !this->WaitForRequest(socket)) {
-      return;
+    Exchange exchange(pipeline);
+    if (pipeline.IsEmpty()) {
+      reader.ReleaseBuffer();
+      if (!reader.HasBufferedBytes() && !this->WaitForRequest(socket)) {
+        return;
+      }
+      exchange.caller.socket = socket;
+      exchange.caller.limits = this->EffectiveLimits();
+      ReadCallerRequest(reader, exchange.caller);
+    } else {
+      std::unique_ptr<PipelinedRequest> first =
+          pipeline.TakeFirst(this->EffectiveLimits());
+      exchange.caller = std::move(first->caller);
+      exchange.early_reply = std::move(first->reply);
     }
-    Exchange exchange;
-    exchange.caller.socket = socket;
-    exchange.caller.limits = this->EffectiveLimits();
-    ReadCallerRequest(reader, exchange.caller);
     if (exchange.caller.disconnected || !this->Reply(socket, exchange)) {
       return;
     }
@@ -335,7 +359,9 @@
 }
 
 void HttpFrontend::RefuseConnection(int socket, ConnectionAction action) {
-  Exchange exchange;
+  WireReader reader(socket);
+  CallerPipeline pipeline(this->pipelines, reader, socket);
+  Exchange exchange(pipeline);
   exchange.caller.refusal =
       MakeRefusal(kUnavailable, "the limit of caller connections is reached");
   // The reply is sent without reading the request, since a slow caller would
@@ -368,25 +394,51 @@
   return written && !stream.Failed();
 }
 
+// Passes a request to the handler, unless the daemon is stopping: an endpoint
+// that works on it at the end of the grace period would be broken off.
+IngressReply HttpFrontend::Handle(const HttpRequest& request,
+                                  const CancelCheck& cancelled) {
+  if (this->stopping) {
+    this->rejected.Add();
+    return MakeRefusal(kUnavailable, "the daemon is stopping");
+  }
+  if (!this->pages.ready()) {
+    return MakeRefusal(kUnavailable, "the daemon has no configuration yet");
+  }
+  const CountWhileAlive counted(this->in_progress);
+  return this->handler(request, cancelled);
+}
+
+// As Handle, on a thread of the pool, where an exception would end the process.
+IngressReply HttpFrontend::HandleSafely(const HttpRequest& request,
+                                        const CancelCheck& cancelled) {
+  try {
+    return this->Handle(
+        request, [this, &cancelled] { return this->aborting || cancelled(); });
+  } catch (const std::exception&) {
+    return MakeHandlerFailure();
+  }
+}
+
 void HttpFrontend::HandleRequest(httplib::Response& response) {
   Exchange& exchange = *current;
   IngressReply reply;
   if (exchange.caller.refusal) {
     this->rejected.Add();
     reply = std::move(*exchange.caller.refusal);
-  } else if (this->stopping) {
-    // An endpoint that works on it at the end of the grace period would be
-    // broken off.
-    this->rejected.Add();
-    exchange.caller.close = true;
-    reply = MakeRefusal(kUnavailable, "the daemon is stopping");
-  } else if (!this->pages.ready()) {
-    reply = MakeRefusal(kUnavailable, "the daemon has no configuration yet");
+  } else if (exchange.early_reply) {
+    reply = std::move(*exchange.early_reply);
   } else {
-    const int socket = exchange.caller.socket;
-    const CountWhileAlive counted(this->in_progress);
-    reply = this->handler(exchange.caller.request, [this, socket] {
-      return this->aborting || HasDisconnected(socket);
+    const CallerRequest& caller = exchange.caller;
+    const bool read_behind = exchange.pipeline.MayReadBehind(caller);
+    if (read_behind) {
+      exchange.pipeline.ReadAhead(caller.limits);
+    }
+    reply = this->Handle(caller.request, [this, &exchange, read_behind] {
+      const CallerRequest& handled = exchange.caller;
+      return this->aborting ||
+             (read_behind ? exchange.pipeline.ReadAhead(handled.limits)
+                          : HasDisconnected(handled.socket));
     });
   }
   if (exchange.caller.stream_error == WireError::kBodyTooLarge) {
@@ -427,8 +479,11 @@
     }
   }
   // The rest of a body that was not sent on cannot be told from a request.
-  exchange.caller.close =
-      exchange.caller.close || this->stopping || HasUnreadBody(exchange.caller);
+  // During a stop, the requests behind this one that are being handled are
+  // answered before the connection is closed.
+  exchange.caller.close = exchange.caller.close ||
+                          HasUnreadBody(exchange.caller) ||
+                          (this->stopping && exchange.pipeline.IsEmpty());
   response.headers.erase("Connection");
   response.headers.erase("Keep-Alive");
   if (exchange.caller.close) {
--- a/Source/daemon/http_frontend.h
+++ b/Source/daemon/http_frontend.h
@@ -12,6 +12,7 @@
 
 #include "absl/status/status.h"
 #include "base/counters.h"
+#include "daemon/caller_pipeline.h"
 #include "daemon/daemon_pages.h"
 #include "daemon/ingress.h"
 
@@ -46,6 +47,10 @@
   std::function<bool()> accepting_callers;
   /// Limits of the published configuration, if it has any.
   std::function<std::optional<CallerLimits>()> caller_limits;
+  /// Whether a request is idempotent, so that it may be handled before an
+  /// earlier one of its connection is answered. If it is not set, the requests
+  /// of a connection are handled one after the other.
+  std::function<bool(const HttpRequest&)> is_idempotent;
   /// Additional path of the readiness page; empty for none.
   std::string ready_path;
   /// Whether the pages are served. If false, all paths are available to
@@ -104,6 +109,9 @@
   bool IsPage(const HttpRequest& request) const;
   bool WaitForRequest(int socket) const;
   void RefuseConnection(int socket, ConnectionAction action);
+  IngressReply Handle(const HttpRequest& request, const CancelCheck& cancelled);
+  IngressReply HandleSafely(const HttpRequest& request,
+                            const CancelCheck& cancelled);
   bool Reply(int socket, Exchange& exchange);
   void HandleRequest(httplib::Response& response);
   void CompleteHeaders(httplib::Response& response) const;
@@ -123,6 +131,7 @@
   std::atomic<bool> aborting{false};
   std::atomic<int> in_progress{0};
   std::atomic<std::chrono::steady_clock::time_point> stop_time{};
+  PipelineContext pipelines;
   std::unique_ptr<CallerServer> server;
   std::thread thread;
 };
--- a/Source/daemon/http_wire.cc
+++ b/Source/daemon/http_wire.cc
@@ -190,6 +190,28 @@
   return WireError::kTimedOut;
 }
 
+WireError WireReader::FillAvailable(std::size_t max_bytes) {
+  std::array<char, kReadSize> bytes;
+  const bool full = this->Buffered().size() >= max_bytes;
+  const ssize_t count =
+      ::recv(this->socket, bytes.data(), full ? 1 : bytes.size(),
+             MSG_DONTWAIT | (full ? MSG_PEEK : 0));
+  if (count < 0) {
+    const bool waiting =
+        errno == EINTR || errno == EAGAIN || errno == EWOULDBLOCK;
+    return waiting ? WireError::kNone : WireError::kReset;
+  }
+  if (count == 0) {
+    return WireError::kClosed;
+  }
+  if (!full) {
+    this->buffer.erase(0, this->position);
+    this->position = 0;
+    this->buffer.append(bytes.data(), static_cast<std::size_t>(count));
+  }
+  return WireError::kNone;
+}
+
 void WireReader::ReleaseBuffer() {
   if (!this->HasBufferedBytes()) {
     std::string().swap(this->buffer);
--- a/Source/daemon/http_wire.h
+++ b/Source/daemon/http_wire.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/strings/string_view.h"
@@ -40,10 +41,26 @@
   using TimePoint = std::chrono::steady_clock::time_point;
 
   explicit WireReader(int socket) : socket(socket) {}
+  /// \brief Reads bytes that were received before; nothing follows them.
+  explicit WireReader(std::string received) : buffer(std::move(received)) {}
 
   /// \brief Whether the buffer holds received bytes that were not read yet.
   bool HasBufferedBytes() const { return this->position < this->buffer.size(); }
 
+  /// \brief The received bytes that were not read yet. Valid until the next
+  /// call.
+  absl::string_view Buffered() const {
+    return absl::string_view(this->buffer).substr(this->position);
+  }
+
+  /// \brief Discards the next `count` of the received bytes.
+  void Skip(std::size_t count) { this->position += count; }
+
+  /// \brief Receives bytes that have arrived, without waiting, unless the
+  /// buffer holds `max_bytes`. Returns kClosed or kReset if the connection has
+  /// ended.
+  WireError FillAvailable(std::size_t max_bytes);
+
   /// \brief Frees the memory of an empty buffer, for a connection that becomes
   /// idle.
   void ReleaseBuffer();
@@ -68,7 +85,7 @@
  private:
   WireError FillBuffer(TimePoint deadline);
 
-  int socket;
+  int socket = -1;
   std::string buffer;
   std::size_t position = 0;
 };
--- a/Source/daemon/ingress.cc
+++ b/Source/daemon/ingress.cc
@@ -206,6 +206,13 @@
   return reply;
 }
 
+bool Ingress::IsIdempotent(const HttpRequest& request) const {
+  const std::shared_ptr<const ConfigStore> store =
+      this->dependencies.config.Current();
+  const RouteMatch match = MatchRequest(store->routes, request);
+  return match.status == MatchStatus::kFound && match.route->repeat_safe;
+}
+
 // Returns the id from the caller's attempt id header, or a new id that contains
 // the name, the incarnation and a sequence number of this ingress.
 std::string Ingress::TraceId(const HttpRequest& request) {
--- a/Source/daemon/ingress.h
+++ b/Source/daemon/ingress.h
@@ -25,6 +25,10 @@
   /// has passed or its caller has disconnected.
   IngressReply Handle(const HttpRequest& request, const CancelCheck& cancelled);
 
+  /// \brief Whether the route of a request allows that it runs more than once;
+  /// false without a route.
+  bool IsIdempotent(const HttpRequest& request) const;
+
  private:
   struct Progress;
 
--- a/Source/daemon/worker_pool.cc
+++ b/Source/daemon/worker_pool.cc
@@ -1,5 +1,6 @@
 #include "daemon/worker_pool.h"
 
+#include <system_error>
 #include <utility>
 
 namespace comfrey {
@@ -15,11 +16,24 @@
   this->pending.push_back(std::move(task));
   if (this->idle_threads < this->pending.size() &&
       this->threads.size() < this->limit) {
-    this->threads.emplace_back([this] { this->RunTasks(); });
+    this->StartThread();
   }
   this->changed.notify_one();
 }
 
+// A task for which no thread can be started waits for another thread. Without
+// any thread, the task is dropped and the error is passed on.
+void WorkerPool::StartThread() {
+  try {
+    this->threads.emplace_back([this] { this->RunTasks(); });
+  } catch (const std::system_error&) {
+    if (this->threads.empty()) {
+      this->pending.pop_back();
+      throw;
+    }
+  }
+}
+
 void WorkerPool::Stop() {
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
--- a/Source/daemon/worker_pool.h
+++ b/Source/daemon/worker_pool.h
@@ -30,6 +30,7 @@
   void Stop();
 
  private:
+  void StartThread();
   void RunTasks();
 
   std::size_t limit;
