Deliver an answer of the backend server to a body beyond the limit

Found by reading: a body that exceeds the limit in its course replaced an answer that the backend server had already given by 413. The reply is replaced only if the outcome is unknown. The case is added to 'a large body beyond the limit is refused'; it was not run on the code before.

--- a/Source/daemon/http_frontend.cc
+++ b/Source/daemon/http_frontend.cc
@@ -441,7 +441,8 @@
                           : HasDisconnected(handled.socket));
     });
   }
-  if (exchange.caller.stream_error == WireError::kBodyTooLarge) {
+  if (exchange.caller.stream_error == WireError::kBodyTooLarge &&
+      reply.outcome == CallerOutcome::kUnknown) {
     // The backend server has received a part of the body, so this does not say
     // that the request did not run.
     reply = MakeLocalReply(
--- a/Tests/daemon/upload_test.cc
+++ b/Tests/daemon/upload_test.cc
@@ -74,11 +74,14 @@
   explicit TestFrontend(Handler handler, std::size_t body_limit = kBodyLimit)
       : port(RawServer(kIp, [](RawSocket&, int) {}).Port()),
         frontend(
-            [handler = std::move(handler)](const HttpRequest& request,
-                                           const CancelCheck&) {
+            [this, handler = std::move(handler)](const HttpRequest& request,
+                                                 const CancelCheck&) {
               handler(request);
-              return IngressReply{CallerOutcome::kAnswered,
-                                  {200, {}, request.target}};
+              return IngressReply{
+                  this->outcome,
+                  {this->outcome == CallerOutcome::kAnswered ? 200 : 502,
+                   {},
+                   request.target}};
             },
             this->counters,
             {10, body_limit, 16 << 10},
@@ -90,6 +93,9 @@
     return RawSocket::Connect(kIp, this->port);
   }
 
+  // Outcome of all requests.
+  std::atomic<CallerOutcome> outcome{CallerOutcome::kAnswered};
+
  private:
   static FrontendPages MakePages() {
     FrontendPages pages;
@@ -210,23 +216,38 @@
   CHECK(absl::EndsWith(reply, "/unread"));
 }
 
-// Guards against a body beyond the limit that is forwarded as a whole.
+// Guards against a body beyond the limit that is forwarded as a whole, and
+// against an answer of the backend server that is replaced.
 TEST_CASE("a large body beyond the limit is refused", "[upload]") {
-  std::atomic<bool> failed{false};
-  const TestFrontend frontend([&](const HttpRequest& request) {
-    failed = ReadWholeBody(request).end == BodyPartKind::kFailed;
-  });
+  struct Case {
+    std::string name;
+    bool chunked;
+    CallerOutcome outcome;
+    std::string reply;
+  };
   const std::string body = MakeBody(kBodyLimit + 1);
-  for (const std::string& request :
-       {WithLength(body).substr(0, 1000), WithChunks(body, 50'000)}) {
+  for (const Case& test :
+       {Case{"length", false, CallerOutcome::kUnknown, "HTTP/1.1 413 "},
+        Case{"chunks", true, CallerOutcome::kUnknown, "HTTP/1.1 413 "},
+        Case{"early answer", true, CallerOutcome::kAnswered,
+             "HTTP/1.1 200 "}}) {
+    INFO(test.name);
+    std::atomic<bool> complete{false};
+    TestFrontend frontend([&](const HttpRequest& request) {
+      complete = ReadWholeBody(request).end != BodyPartKind::kFailed;
+    });
+    frontend.outcome = test.outcome;
     const auto caller = frontend.Connect();
-    std::thread sender([&] { caller->Send(request); });
+    std::thread sender([&] {
+      caller->Send(test.chunked ? WithChunks(body, 50'000)
+                                : WithLength(body).substr(0, 1000));
+    });
     bool closed = false;
     CHECK(absl::StartsWith(caller->ReceiveResponse(kTestTimeout, closed),
-                           "HTTP/1.1 413 "));
+                           test.reply));
     sender.join();
+    CHECK_FALSE(complete);
   }
-  CHECK(failed);
 }
 
 // Guards against a body that is requested before it can be sent on.
