--- a/Source/daemon/main.cc
+++ b/Source/daemon/main.cc
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <memory>
@@ -150,5 +151,9 @@
   WaitForStopSignal(signals, daemon);
   daemon.Stop();
   comfrey::StopEventLog();
-  return 0;
+  // All requests are answered. What follows the stop can take seconds, probably
+  // since gRPC waits for connections that are being opened, and the process
+  // would be killed at the end of its grace period.
+  std::cout.flush();
+  std::_Exit(0);
 }
