--- a/Source/daemon/caller_pipeline.h
+++ b/Source/daemon/caller_pipeline.h
@@ -53,7 +53,7 @@
   CallerPipeline(const CallerPipeline&) = delete;
   CallerPipeline& operator=(const CallerPipeline&) = delete;
 
-  /// \brief Whether requests may be handled while the handling of `request`
+  /// \brief Whether requests may be handled while the handling of `caller`
   /// goes on.
   bool MayReadBehind(const CallerRequest& caller) const;
 
