--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -1,35 +1,31 @@
-// CONFIG: the store turns two of six daemons away without a response for 4.5 s,
-// and they miss a configuration that is published later.
+// DRAIN: the store cuts waiting watches, and requests go on to an endpoint
+// whose entry was removed.
 #include "harness.h"
 
 using namespace review;
 
 int main(int, char** argv) {
   Record::Get().Open(argv[1]);
-  constexpr int kVms = 6;
-  constexpr double kConfigApply = 2.5;  // bounds.config_apply
-  constexpr double kContact = 4.0;      // bounds.contact
-  constexpr double kDown = 5.0;
-  constexpr double kDownFor = 4.5;
-  constexpr double kFirstChange = kDown - 0.2;
-  constexpr double kMove = kDown + kDownFor + kContact + 0.5;
-  constexpr double kEnd = kMove + kConfigApply + 4.0;
-  const std::set<int> turned_away = {1, 4};
+  constexpr int kVms = 3;
+  constexpr double kDrain = 2.5;        // bounds.drain
+  constexpr double kRemoved = 5.3;      // When the entry is removed.
+  constexpr double kServesOn = 4.0;     // drain and a little longer
+  constexpr double kCuts[] = {5.0, 6.6, 8.2};
+  constexpr double kEnd = 10.5;
   const Net net(kVms);
   Folder folder;
   Store store;
   Runs runs;
   std::vector<std::unique_ptr<Endpoint>> endpoints;
   std::vector<std::unique_ptr<Daemon>> daemons;
-  std::vector<Route> routes = {
+  const std::vector<Route> routes = {
       {"order", "desk.example", "/order/", "unsafe", "atelier", 4000, 1200, 1},
-      {"stock", "desk.example", "/stock/", "safe", "stockroom", 6000, 4000, 2}};
-  const std::vector<std::string> services = {"atelier", "stockroom"};
-  store.Put("op/config", Configuration(7, routes, services));
+      {"view", "desk.example", "/view/", "safe", "atelier", 3000, 1000, 0}};
+  store.Put("op/config", Configuration(7, routes, {"atelier"}));
   for (int vm = 1; vm <= kVms; ++vm) {
     EndpointOptions options;
     options.id = "i-" + std::to_string(vm) + Clients::NewId();
-    options.service = vm <= 3 ? "atelier" : "stockroom";
+    options.service = "atelier";
     options.ip = net.Vm(vm);
     options.port = kAppPort;
     options.work_ms = 350;
@@ -43,68 +39,62 @@
     options.name = "vm-" + std::to_string(vm);
     options.ip = net.Vm(vm);
     options.store = net.StoreFor(vm);
-    options.service = vm <= 3 ? "atelier" : "stockroom";
+    options.service = "atelier";
     daemons.push_back(std::make_unique<Daemon>(options, folder.path));
   }
   WaitReady(daemons);
   Sleep(1);
   Zero() = Clock::now();
-  RECORD("traffic starts, %s",
-         WithTrouble() ? "with silence of the store" : "without silence");
+  RECORD("traffic starts, %s", WithTrouble() ? "with cuts" : "without cuts");
 
   Clients clients;
   std::thread traffic = Every(0.06, kEnd, [&](int count) {
     const int vm = 1 + count % kVms;
-    clients.Send(vm, net.Vm(vm), "POST", "desk.example", "/order/1", 1200,
-                 8000);
+    const bool order = count / kVms % 2 == 0;
+    clients.Send(vm, net.Vm(vm), order ? "POST" : "GET", "desk.example",
+                 order ? "/order/1" : "/view/1", order ? 1200 : 0, 8000);
   });
-  SleepUntil(kFirstChange);
-  routes[0].timeout_ms = 3500;
-  store.Put("op/config", Configuration(9, routes, services));
-  RECORD("store: acknowledges r9 (a timeout)");
-  SleepUntil(kDown);
-  if (WithTrouble()) {
-    RECORD("store: gives daemons 1 and 4 no response from now on");
-    store.TurnAway(turned_away);
-  }
-  SleepUntil(kDown + kDownFor);
-  if (WithTrouble()) {
-    RECORD("store: serves all daemons again");
-    store.TurnAway({});
-  }
-  SleepUntil(kMove);
-  routes[0].service = "stockroom";
-  const double moved = store.Put("op/config", Configuration(12, routes, services));
-  RECORD("store: acknowledges r12 (/order/ goes to stockroom, not to atelier)");
+  std::thread cuts([&] {
+    for (const double at : kCuts) {
+      SleepUntil(at);
+      if (WithTrouble()) {
+        RECORD("store: cuts the waiting watches");
+        store.CutWatches();
+      }
+    }
+  });
+  // Endpoint 1 leaves: its entry is removed, it serves on and then ends.
+  Endpoint& leaving = *endpoints.front();
+  SleepUntil(kRemoved);
+  const double removed = store.Delete(leaving.Key());
+  RECORD("store: acknowledges that %s is gone", leaving.Id().c_str());
+  SleepUntil(removed + kServesOn);
+  RECORD("endpoint %s ends", leaving.Id().c_str());
+  leaving.Exit();
   traffic.join();
+  cuts.join();
   clients.Wait();
 
-  std::map<std::string, Run> ran;
+  int late = 0;
+  int late_cut = 0;
+  double latest = 0;
   for (const Run& run : runs.All()) {
-    if (run.ran) {
-      ran[run.id] = run;
+    if (run.endpoint == leaving.Id() && run.arrived > removed + kDrain) {
+      ++late;
+      latest = std::max(latest, run.arrived - removed);
+      late_cut += run.cut ? 1 : 0;
     }
   }
-  std::map<int, int> stale;
-  int total = 0;
-  int checked = 0;
+  std::map<int, int> statuses;
   for (const Sent& sent : clients.All()) {
-    if (sent.sent <= moved + kConfigApply) {
-      continue;
-    }
-    ++checked;
-    const auto found = ran.find(sent.id);
-    if (found != ran.end() && found->second.service == "atelier") {
-      ++stale[sent.vm];
-      ++total;
-    }
+    ++statuses[sent.status];
   }
-  for (const auto& [vm, count] : stale) {
-    RECORD("daemon %d: %d requests run by the old service", vm, count);
+  for (const auto& [status, count] : statuses) {
+    RECORD("answers with status %d: %d", status, count);
   }
-  RECORD("of %d requests sent later than %.1f s after r12 was acknowledged, %d "
-         "were run by the old service",
-         checked, kConfigApply, total);
-  RECORD("CONFIG %s", total > 0 ? "broken" : "held");
-  Finish(daemons, folder, total > 0);
+  RECORD("%d requests reached %s later than %.1f s after its removal was "
+         "acknowledged, the last one after %.2f s; its end cut off %d of them",
+         late, leaving.Id().c_str(), kDrain, latest, late_cut);
+  RECORD("DRAIN %s", late > 0 ? "broken" : "held");
+  Finish(daemons, folder, late > 0);
 }
