Limit the time and size of each whole response of the registry

Cause: cpp-httplib applies its timeout to each read and has no limit of the size, so a response that trickles held the only reader of a daemon for as long as bytes came, and a response without end took its memory.

Change: RegistryClient reads through HttpGetClient, which uses the parser of the calls to backend servers: a deadline for the whole call and 16 MiB for a body. Opening a connection is shared with the pool of backend connections. An empty response to a watch no longer advances its revision, so changes that the registry withheld at that moment are not skipped. 429 has an error code of its own.

--- a/Source/daemon/backend_client.cc
+++ b/Source/daemon/backend_client.cc
@@ -325,7 +325,7 @@
   // The backend server may close an idle connection between its check and its
   // use, and then it is unknown whether the request ran. A request that must
   // not run twice therefore gets a new connection, which takes about 1 ms.
-  std::unique_ptr<BackendConnection> connection =
+  std::unique_ptr<HttpConnection> connection =
       allow_reuse && this->MayReuse(*call.request) ? this->pool.Take()
                                                    : nullptr;
   const bool reused = connection != nullptr;
@@ -349,7 +349,7 @@
 }
 
 bool BackendClient::Exchange(const BackendCall& call,
-                             BackendConnection& connection,
+                             HttpConnection& connection,
                              bool reused,
                              BackendResult& result) {
   if (!reused && !IsOpenAndIdle(connection)) {
@@ -432,7 +432,7 @@
       absl::StrCat("GET ", path, " HTTP/1.1\r\nHost: ", this->peer,
                    "\r\nConnection: close\r\n\r\n");
   ReceivedResponse received;
-  std::unique_ptr<BackendConnection> connection =
+  std::unique_ptr<HttpConnection> connection =
       this->pool.Open(deadline, received.error);
   if (!connection) {
     return received;
--- a/Source/daemon/backend_client.h
+++ b/Source/daemon/backend_client.h
@@ -92,7 +92,7 @@
   BackendResult CallOnce(const BackendCall& call, bool allow_reuse);
   // As CallOnce, over the given connection; returns whether it may be reused.
   bool Exchange(const BackendCall& call,
-                BackendConnection& connection,
+                HttpConnection& connection,
                 bool reused,
                 BackendResult& result);
   bool MayReuse(const HttpRequest& request) const;
--- a/Source/daemon/backend_connection_pool.h
+++ b/Source/daemon/backend_connection_pool.h
@@ -9,31 +9,10 @@
 #include <vector>
 
 #include "base/timer_service.h"
-#include "daemon/http_wire.h"
+#include "daemon/http_connection.h"
 
 namespace comfrey {
 
-/// \brief One connection to a backend server; owns the socket.
-struct BackendConnection {
-  explicit BackendConnection(int socket) : socket(socket), reader(socket) {}
-  ~BackendConnection();
-
-  BackendConnection(const BackendConnection&) = delete;
-  BackendConnection& operator=(const BackendConnection&) = delete;
-
-  int socket;
-  WireReader reader;
-  /// An idle connection is not reused after this time, since the backend server
-  /// may close it.
-  std::chrono::steady_clock::time_point usable_until;
-};
-
-/// \brief Whether the connection is open and has no unread bytes.
-///
-/// Before a request is sent, received bytes are a late or unsolicited response,
-/// and an end of file means that the backend server closed the connection.
-bool IsOpenAndIdle(const BackendConnection& connection);
-
 /// \brief The connections to one backend server, at most `limit` of them.
 ///
 /// A backend server may serve each connection on a thread of its own, also
@@ -58,19 +37,18 @@
   void SetLimit(std::size_t limit);
 
   /// \brief Takes an idle connection; returns null if none can be reused.
-  std::unique_ptr<BackendConnection> Take();
+  std::unique_ptr<HttpConnection> Take();
 
   /// \brief Opens a connection; returns null with the cause in `error` if that
   /// fails.
-  std::unique_ptr<BackendConnection> Open(TimePoint deadline,
-                                          std::string& error);
+  std::unique_ptr<HttpConnection> Open(TimePoint deadline, std::string& error);
 
   /// \brief Keeps a connection that was taken or opened for reuse until its
   /// `usable_until`.
-  void Keep(std::unique_ptr<BackendConnection> connection);
+  void Keep(std::unique_ptr<HttpConnection> connection);
 
   /// \brief Closes a connection that was taken or opened.
-  void Close(std::unique_ptr<BackendConnection> connection);
+  void Close(std::unique_ptr<HttpConnection> connection);
 
  private:
   void CloseUnusable(TimePoint now);
@@ -84,7 +62,7 @@
   std::mutex mutex;
   std::size_t limit;
   std::size_t in_use = 0;
-  std::vector<std::unique_ptr<BackendConnection>> idle;
+  std::vector<std::unique_ptr<HttpConnection>> idle;
   TimerService::SubscriptionId subscription;
 };
 
--- a/Source/platform/registry_client.cc
+++ b/Source/platform/registry_client.cc
@@ -1,11 +1,8 @@
 #include "platform/registry_client.h"
 
-#include <httplib.h>
-#include <netinet/tcp.h>
-
 #include <algorithm>
-#include <utility>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
 #include "nlohmann/json.hpp"
 #include "platform/registry_decoder.h"
@@ -15,32 +12,34 @@
 
 using nlohmann::json;
 using std::chrono::milliseconds;
+using Clock = std::chrono::steady_clock;
 
-constexpr milliseconds kConnectTimeout{500};
 // The registry usually responds within a few milliseconds, and within a few
 // hundred when it is slow.
-constexpr milliseconds kResponseTimeout{1500};
-// TCP keep-alive detects a broken connection while a watch waits on it. No
-// reset arrives if a device between the two hosts has lost the state of the
-// connection.
-constexpr int kKeepaliveIdleSeconds = 1;
-constexpr int kKeepaliveIntervalSeconds = 1;
-constexpr int kKeepaliveProbeCount = 2;
+constexpr milliseconds kReadTimeout{1500};
+constexpr milliseconds kRevisionReadTimeout{600};
+// A page has about 1 MB. A limit is needed because a faulty server may send
+// bytes without end.
+constexpr std::size_t kMaxResponseBytes = 16 << 20;
 
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kGone = 410;
-
-void SetSocketOptions(socket_t socket) {
-  const int enabled = 1;
-  ::setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &enabled, sizeof(enabled));
-  ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
-  ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &kKeepaliveIdleSeconds,
-               sizeof(kKeepaliveIdleSeconds));
-  ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &kKeepaliveIntervalSeconds,
-               sizeof(kKeepaliveIntervalSeconds));
-  ::setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &kKeepaliveProbeCount,
-               sizeof(kKeepaliveProbeCount));
+constexpr int kTooManyRequests = 429;
+
+// Encodes a value of a query (RFC 3986, section 2.1).
+std::string EncodeQueryValue(const std::string& value) {
+  std::string encoded;
+  for (const char c : value) {
+    const auto byte = static_cast<unsigned char>(c);
+    if (absl::ascii_isalnum(byte) || c == '-' || c == '.' || c == '_' ||
+        c == '~') {
+      encoded += c;
+    } else {
+      absl::StrAppend(&encoded, "%", absl::Hex(byte, absl::kZeroPad2));
+    }
+  }
+  return encoded;
 }
 
 // Returns the last key of a page, or "" if no item has one.
@@ -60,6 +59,17 @@
   return more != page.end() && more->is_boolean() && more->get<bool>();
 }
 
+absl::StatusCode CodeOfResponse(int status) {
+  switch (status) {
+    case kGone:
+      return absl::StatusCode::kOutOfRange;
+    case kTooManyRequests:
+      return absl::StatusCode::kResourceExhausted;
+    default:
+      return absl::StatusCode::kUnavailable;
+  }
+}
+
 }  // namespace
 
 /// \brief One response of the registry; `body` is null if the key does not
@@ -70,49 +80,43 @@
 };
 
 RegistryClient::RegistryClient(const std::string& ip, int port)
-    : address(absl::StrCat(ip, ":", port)),
-      client(std::make_unique<httplib::Client>(ip, port)) {
-  this->client->set_keep_alive(true);
-  this->client->set_connection_timeout(kConnectTimeout);
-  this->client->set_socket_options(SetSocketOptions);
-}
+    : client(ip, port, kMaxResponseBytes),
+      revision_client(ip, port, kMaxResponseBytes) {}
 
-RegistryClient::~RegistryClient() = default;
+void RegistryClient::AbandonWatch() {
+  this->client.Abandon();
+}
 
 void RegistryClient::Stop() {
-  this->client->stop();
+  this->client.Stop();
+  this->revision_client.Stop();
 }
 
 absl::StatusOr<RegistryClient::Response> RegistryClient::Get(
+    HttpGetClient& via,
     const std::string& operation,
     const std::string& target,
-    milliseconds max_wait) {
-  this->client->set_read_timeout(max_wait + kResponseTimeout);
-  const httplib::Result result = this->client->Get(target);
-  if (!result) {
-    return absl::UnavailableError(
-        absl::StrCat(operation, " from the registry ", this->address, ": ",
-                     httplib::to_string(result.error())));
-  }
-  if (result->status == kGone) {
-    return absl::OutOfRangeError(
-        absl::StrCat(operation, " from the registry ", this->address,
-                     ": the registry no longer keeps the requested history"));
+    milliseconds timeout) {
+  const auto make_error = [&](absl::StatusCode code, const auto& cause) {
+    return absl::Status(code, absl::StrCat(operation, " from the registry ",
+                                           via.Peer(), ": ", cause));
+  };
+  const absl::StatusOr<HttpResponse> received =
+      via.Get(target, Clock::now() + timeout);
+  if (!received.ok()) {
+    return make_error(received.status().code(), received.status().message());
   }
   Response response;
-  if (result->status == kNotFound) {
+  if (received->status == kNotFound) {
     return response;
   }
-  if (result->status != kOk) {
-    return absl::UnavailableError(absl::StrCat(operation, " from the registry ",
-                                               this->address, ": status ",
-                                               result->status));
+  if (received->status != kOk) {
+    return make_error(CodeOfResponse(received->status),
+                      absl::StrCat("status ", received->status));
   }
-  response.body = json::parse(result->body, nullptr, false);
+  response.body = json::parse(received->body, nullptr, false);
   if (!response.body.is_object()) {
-    return absl::UnavailableError(absl::StrCat(operation, " from the registry ",
-                                               this->address,
-                                               ": malformed response"));
+    return make_error(absl::StatusCode::kUnavailable, "malformed response");
   }
   const auto revision = response.body.find("store_revision");
   if (revision != response.body.end() && revision->is_number_unsigned()) {
@@ -124,23 +128,26 @@
 absl::StatusOr<RegistryUpdate> RegistryClient::ReadAll() {
   RegistryUpdate update;
   update.complete = true;
-  absl::StatusOr<Response> config =
-      this->Get("read the configuration",
-                absl::StrCat("/kv-key?key=", kConfigKey), milliseconds(0));
-  if (!config.ok()) {
-    return config.status();
+  const absl::Status read = this->ReadConfig(update);
+  if (!read.ok()) {
+    return read;
   }
-  if (!config->body.is_null()) {
-    AddItem(config->body, update);
+  const absl::Status listed = this->ListRegistrations(update);
+  if (!listed.ok()) {
+    return listed;
   }
+  return update;
+}
+
+absl::Status RegistryClient::ListRegistrations(RegistryUpdate& update) {
   std::string last_key;
   for (bool more = true; more;) {
     const absl::StatusOr<Response> response =
-        this->Get("list the backend servers",
-                  absl::StrCat("/kv-range?prefix=", kRegistrationKeyPrefix,
-                               last_key.empty() ? "" : "&after=",
-                               httplib::detail::encode_query_param(last_key)),
-                  milliseconds(0));
+        Get(this->client, "list the backend servers",
+            absl::StrCat(
+                "/kv-range?prefix=", kRegistrationKeyPrefix,
+                last_key.empty() ? "" : "&after=", EncodeQueryValue(last_key)),
+            kReadTimeout);
     if (!response.ok()) {
       return response.status();
     }
@@ -148,15 +155,12 @@
     // so that a watch from it returns the changes made during the listing.
     if (update.revision == 0) {
       update.revision = response->revision;
-      if (config->revision != 0) {
-        update.revision = std::min(update.revision, config->revision);
-      }
     }
     const auto items = response->body.find("items");
     if (items == response->body.end() || !items->is_array()) {
       return absl::UnavailableError(
           absl::StrCat("list the backend servers from the registry ",
-                       this->address, ": malformed response"));
+                       this->client.Peer(), ": malformed response"));
     }
     for (const json& item : *items) {
       AddItem(item, update);
@@ -166,30 +170,59 @@
     more = HasMore(response->body) && page_end > last_key;
     last_key = page_end;
   }
-  return update;
+  return absl::OkStatus();
+}
+
+absl::Status RegistryClient::ReadConfig(RegistryUpdate& update) {
+  const absl::StatusOr<Response> config =
+      Get(this->client, "read the configuration",
+          absl::StrCat("/kv-key?key=", kConfigKey), kReadTimeout);
+  if (!config.ok()) {
+    return config.status();
+  }
+  if (!config->body.is_null()) {
+    AddItem(config->body, update);
+    update.revision = config->revision;
+  }
+  return absl::OkStatus();
 }
 
 absl::StatusOr<RegistryUpdate> RegistryClient::Watch(std::uint64_t revision,
                                                      milliseconds max_wait) {
   const absl::StatusOr<Response> response =
-      this->Get("watch",
-                absl::StrCat("/kv-watch?prefix=&after=", revision,
-                             "&wait_ms=", max_wait.count()),
-                max_wait);
+      Get(this->client, "watch",
+          absl::StrCat("/kv-watch?prefix=&after=", revision,
+                       "&wait_ms=", max_wait.count()),
+          max_wait + kReadTimeout);
   if (!response.ok()) {
     return response.status();
   }
-  RegistryUpdate update;
-  update.revision = std::max(response->revision, revision);
   const auto events = response->body.find("events");
   if (events == response->body.end() || !events->is_array()) {
-    return absl::UnavailableError(absl::StrCat(
-        "watch from the registry ", this->address, ": malformed response"));
+    return absl::UnavailableError(absl::StrCat("watch from the registry ",
+                                               this->client.Peer(),
+                                               ": malformed response"));
   }
+  RegistryUpdate update;
+  // The revision of a response without changes is not taken: the registry may
+  // withhold the changes of the last moment from a watch that ends then.
+  update.revision =
+      events->empty() ? revision : std::max(response->revision, revision);
   for (const json& event : *events) {
     AddItem(event, update);
   }
   return update;
 }
 
+absl::StatusOr<std::uint64_t> RegistryClient::ReadRevision() {
+  // No key has this prefix, so the response is short.
+  const absl::StatusOr<Response> response = Get(
+      this->revision_client, "read the revision",
+      "/kv-range?prefix=comfreywood/none&allow_stale=1", kRevisionReadTimeout);
+  if (!response.ok()) {
+    return response.status();
+  }
+  return response->revision;
+}
+
 }  // namespace comfrey::platform
--- a/Source/platform/registry_client.h
+++ b/Source/platform/registry_client.h
@@ -3,28 +3,25 @@
 
 #include <chrono>
 #include <cstdint>
-#include <memory>
 #include <string>
 
 #include "absl/status/statusor.h"
 #include "config/registry.h"
-
-namespace httplib {
-class Client;
-}  // namespace httplib
+#include "daemon/http_get_client.h"
 
 namespace comfrey::platform {
 
 /// \brief Reads the registry, which is the metadata store of the platform, over
 /// HTTP.
 ///
-/// A watch returns OutOfRange if the registry no longer has the requested
-/// history. All other errors are Unavailable. Messages name the failed
-/// operation and the address of the registry.
+/// Errors: OutOfRange if the registry no longer has the history that a watch
+/// requests, ResourceExhausted if it limits the rate of calls, DeadlineExceeded
+/// if it gives no complete response in time, Cancelled after Stop(), otherwise
+/// Unavailable. Messages name the failed operation and the address of the
+/// registry.
 class RegistryClient {
  public:
   RegistryClient(const std::string& ip, int port);
-  ~RegistryClient();
 
   RegistryClient(const RegistryClient&) = delete;
   RegistryClient& operator=(const RegistryClient&) = delete;
@@ -37,7 +34,15 @@
   absl::StatusOr<RegistryUpdate> Watch(std::uint64_t revision,
                                        std::chrono::milliseconds max_wait);
 
-  /// \brief Aborts a read that is in progress on another thread.
+  /// \brief Reads the revision of the registry, which may be seconds out of
+  /// date. May be called while another thread reads.
+  absl::StatusOr<std::uint64_t> ReadRevision();
+
+  /// \brief Ends a watch in progress on another thread with an error.
+  void AbandonWatch();
+
+  /// \brief Ends a read that is in progress on another thread, and all later
+  /// ones.
   void Stop();
 
  private:
@@ -45,12 +50,17 @@
 
   /// \brief Sends a GET request; error messages start with the name of the
   /// operation.
-  absl::StatusOr<Response> Get(const std::string& operation,
-                               const std::string& target,
-                               std::chrono::milliseconds max_wait);
+  static absl::StatusOr<Response> Get(HttpGetClient& via,
+                                      const std::string& operation,
+                                      const std::string& target,
+                                      std::chrono::milliseconds timeout);
+
+  /// \brief Lists all registrations, from the revision of the first page.
+  absl::Status ListRegistrations(RegistryUpdate& update);
+  absl::Status ReadConfig(RegistryUpdate& update);
 
-  std::string address;
-  std::unique_ptr<httplib::Client> client;
+  HttpGetClient client;
+  HttpGetClient revision_client;
 };
 
 }  // namespace comfrey::platform
--- a/Tests/platform/fake_registry.cc
+++ b/Tests/platform/fake_registry.cc
@@ -11,7 +11,7 @@
 
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
-constexpr int kThreadCount = 16;
+constexpr int kThreadCount = 64;
 
 void SetJsonBody(httplib::Response& response, const std::string& body) {
   response.set_content(body, "application/json");
@@ -58,6 +58,17 @@
   this->changed.notify_all();
 }
 
+void FakeRegistry::SetSilent(bool enabled) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->silent = enabled;
+}
+
+void FakeRegistry::CutWatches() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  ++this->cuts;
+  this->changed.notify_all();
+}
+
 std::string FakeRegistry::Render(const std::string& key,
                                  const Item& item) const {
   return absl::StrCat("{\"key\":\"", key, "\",\"value\":\"",
@@ -66,7 +77,11 @@
                       ",\"create_revision\":", item.revision, ",\"lease\":0");
 }
 
-bool FakeRegistry::RejectIfUnavailable(httplib::Response& response) const {
+bool FakeRegistry::Reject(std::unique_lock<std::mutex>& lock,
+                          httplib::Response& response) {
+  if (this->silent) {
+    this->changed.wait(lock, [this] { return this->stopping; });
+  }
   if (this->unavailable) {
     response.status = kUnavailable;
   }
@@ -75,12 +90,12 @@
 
 void FakeRegistry::Read(const httplib::Request& request,
                         httplib::Response& response) {
-  const std::lock_guard<std::mutex> lock(this->mutex);
-  const std::string key = request.get_param_value("key");
-  const auto found = this->items.find(key);
-  if (this->RejectIfUnavailable(response)) {
+  std::unique_lock<std::mutex> lock(this->mutex);
+  if (this->Reject(lock, response)) {
     return;
   }
+  const std::string key = request.get_param_value("key");
+  const auto found = this->items.find(key);
   if (found == this->items.end()) {
     response.status = kNotFound;
     return;
@@ -92,8 +107,8 @@
 
 void FakeRegistry::List(const httplib::Request& request,
                         httplib::Response& response) {
-  const std::lock_guard<std::mutex> lock(this->mutex);
-  if (this->RejectIfUnavailable(response)) {
+  std::unique_lock<std::mutex> lock(this->mutex);
+  if (this->Reject(lock, response)) {
     return;
   }
   std::string rendered;
@@ -114,10 +129,24 @@
   const std::chrono::milliseconds wait(
       std::stoi(request.get_param_value("wait_ms")));
   std::unique_lock<std::mutex> lock(this->mutex);
+  if (this->Reject(lock, response)) {
+    return;
+  }
+  const int cuts_before = this->cuts;
   this->changed.wait_for(lock, wait, [&] {
-    return this->stopping || this->unavailable || this->revision > after;
+    return this->stopping || this->unavailable || this->revision > after ||
+           this->cuts != cuts_before;
   });
-  if (this->RejectIfUnavailable(response)) {
+  if (this->cuts != cuts_before) {
+    // A body that ends before its stated length makes the server close the
+    // connection.
+    response.set_content_provider(
+        1, "application/json",
+        [](std::size_t, std::size_t, httplib::DataSink&) { return false; });
+    return;
+  }
+  if (this->unavailable) {
+    response.status = kUnavailable;
     return;
   }
   std::string rendered;
--- a/Tests/platform/fake_registry.h
+++ b/Tests/platform/fake_registry.h
@@ -29,6 +29,13 @@
   /// waiting.
   void SetUnavailable(bool enabled);
 
+  /// \brief Calls that arrive while the registry is silent never get a
+  /// response.
+  void SetSilent(bool enabled);
+
+  /// \brief Closes the connections of the waiting watches without a response.
+  void CutWatches();
+
  private:
   struct Item {
     std::string value;
@@ -40,14 +47,17 @@
   void Read(const httplib::Request& request, httplib::Response& response);
   void List(const httplib::Request& request, httplib::Response& response);
   void Watch(const httplib::Request& request, httplib::Response& response);
-  /// \brief Sets status 503 and returns true if the registry is unavailable.
-  bool RejectIfUnavailable(httplib::Response& response) const;
+  /// \brief Sets status 503 and returns true if the registry is unavailable. If
+  /// it is silent, waits for its end first. The caller must hold the mutex.
+  bool Reject(std::unique_lock<std::mutex>& lock, httplib::Response& response);
 
   std::mutex mutex;
   std::condition_variable changed;
   std::map<std::string, Item> items;
   std::uint64_t revision = 1;
   bool unavailable = false;
+  bool silent = false;
+  int cuts = 0;
   bool stopping = false;
   httplib::Server server;
   std::thread thread;
