Supervise the watch of the registry

Change: while a watch waits, a read of the revision that may be out of date (a tenth of a call) is made each second. If it fails and a later one succeeds, or shows a change that the watch has not returned, the watch is given up and everything is listed. Watches wait 10 s. The delay after a change is 0.8 s, so that the fleet makes no more calls than before. Failed and abandoned reads, revision and time of the last success are logged and counted.

Without changes, 0.1 calls and 1 read of the revision a second and daemon.

--- /dev/null
+++ b/Source/core/watch_supervision.cc
@@ -0,0 +1,61 @@
+#include "core/watch_supervision.h"
+
+// A watch that gets no response looks like one without changes. It happens if
+// the registry receives the watch while it is down or discards its history, if
+// the response is lost, and if the connection is broken without a reset. Short
+// watches would bound the time for which a daemon is unaware of that, but each
+// is a call. A read of the revision that may be out of date costs a tenth.
+
+namespace comfrey {
+namespace {
+
+// Time within which the response to a watch arrives after another read has
+// shown the change.
+constexpr std::chrono::milliseconds kResponseTime{750};
+// A single read may fail because this VM was busy.
+constexpr int kReadsOfOutage = 2;
+
+}  // namespace
+
+void BeginWatch(WatchSupervision& watch,
+                std::uint64_t revision,
+                WatchSupervision::TimePoint now) {
+  watch.revision = revision;
+  watch.started_at = now;
+  watch.has_failed_read = false;
+  watch.failed_reads = 0;
+  watch.behind_since.reset();
+}
+
+bool IsReadDue(const WatchSupervision& watch, WatchSupervision::TimePoint now) {
+  return now - watch.started_at >= kUnsupervisedWatchTime;
+}
+
+void RecordFailedRead(WatchSupervision& watch) {
+  ++watch.failed_reads;
+  watch.has_failed_read = true;
+}
+
+WatchVerdict RecordRevision(WatchSupervision& watch,
+                            std::uint64_t revision,
+                            WatchSupervision::TimePoint now) {
+  if (watch.has_failed_read) {
+    return WatchVerdict::kAbandonAfterSilence;
+  }
+  if (revision <= watch.revision) {
+    watch.behind_since.reset();
+    return WatchVerdict::kKeep;
+  }
+  if (!watch.behind_since) {
+    watch.behind_since = now;
+  }
+  return now - *watch.behind_since >= kResponseTime
+             ? WatchVerdict::kAbandonBehind
+             : WatchVerdict::kKeep;
+}
+
+bool ShowsOutage(const WatchSupervision& watch) {
+  return watch.failed_reads >= kReadsOfOutage;
+}
+
+}  // namespace comfrey
--- /dev/null
+++ b/Source/core/watch_supervision.h
@@ -0,0 +1,61 @@
+#ifndef CORE_WATCH_SUPERVISION_H_
+#define CORE_WATCH_SUPERVISION_H_
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+
+namespace comfrey {
+
+/// \brief What is known of a watch that waits for changes, from small reads
+/// beside it that return the revision of the registry.
+struct WatchSupervision {
+  using TimePoint = std::chrono::steady_clock::time_point;
+
+  /// Revision after which the watch waits.
+  std::uint64_t revision = 0;
+  TimePoint started_at;
+  /// Number of reads that have failed in a row.
+  int failed_reads = 0;
+  /// Whether a read has failed since the watch started.
+  bool has_failed_read = false;
+  /// Since when the registry is known to have a later revision.
+  std::optional<TimePoint> behind_since;
+};
+
+/// \brief What to do with a watch.
+enum class WatchVerdict {
+  kKeep,
+  /// The registry did not respond meanwhile, and does so again.
+  kAbandonAfterSilence,
+  /// The registry has changes that the watch has not returned.
+  kAbandonBehind,
+};
+
+/// \brief Time for which a watch may wait before it is supervised.
+inline constexpr std::chrono::milliseconds kUnsupervisedWatchTime{1000};
+
+/// \brief Starts the supervision of a watch.
+void BeginWatch(WatchSupervision& watch,
+                std::uint64_t revision,
+                WatchSupervision::TimePoint now);
+
+/// \brief Whether a read of the revision is due for the watch.
+bool IsReadDue(const WatchSupervision& watch, WatchSupervision::TimePoint now);
+
+/// \brief Records that a read of the revision has failed.
+void RecordFailedRead(WatchSupervision& watch);
+
+/// \brief Records the revision that a read has returned, which may be out of
+/// date.
+WatchVerdict RecordRevision(WatchSupervision& watch,
+                            std::uint64_t revision,
+                            WatchSupervision::TimePoint now);
+
+/// \brief Whether so many reads have failed in a row that the registry is taken
+/// to be down.
+bool ShowsOutage(const WatchSupervision& watch);
+
+}  // namespace comfrey
+
+#endif  // CORE_WATCH_SUPERVISION_H_
--- a/Source/daemon/main.cc
+++ b/Source/daemon/main.cc
@@ -107,7 +107,7 @@
 comfrey::RegistrySource MakeRegistrySource(
     const comfrey::DaemonSettings& settings) {
   if (!settings.registry) {
-    return {nullptr, nullptr, [] {}};
+    return {nullptr, nullptr, nullptr, nullptr, [] {}};
   }
   const auto client = std::make_shared<comfrey::platform::RegistryClient>(
       settings.registry->ip, settings.registry->port);
@@ -115,7 +115,8 @@
           [client](std::uint64_t revision, std::chrono::milliseconds wait) {
             return client->Watch(revision, wait);
           },
-          [client] { client->Stop(); }};
+          [client] { return client->ReadRevision(); },
+          [client] { client->AbandonWatch(); }, [client] { client->Stop(); }};
 }
 
 }  // namespace
--- a/Source/daemon/registry_watcher.cc
+++ b/Source/daemon/registry_watcher.cc
@@ -8,20 +8,30 @@
 namespace comfrey {
 namespace {
 
-using Clock = std::chrono::steady_clock;
 using std::chrono::milliseconds;
 
-constexpr milliseconds kWatchTimeout{20'000};
+// Limits the time for which a watch without a response goes unnoticed if the
+// supervision does not notice it.
+constexpr milliseconds kWatchTimeout{10'000};
 // While registrations are missing after an outage, a watch ends after this
 // time, so that they are checked regularly.
 constexpr milliseconds kWatchTimeoutWhileMissing{500};
 // Delay after a change, so that further changes are read with a single call.
 // The calls of the whole fleet to the registry are limited, but a change must
 // be in force within 2.5 s.
-constexpr milliseconds kDelayAfterChange{400};
+constexpr milliseconds kDelayAfterChange{800};
 constexpr milliseconds kMinRetryDelay{100};
 constexpr milliseconds kStopPeriod{100};
 constexpr milliseconds kMaxRetryDelay{1000};
+constexpr milliseconds kSupervisionPeriod{1000};
+constexpr milliseconds kSupervisionPeriodInDoubt{400};
+constexpr int kLoggedFailures = 3;
+
+std::int64_t UnixMilliseconds() {
+  return std::chrono::duration_cast<milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
 
 bool HasMissingRegistrations(const RegistryView& view) {
   return std::any_of(
@@ -35,11 +45,23 @@
                                  CounterRegistry& counters,
                                  ChangeFunction on_change)
     : source(std::move(source)),
+      counters(counters),
       reads(counters.Counter("comfrey_registry_reads_total")),
-      failed_reads(counters.Counter("comfrey_registry_failed_reads_total")),
+      revision_reads(counters.Counter("comfrey_registry_revision_reads_total")),
+      abandoned_after_silence(
+          counters.Counter("comfrey_registry_abandoned_watches_total",
+                           {{"cause", "silence"}})),
+      abandoned_behind(
+          counters.Counter("comfrey_registry_abandoned_watches_total",
+                           {{"cause", "behind"}})),
       unusable_entries(
           counters.Counter("comfrey_registry_unusable_entries_total")),
+      revision(counters.Gauge("comfrey_registry_revision")),
+      config_version(counters.Gauge("comfrey_registry_config_version")),
+      confirmed_at_unix_ms(
+          counters.Gauge("comfrey_registry_confirmed_unix_ms")),
       on_change(std::move(on_change)),
+      confirmed_at(Clock::now()),
       retry_delay(kMinRetryDelay),
       rng(std::random_device()()) {}
 
@@ -48,7 +70,9 @@
 }
 
 void RegistryWatcher::Start() {
+  this->running = 2;
   this->thread = std::thread([this] { this->Run(); });
+  this->supervision_thread = std::thread([this] { this->RunSupervision(); });
 }
 
 void RegistryWatcher::Stop() {
@@ -60,18 +84,19 @@
   if (!this->thread.joinable()) {
     return;
   }
-  // A read that begins just after the source was stopped is not ended by it,
-  // and a watch may last for kWatchTimeout. The source is therefore stopped
-  // until the thread has ended.
+  // A read that begins just after the source was stopped may not be ended by
+  // it, so the source is stopped until the threads have ended.
   std::unique_lock<std::mutex> lock(this->mutex);
-  while (!this->ended) {
+  while (this->running > 0) {
     lock.unlock();
     this->source.stop();
     lock.lock();
-    this->changed.wait_for(lock, kStopPeriod, [this] { return this->ended; });
+    this->changed.wait_for(lock, kStopPeriod,
+                           [this] { return this->running == 0; });
   }
   lock.unlock();
   this->thread.join();
+  this->supervision_thread.join();
 }
 
 void RegistryWatcher::Run() {
@@ -82,35 +107,133 @@
     lock.lock();
     this->changed.wait_for(lock, pause, [this] { return this->stopping; });
   }
-  this->ended = true;
+  --this->running;
   this->changed.notify_all();
 }
 
-// Reads the registry once. Returns the delay until the next read.
 milliseconds RegistryWatcher::ReadOnce() {
   this->reads.Add();
-  const bool listing = !this->listed;
-  const absl::StatusOr<RegistryUpdate> update =
-      listing ? this->source.read_all()
-              : this->source.watch(this->view.revision,
-                                   HasMissingRegistrations(this->view)
-                                       ? kWatchTimeoutWhileMissing
-                                       : kWatchTimeout);
+  return this->listed ? this->Watch() : this->List();
+}
+
+milliseconds RegistryWatcher::List() {
+  const absl::StatusOr<RegistryUpdate> update = this->source.read_all();
   if (!update.ok()) {
-    const milliseconds delay = this->HandleReadFailure(update.status());
-    return absl::IsOutOfRange(update.status()) ? milliseconds(0) : delay;
+    this->RecordFailure("list", update.status());
+    RecordFailedRead(this->view);
+    return this->NextRetryDelay();
   }
   this->listed = true;
-  this->retry_delay = kMinRetryDelay;
+  this->HandleUpdate(*update);
+  return milliseconds(0);
+}
+
+milliseconds RegistryWatcher::Watch() {
+  const absl::StatusOr<RegistryUpdate> update = this->WatchSupervised(
+      HasMissingRegistrations(this->view) ? kWatchTimeoutWhileMissing
+                                          : kWatchTimeout);
+  if (!update.ok()) {
+    this->RecordFailure("watch", update.status());
+    RecordFailedRead(this->view);
+    // A watch that the registry receives while it discards its history may wait
+    // without a response although there were changes before. A listing returns
+    // these changes.
+    this->listed = false;
+    return absl::IsOutOfRange(update.status()) ? milliseconds(0)
+                                               : this->NextRetryDelay();
+  }
   const bool empty = update->registrations.empty() && !update->config;
   this->HandleUpdate(*update);
-  return listing || empty ? milliseconds(0) : kDelayAfterChange;
+  return empty ? milliseconds(0) : kDelayAfterChange;
+}
+
+absl::StatusOr<RegistryUpdate> RegistryWatcher::WatchSupervised(
+    milliseconds wait) {
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->supervision.emplace();
+    BeginWatch(*this->supervision, this->view.revision, Clock::now());
+    this->changed.notify_all();
+  }
+  absl::StatusOr<RegistryUpdate> update =
+      this->source.watch(this->view.revision, wait);
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->supervision.reset();
+  return update;
+}
+
+void RegistryWatcher::RunSupervision() {
+  std::unique_lock<std::mutex> lock(this->mutex);
+  while (!this->stopping) {
+    lock.unlock();
+    const milliseconds pause = this->SuperviseOnce();
+    lock.lock();
+    this->changed.wait_for(lock, pause, [this] { return this->stopping; });
+  }
+  --this->running;
+  this->changed.notify_all();
+}
+
+milliseconds RegistryWatcher::SuperviseOnce() {
+  Clock::time_point started_at;
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    if (!this->supervision || !IsReadDue(*this->supervision, Clock::now())) {
+      return kSupervisionPeriod;
+    }
+    started_at = this->supervision->started_at;
+  }
+  this->revision_reads.Add();
+  const absl::StatusOr<std::uint64_t> read = this->source.read_revision();
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  if (!this->supervision || this->supervision->started_at != started_at) {
+    return kSupervisionPeriod;
+  }
+  if (!read.ok()) {
+    RecordFailedRead(*this->supervision);
+    return kSupervisionPeriodInDoubt;
+  }
+  const WatchVerdict verdict =
+      RecordRevision(*this->supervision, *read, Clock::now());
+  if (verdict != WatchVerdict::kKeep) {
+    this->Abandon(verdict, *read);
+  }
+  return this->supervision->behind_since ? kSupervisionPeriodInDoubt
+                                         : kSupervisionPeriod;
+}
+
+// The caller must hold the mutex, so that no later read is ended.
+void RegistryWatcher::Abandon(WatchVerdict verdict, std::uint64_t revision) {
+  const bool behind = verdict == WatchVerdict::kAbandonBehind;
+  (behind ? this->abandoned_behind : this->abandoned_after_silence).Add();
+  spdlog::warn(
+      "registry: the watch after revision {} is given up after {} ms: {}, the "
+      "registry has revision {}",
+      this->supervision->revision,
+      std::chrono::duration_cast<milliseconds>(Clock::now() -
+                                               this->supervision->started_at)
+          .count(),
+      behind ? "it has not returned a change"
+             : "the registry did not respond meanwhile",
+      revision);
+  this->source.abandon_watch();
 }
 
 void RegistryWatcher::HandleUpdate(const RegistryUpdate& update) {
-  if (!this->view.last_read_succeeded) {
-    spdlog::info("registry: reached, revision {}", update.revision);
+  const Clock::time_point now = Clock::now();
+  if (this->failures > 0 || this->view.revision == 0) {
+    spdlog::info(
+        "registry: read revision {} after {}, {} ms after the last success, {} "
+        "failures",
+        update.revision, this->view.revision,
+        std::chrono::duration_cast<milliseconds>(now - this->confirmed_at)
+            .count(),
+        this->failures);
   }
+  this->failures = 0;
+  this->retry_delay = kMinRetryDelay;
+  this->confirmed_at = now;
+  this->confirmed_at_unix_ms.Set(UnixMilliseconds());
   for (const RegistrationChange& change : update.registrations) {
     if (!change.problem.empty()) {
       this->unusable_entries.Add();
@@ -123,24 +246,37 @@
     spdlog::warn("registry: the published configuration is not usable: {}",
                  update.config_problem);
   }
-  const Clock::time_point now = Clock::now();
   const bool applied = ApplyRegistryUpdate(this->view, update, now);
   const bool dropped = RemoveMissingRegistrations(this->view, now);
+  this->revision.Set(static_cast<std::int64_t>(this->view.revision));
+  if (this->view.config) {
+    this->config_version.Set(
+        static_cast<std::int64_t>(this->view.config->version));
+  }
   if (applied || dropped) {
     this->on_change(this->view);
   }
 }
 
-milliseconds RegistryWatcher::HandleReadFailure(const absl::Status& status) {
-  this->failed_reads.Add();
-  if (this->view.last_read_succeeded || this->failed_reads.Value() == 1) {
-    spdlog::warn("registry: {}", std::string(status.message()));
+// In a long outage, only the first failures are logged; all are counted.
+void RegistryWatcher::RecordFailure(const std::string& operation,
+                                    const absl::Status& status) {
+  this->counters
+      .Counter("comfrey_registry_failed_reads_total",
+               {{"operation", operation},
+                {"cause", absl::StatusCodeToString(status.code())}})
+      .Add();
+  ++this->failures;
+  if (this->failures <= kLoggedFailures) {
+    spdlog::warn("registry: {}; revision {}, {} ms after the last success",
+                 std::string(status.message()), this->view.revision,
+                 std::chrono::duration_cast<milliseconds>(Clock::now() -
+                                                          this->confirmed_at)
+                     .count());
   }
-  RecordFailedRead(this->view);
-  // A watch that the registry receives while it discards its history may wait
-  // without a response although there were changes before. A listing returns
-  // these changes.
-  this->listed = false;
+}
+
+milliseconds RegistryWatcher::NextRetryDelay() {
   const milliseconds delay = this->retry_delay;
   this->retry_delay = std::min(2 * this->retry_delay, kMaxRetryDelay);
   // The delay is randomised, so that the daemons of the fleet do not all retry
--- a/Source/daemon/registry_watcher.h
+++ b/Source/daemon/registry_watcher.h
@@ -6,12 +6,15 @@
 #include <cstdint>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <random>
+#include <string>
 #include <thread>
 
 #include "absl/status/statusor.h"
 #include "base/counters.h"
 #include "config/registry_view.h"
+#include "core/watch_supervision.h"
 
 namespace comfrey {
 
@@ -22,11 +25,17 @@
   std::function<absl::StatusOr<RegistryUpdate>(std::uint64_t revision,
                                                std::chrono::milliseconds wait)>
       watch;
+  /// Returns a revision of the registry that may be out of date. Called from
+  /// another thread than the others.
+  std::function<absl::StatusOr<std::uint64_t>()> read_revision;
+  /// Ends a watch in progress with an error; called from another thread.
+  std::function<void()> abandon_watch;
   /// Cancels a read in progress; called from another thread.
   std::function<void()> stop;
 };
 
-/// \brief Lists and watches a registry on its own thread.
+/// \brief Lists and watches a registry on its own thread. Another thread
+/// supervises the watch, which may never get a response.
 class RegistryWatcher {
  public:
   /// Called on the thread of the watcher after each change of the view.
@@ -42,29 +51,58 @@
 
   void Start();
 
-  /// \brief Cancels a read in progress and ends the thread.
+  /// \brief Cancels a read in progress and ends the threads.
   void Stop();
 
  private:
+  using Clock = std::chrono::steady_clock;
+
   void Run();
+  // These read the registry once and return the delay until the next read.
   std::chrono::milliseconds ReadOnce();
+  std::chrono::milliseconds List();
+  std::chrono::milliseconds Watch();
+  absl::StatusOr<RegistryUpdate> WatchSupervised(
+      std::chrono::milliseconds wait);
   void HandleUpdate(const RegistryUpdate& update);
-  std::chrono::milliseconds HandleReadFailure(const absl::Status& status);
+  void RecordFailure(const std::string& operation, const absl::Status& status);
+  std::chrono::milliseconds NextRetryDelay();
+
+  void RunSupervision();
+  // Reads the revision if the watch has waited for long, and ends the watch if
+  // it cannot be relied on. Returns the delay until the next read.
+  std::chrono::milliseconds SuperviseOnce();
+  void Abandon(WatchVerdict verdict, std::uint64_t revision);
 
   RegistrySource source;
+  CounterRegistry& counters;
   Metric& reads;
-  Metric& failed_reads;
+  Metric& revision_reads;
+  Metric& abandoned_after_silence;
+  Metric& abandoned_behind;
   Metric& unusable_entries;
+  Metric& revision;
+  Metric& config_version;
+  Metric& confirmed_at_unix_ms;
   ChangeFunction on_change;
   RegistryView view;
+  /// Whether the view contains a listing after which no read has failed.
   bool listed = false;
+  /// Number of listings and watches that have failed since one succeeded.
+  int failures = 0;
+  /// When the last listing or watch succeeded; the start until then.
+  Clock::time_point confirmed_at;
   std::chrono::milliseconds retry_delay;
   std::mt19937_64 rng;
   std::mutex mutex;
   std::condition_variable changed;
   bool stopping = false;
-  bool ended = false;
+  /// Number of threads that run.
+  int running = 0;
+  /// The watch in progress, if any.
+  std::optional<WatchSupervision> supervision;
   std::thread thread;
+  std::thread supervision_thread;
 };
 
 }  // namespace comfrey
--- a/Tests/daemon/registry_watcher_test.cc
+++ b/Tests/daemon/registry_watcher_test.cc
@@ -35,6 +35,11 @@
             [this](std::uint64_t revision, milliseconds) {
               return this->Read("watch " + std::to_string(revision));
             },
+            [this]() -> absl::StatusOr<std::uint64_t> {
+              const std::lock_guard<std::mutex> lock(this->mutex);
+              return this->revision;
+            },
+            [this] { this->QueueResult(absl::UnavailableError("abandoned")); },
             [this] {
               const std::lock_guard<std::mutex> lock(this->mutex);
               this->stopped = true;
@@ -42,6 +47,11 @@
             }};
   }
 
+  void SetRevision(absl::StatusOr<std::uint64_t> result) {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->revision = std::move(result);
+  }
+
   void QueueResult(absl::StatusOr<RegistryUpdate> result) {
     const std::lock_guard<std::mutex> lock(this->mutex);
     this->results.push_back(std::move(result));
@@ -74,6 +84,7 @@
   std::condition_variable changed;
   std::vector<absl::StatusOr<RegistryUpdate>> results;
   std::vector<std::string> calls;
+  absl::StatusOr<std::uint64_t> revision = 0;
   bool stopped = false;
 };
 
@@ -158,5 +169,32 @@
   CHECK(Clock::now() - begin < std::chrono::seconds(4));
 }
 
+// Guards against a daemon that never learns of changes, since its watch gets no
+// response: the registry received it while it was down, discarded its history,
+// or its response was lost.
+TEST_CASE("a watch that is behind the registry is followed by a listing",
+          "[registry_watcher]") {
+  Fixture fixture;
+  fixture.registry.QueueResult(MakeListing(4));
+  fixture.registry.WaitForCalls(2);
+  fixture.registry.SetRevision(6);
+  CHECK(fixture.registry.WaitForCalls(3) ==
+        std::vector<std::string>{"list", "watch 5", "list"});
+}
+
+// Guards against the same before the registry has a change, since the watch
+// would not return that change.
+TEST_CASE("a watch over a silence of the registry is followed by a listing",
+          "[registry_watcher]") {
+  Fixture fixture;
+  fixture.registry.QueueResult(MakeListing(4));
+  fixture.registry.WaitForCalls(2);
+  fixture.registry.SetRevision(absl::DeadlineExceededError("silent"));
+  std::this_thread::sleep_for(milliseconds(2500));
+  CHECK(fixture.registry.WaitForCalls(2).size() == 2);
+  fixture.registry.SetRevision(5);
+  CHECK(fixture.registry.WaitForCalls(3).back() == "list");
+}
+
 }  // namespace
 }  // namespace comfrey
--- a/Tests/system/registry_test.cc
+++ b/Tests/system/registry_test.cc
@@ -204,6 +204,30 @@
   fleet.registry.SetUnavailable(false);
 }
 
+// Guards against a daemon that waits for the response to a watch that the
+// registry never sends, and meanwhile serves by a configuration that was
+// replaced.
+TEST_CASE("a watch that is never answered does not hide a configuration") {
+  constexpr std::chrono::seconds kMaxAge{4};
+  constexpr std::chrono::milliseconds kApplyTime{2500};
+  RegistryFleet fleet;
+  REQUIRE(WaitFor(
+      [] { return RegistryFleet::IsReady(1) && RegistryFleet::IsReady(2); }));
+  // The watches that follow this change arrive while the registry is silent.
+  fleet.registry.Put(platform::kConfigKey, MakeConfiguration(4, "/a/"));
+  std::this_thread::sleep_for(milliseconds(200));
+  fleet.registry.SetSilent(true);
+  std::this_thread::sleep_for(milliseconds(1200));
+  fleet.registry.SetSilent(false);
+  std::this_thread::sleep_for(kMaxAge - kApplyTime);
+  fleet.registry.Put(platform::kConfigKey, MakeConfiguration(5, "/b/"));
+  std::this_thread::sleep_for(kApplyTime);
+  for (const int vm : {1, 2}) {
+    CHECK(RegistryFleet::Send(vm, "/b/x")->status == 200);
+    CHECK(RegistryFleet::Send(vm, "/a/x")->status == 404);
+  }
+}
+
 // Guards against a planned stop that ends the process at once because a thread
 // does not block the signal, that still reports the daemon as ready, or that
 // takes longer than the configured grace. Also guards against a reload that
