Read the configuration after the listing of the registry

What callers saw: 503 from a daemon that had started while the first configuration was published, until the second one.

Cause: the key was read first, and a response for a missing key has no revision. The watch began at the revision of the later listing, so it did not return a configuration that was published between the two reads.

Change: the configuration is read last; the watch begins at the revision of the first page of the listing.

Before and after: 'a configuration published during the listing is not missed' fails with the previous order and passes now. No call more.

--- a/Source/platform/registry_client.cc
+++ b/Source/platform/registry_client.cc
@@ -128,14 +128,17 @@
 absl::StatusOr<RegistryUpdate> RegistryClient::ReadAll() {
   RegistryUpdate update;
   update.complete = true;
-  const absl::Status read = this->ReadConfig(update);
-  if (!read.ok()) {
-    return read;
-  }
   const absl::Status listed = this->ListRegistrations(update);
   if (!listed.ok()) {
     return listed;
   }
+  // The configuration is read last. A configuration that is published after
+  // this read has a later revision than the listing, so a watch returns it,
+  // although a response for a missing configuration has no revision.
+  const absl::Status read = this->ReadConfig(update);
+  if (!read.ok()) {
+    return read;
+  }
   return update;
 }
 
@@ -151,8 +154,9 @@
     if (!response.ok()) {
       return response.status();
     }
-    // The pages of a listing are not a snapshot. The oldest revision is kept,
-    // so that a watch from it returns the changes made during the listing.
+    // The pages of a listing are not a snapshot. The revision of the first one
+    // is kept, so that a watch from it returns the changes made during the
+    // listing.
     if (update.revision == 0) {
       update.revision = response->revision;
     }
@@ -182,7 +186,6 @@
   }
   if (!config->body.is_null()) {
     AddItem(config->body, update);
-    update.revision = config->revision;
   }
   return absl::OkStatus();
 }
--- a/Tests/platform/registry_client_test.cc
+++ b/Tests/platform/registry_client_test.cc
@@ -106,6 +106,38 @@
   CHECK(update->registrations[1].instance == "i-2");
 }
 
+// Guards against a daemon without a configuration until the second one is
+// published: the first one was published after its key was found missing and
+// before the listing, whose revision includes it.
+TEST_CASE("a configuration published during the listing is not missed") {
+  FakeStore store;
+  bool published = false;
+  store.handler = [&](const httplib::Request& request,
+                      httplib::Response& response) {
+    if (request.path == "/kv-range") {
+      published = true;
+      SetJsonBody(response, {{"items", json::array()},
+                             {"has_more", false},
+                             {"store_revision", 8}});
+    } else if (published) {
+      SetJsonBody(
+          response,
+          {{"key", "op/config"},
+           {"value", absl::Base64Escape(R"({"version":"r4","resources":[]})")},
+           {"rev", 8},
+           {"store_revision", 8}});
+    } else {
+      response.status = 404;
+    }
+  };
+  RegistryClient client(kIp, store.port);
+  const auto update = client.ReadAll();
+  REQUIRE(update.ok());
+  REQUIRE(update->config);
+  CHECK(update->config->version == 4);
+  CHECK(update->revision == 8);
+}
+
 // Guards against an endless listing if the registry always reports more items.
 TEST_CASE("a page without items ends the listing") {
   FakeStore store;
