Keep the names of the store in a platform folder of the measuring programs

The stand-in of the store moves to Utilities/platform, and publishes a configuration by a function, so that measure_registry_trouble names no key.

--- a/Utilities/measure_registry_trouble.cc
+++ b/Utilities/measure_registry_trouble.cc
@@ -18,7 +18,7 @@
 #include <vector>
 
 #include "harness.h"
-#include "troubled_store.h"
+#include "platform/troubled_store.h"
 
 DEFINE_int32(daemons, 30, "number of daemons");
 DEFINE_string(trouble,
@@ -241,7 +241,7 @@
   if (unpublished) {
     fleet.store.PublishDuringFirstListing(MakeVersion(0));
   } else {
-    fleet.store.Put("op/config", MakeVersion(0));
+    fleet.store.Publish(MakeVersion(0));
   }
   for (int vm = 1; vm <= FLAGS_daemons; ++vm) {
     fleet.StartDaemon(vm);
@@ -288,7 +288,7 @@
   for (double at = 2; at < FLAGS_seconds; at += kVersionPeriod) {
     SleepUntil(at);
     const std::size_t next = versions.size();
-    versions.push_back({fleet.store.Put("op/config", MakeVersion(next)),
+    versions.push_back({fleet.store.Publish(MakeVersion(next)),
                         next % 2 == 0 ? "atelier" : "stockroom"});
     newest = next;
   }
--- a/Utilities/troubled_store.cc
+++ b/Utilities/platform/troubled_store.cc
@@ -1,4 +1,4 @@
-#include "troubled_store.h"
+#include "platform/troubled_store.h"
 
 #include <sys/socket.h>
 
@@ -8,7 +8,7 @@
 
 namespace {
 
-using review::Clock;
+constexpr char kConfigKey[] = "op/config";
 
 constexpr double kResponseSeconds = 0.004;
 constexpr double kSlowSeconds = 0.24;
@@ -65,6 +65,10 @@
   return this->PutLocked(key, value);
 }
 
+double TroubledStore::Publish(const std::string& config) {
+  return this->Put(kConfigKey, config);
+}
+
 double TroubledStore::PutLocked(const std::string& key,
                                 const std::string& value) {
   Item& item = this->items[key];
@@ -155,7 +159,7 @@
 
 TroubledStore::Response TroubledStore::List(const std::string& target) {
   if (!this->config_of_first_listing.empty()) {
-    this->PutLocked("op/config",
+    this->PutLocked(kConfigKey,
                     std::exchange(this->config_of_first_listing, ""));
   }
   const std::string prefix = review::QueryValue(target, "prefix");
--- a/Utilities/troubled_store.h
+++ b/Utilities/platform/troubled_store.h
@@ -1,7 +1,7 @@
 // A registry that serves each daemon at an address of its own and can have a
 // trouble with some of them. Built on the stand-ins of review/harness.
-#ifndef UTILITIES_TROUBLED_STORE_H_
-#define UTILITIES_TROUBLED_STORE_H_
+#ifndef UTILITIES_PLATFORM_TROUBLED_STORE_H_
+#define UTILITIES_PLATFORM_TROUBLED_STORE_H_
 
 #include <atomic>
 #include <condition_variable>
@@ -35,6 +35,9 @@
   /// \brief Writes an item; returns the time of the acknowledgement.
   double Put(const std::string& key, const std::string& value);
 
+  /// \brief Publishes a configuration; returns the time of the acknowledgement.
+  double Publish(const std::string& config);
+
   /// \brief Publishes the configuration within the first listing, if `config`
   /// is not empty.
   void PublishDuringFirstListing(const std::string& config);
@@ -86,4 +89,4 @@
   std::vector<std::unique_ptr<review::Server>> servers;
 };
 
-#endif  // UTILITIES_TROUBLED_STORE_H_
+#endif  // UTILITIES_PLATFORM_TROUBLED_STORE_H_
