Show that a failed order can be reported as not run after a reset

Disruption: the connections between two daemons are reset (reset_conns) while an order runs at a backend server that fails it with an unmarked 503.

Cause: the ledger of the owner keeps an unmarked refusal as the response of the attempt. The direct reply makes it "unknown", but the fence after a lost reply returns it to the ingress as an answer.

--- /dev/null
+++ b/review/stand_ins_2/relay.h
@@ -0,0 +1,38 @@
+#ifndef REVIEW_STAND_INS_2_RELAY_H_
+#define REVIEW_STAND_INS_2_RELAY_H_
+
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace review {
+
+/// \brief A TCP relay between daemons whose connections can be reset.
+class Relay {
+ public:
+  Relay(const std::string& ip, int port, const std::string& target_ip,
+        int target_port);
+
+  /// \brief Resets all connections on both sides; returns their number. New
+  /// connections work.
+  int ResetConnections();
+
+ private:
+  struct Connection {
+    std::mutex mutex;
+    int caller = -1;
+    int target = -1;
+    bool closed = false;
+  };
+
+  static void Copy(const std::shared_ptr<Connection>& connection, bool forward);
+  static void Close(Connection& connection, bool reset);
+
+  std::mutex mutex;
+  std::vector<std::shared_ptr<Connection>> connections;
+};
+
+}  // namespace review
+
+#endif  // REVIEW_STAND_INS_2_RELAY_H_
