--- a/review/stand_ins_2/relay.cc
+++ b/review/stand_ins_2/relay.cc
@@ -42,27 +42,38 @@
         const std::lock_guard<std::mutex> lock(this->mutex);
         this->connections.push_back(connection);
       }
-      std::thread([connection] { Copy(connection, true); }).detach();
-      std::thread([connection] { Copy(connection, false); }).detach();
+      std::thread([connection] { Copy(*connection, true); }).detach();
+      std::thread([connection] { Copy(*connection, false); }).detach();
     }
   }).detach();
 }
 
+Relay::Connection::~Connection() {
+  ::close(this->caller);
+  ::close(this->target);
+}
+
 int Relay::ResetConnections() {
   const std::lock_guard<std::mutex> lock(this->mutex);
   int count = 0;
-  for (const std::shared_ptr<Connection>& connection : this->connections) {
-    const std::lock_guard<std::mutex> connection_lock(connection->mutex);
-    count += connection->closed ? 0 : 1;
-    Close(*connection, true);
+  for (const std::weak_ptr<Connection>& entry : this->connections) {
+    if (const std::shared_ptr<Connection> connection = entry.lock()) {
+      // Dissolving the association of a TCP socket resets its connection.
+      sockaddr none{};
+      none.sa_family = AF_UNSPEC;
+      ::connect(connection->caller, &none, sizeof(none));
+      ::connect(connection->target, &none, sizeof(none));
+      ++count;
+    }
   }
   this->connections.clear();
   return count;
 }
 
-void Relay::Copy(const std::shared_ptr<Connection>& connection, bool forward) {
-  const int from = forward ? connection->caller : connection->target;
-  const int to = forward ? connection->target : connection->caller;
+// Both directions end together.
+void Relay::Copy(const Connection& connection, bool forward) {
+  const int from = forward ? connection.caller : connection.target;
+  const int to = forward ? connection.target : connection.caller;
   char bytes[16384];
   for (;;) {
     const ssize_t count = ::recv(from, bytes, sizeof(bytes), 0);
@@ -71,26 +82,8 @@
       break;
     }
   }
-  const std::lock_guard<std::mutex> lock(connection->mutex);
-  Close(*connection, false);
-}
-
-// Both directions end together. The caller must hold the mutex.
-void Relay::Close(Connection& connection, bool reset) {
-  if (connection.closed) {
-    return;
-  }
-  connection.closed = true;
-  for (const int socket : {connection.caller, connection.target}) {
-    if (reset) {
-      const linger immediately{1, 0};
-      ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &immediately,
-                   sizeof(immediately));
-    } else {
-      ::shutdown(socket, SHUT_RDWR);
-    }
-    ::close(socket);
-  }
+  ::shutdown(from, SHUT_RDWR);
+  ::shutdown(to, SHUT_RDWR);
 }
 
 }  // namespace review
--- a/review/stand_ins_2/relay.h
+++ b/review/stand_ins_2/relay.h
@@ -19,18 +19,17 @@
   int ResetConnections();
 
  private:
+  // The sockets are closed when no thread uses them any more.
   struct Connection {
-    std::mutex mutex;
+    ~Connection();
     int caller = -1;
     int target = -1;
-    bool closed = false;
   };
 
-  static void Copy(const std::shared_ptr<Connection>& connection, bool forward);
-  static void Close(Connection& connection, bool reset);
+  static void Copy(const Connection& connection, bool forward);
 
   std::mutex mutex;
-  std::vector<std::shared_ptr<Connection>> connections;
+  std::vector<std::weak_ptr<Connection>> connections;
 };
 
 }  // namespace review
