--- a/review/7/case.cc
+++ b/review/7/case.cc
@@ -1,12 +1,11 @@
-// One answer of a faulty backend server has a wrong byte in the value of a
-// header. Its body is whole, and so must be that of the success that the client
-// gets.
+// An order runs at a backend server that fails it with an unmarked 503, while
+// the connections between the daemons are reset.
 
-#include <map>
-#include <mutex>
+#include <set>
 #include <thread>
 
 #include "deployment.h"
+#include "relay.h"
 
 namespace {
 
@@ -14,76 +13,77 @@
 using review::BackendRequest;
 using review::ClientRequest;
 using review::Deployment;
+using review::HttpMessage;
 using review::Vm;
 using std::chrono::milliseconds;
 
-constexpr int kOrders = 60;
-constexpr milliseconds kPause{40};
-// The answer of the faulty server that is spoiled.
-constexpr int kSpoiledAnswer = 10;
+constexpr int kRelayedPort = 7661;
+constexpr int kUnavailable = 503;
+constexpr milliseconds kWork{900};
+constexpr milliseconds kResetAfter{300};
+const std::set<int> kPromises = {408, 421, 429, 503};
 
 }  // namespace
 
 int main(int /*argc*/, char** argv) {
   review::Record record(argv[1]);
   const Vm ingress{1, "stockroom", "piedmont-a", "piedmont", 0};
-  const Vm faulty{2, "atelier", "piedmont-a", "piedmont", 0};
-  const Vm sound_one{3, "atelier", "piedmont-b", "piedmont", 0};
-  const Vm sound_two{4, "atelier", "piedmont-b", "piedmont", 0};
-  Deployment deployment(record, {ingress, faulty, sound_one, sound_two});
-  std::mutex mutex;
-  std::map<std::string, std::string> bodies;
-  int answers = 0;
-  for (const Vm& vm : {ingress, faulty, sound_one, sound_two}) {
-    const bool is_faulty = vm.number == faulty.number;
-    deployment.StartBackend(vm, [&, is_faulty](const BackendRequest& request) {
-      const std::lock_guard<std::mutex> lock(mutex);
-      BackendReply reply{200, "struck " + request.id + ": two hundred plates\n",
-                         "X-Engraver: Kovacs\r\n"};
-      if (is_faulty && ++answers == kSpoiledAnswer && review::HasTrouble()) {
-        reply.headers = "X-Engraver: Kov\xe1"
-                        "cs\r\n";
-        record.Add("the answer to request " + request.id +
-                   " has the byte 0xe1 in the value of X-Engraver");
-      }
-      bodies[request.id] = reply.body;
-      return reply;
-    });
-  }
+  const Vm owner{2, "atelier", "piedmont-b", "piedmont", kRelayedPort};
+  Deployment deployment(record, {ingress, owner});
+  std::atomic<bool> failing{false};
+  std::atomic<int> runs{0};
+  deployment.StartBackend(ingress,
+                          [](const BackendRequest&) { return BackendReply{}; });
+  deployment.StartBackend(owner, [&](const BackendRequest& request) {
+    ++runs;
+    if (!failing) {
+      return BackendReply{200, "struck " + request.id, ""};
+    }
+    std::this_thread::sleep_for(kWork);
+    return BackendReply{kUnavailable, "the press failed\n", ""};
+  });
+  review::Relay relay(deployment.Ip(owner), Deployment::kPeerPort,
+                      deployment.Ip(owner), kRelayedPort);
   deployment.Publish(
       3, review::RouteJson("orders", "ficu95.example", "/orders/", "unsafe",
                            "atelier", "4s") +
              "," + review::ServiceJson("atelier") + "," +
              review::ServiceJson("stockroom") + "," + review::LimitsJson());
-  for (const Vm& vm : {ingress, faulty, sound_one, sound_two}) {
-    deployment.StartDaemon(vm);
-  }
+  deployment.StartDaemon(ingress);
+  deployment.StartDaemon(owner);
   deployment.WaitReady();
 
-  int successes = 0;
-  int broken = 0;
-  for (int i = 1; i <= kOrders; ++i) {
-    const std::string id = "a" + std::to_string(i);
-    const auto response = review::SendRequest(
-        record, deployment.Ip(ingress),
-        ClientRequest{"POST", "ficu95.example", "/orders/" + std::to_string(i),
-                      id, 8000, "two hundred plates"});
-    if (response && response->Status() / 100 == 2) {
-      ++successes;
-      const std::lock_guard<std::mutex> lock(mutex);
-      if (response->body != bodies[id]) {
-        ++broken;
-        record.Add("MIXED is broken: the body of the success for request " +
-                   id + " has " + std::to_string(response->body.size()) +
-                   " bytes, that of the server " +
-                   std::to_string(bodies[id].size()));
-      }
-    }
-    std::this_thread::sleep_for(kPause);
+  ClientRequest order{"POST", "ficu95.example", "/orders/1", "a1", 8000,
+                      "two hundred plates"};
+  const auto first =
+      review::SendRequest(record, deployment.Ip(ingress), order);
+  if (!first || first->Status() != 200) {
+    record.Add("the first order is not served: the case cannot run");
+    deployment.Finish(2);
   }
-  record.Add(std::to_string(successes) + " of " + std::to_string(kOrders) +
-             " orders succeed, " + std::to_string(broken) +
-             " without their whole body");
-  const bool has_run = answers >= kSpoiledAnswer && successes > kOrders / 2;
-  deployment.Finish(!has_run ? 2 : broken > 0 ? 1 : 0);
+
+  failing = true;
+  runs = 0;
+  std::thread trouble([&] {
+    while (runs == 0) {
+      std::this_thread::sleep_for(milliseconds(5));
+    }
+    std::this_thread::sleep_for(kResetAfter);
+    if (review::HasTrouble()) {
+      const int count = relay.ResetConnections();
+      record.Add("reset of " + std::to_string(count) +
+                 " connections between the daemons");
+    }
+  });
+  order.target = "/orders/2";
+  order.id = "a2";
+  const auto second =
+      review::SendRequest(record, deployment.Ip(ingress), order);
+  trouble.join();
+  const bool broken =
+      second && kPromises.count(second->Status()) > 0 && runs > 0;
+  record.Add(broken ? "REFUSED is broken: the order ran and the client is told "
+                      "that it has not run"
+                    : "REFUSED holds");
+  deployment.Finish(broken ? 1 : 0);
 }
