--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -19,8 +19,10 @@
 
 constexpr int kOrders = 60;
 constexpr milliseconds kPause{40};
-// The answer of the faulty server that is spoiled.
+// The answer of the faulty server that is spoiled, and how many it must give so
+// that this is at most one in 50.
 constexpr int kSpoiledAnswer = 10;
+constexpr int kMinAnswers = 50;
 
 }  // namespace
 
@@ -41,8 +43,9 @@
       BackendReply reply{200, "struck " + request.id + ": two hundred plates\n",
                          "X-Engraver: Kovacs\r\n"};
       if (is_faulty && ++answers == kSpoiledAnswer && review::HasTrouble()) {
-        reply.headers = "X-Engraver: Kov\xe1"
-                        "cs\r\n";
+        reply.headers =
+            "X-Engraver: Kov\xe1"
+            "cs\r\n";
         record.Add("the answer to request " + request.id +
                    " has the byte 0xe1 in the value of X-Engraver");
       }
@@ -84,6 +87,7 @@
   record.Add(std::to_string(successes) + " of " + std::to_string(kOrders) +
              " orders succeed, " + std::to_string(broken) +
              " without their whole body");
-  const bool has_run = answers >= kSpoiledAnswer && successes > kOrders / 2;
+  record.Add("the faulty server gave " + std::to_string(answers) + " answers");
+  const bool has_run = answers >= kMinAnswers && successes > kOrders / 2;
   deployment.Finish(!has_run ? 2 : broken > 0 ? 1 : 0);
 }
--- a/review/stand_ins_2/deployment.cc
+++ b/review/stand_ins_2/deployment.cc
@@ -92,8 +92,8 @@
     std::exit(kCannotRun);
   }
   this->directory = path;
-  this->store = std::make_unique<Store>(
-      this->prefix + std::to_string(kStoreVm), kStorePort);
+  this->store = std::make_unique<Store>(this->prefix + std::to_string(kStoreVm),
+                                        kStorePort);
   std::thread([this] { this->Heartbeat(); }).detach();
 }
 
@@ -134,33 +134,34 @@
 
 void Deployment::StartBackend(const Vm& vm, RunFunction run) {
   const std::string instance = InstanceOf(vm);
-  Serve(Listen(this->Ip(vm), kAppPort),
-        [this, instance, run](const HttpMessage& request, int socket) {
-          const std::string id = request.Header("Comfreywood-Attempt-Id");
-          const std::string expected =
-              request.Header("Comfreywood-Expected-Instance");
-          std::string head;
-          BackendReply reply;
-          if (request.Target() == "/health") {
-            head = "Comfreywood-Instance-Id: " + instance + "\r\n";
-          } else if (id.empty() || (!expected.empty() && expected != instance)) {
-            reply.status = id.empty() ? 400 : 421;
-            head = "Comfreywood-Not-Executed: 1\r\n";
-          } else {
-            this->record.Add("server " + instance + " runs request " + id);
-            reply = run({id, instance, request});
-            this->record.Add("server " + instance + " answers request " + id +
-                             " with " + std::to_string(reply.status));
-            head = "Comfreywood-Attempt-Id: " + id +
-                   "\r\nComfreywood-Response-Signature: " + instance + "." +
-                   id + "\r\n" + reply.headers;
-          }
-          return SendAll(socket,
-                         "HTTP/1.1 " + std::to_string(reply.status) + " -\r\n" +
-                             head + "Keep-Alive: timeout=10\r\nContent-Length: " +
-                             std::to_string(reply.body.size()) + "\r\n\r\n" +
-                             reply.body);
-        });
+  Serve(
+      Listen(this->Ip(vm), kAppPort),
+      [this, instance, run](const HttpMessage& request, int socket) {
+        const std::string id = request.Header("Comfreywood-Attempt-Id");
+        const std::string expected =
+            request.Header("Comfreywood-Expected-Instance");
+        std::string head;
+        BackendReply reply;
+        if (request.Target() == "/health") {
+          head = "Comfreywood-Instance-Id: " + instance + "\r\n";
+        } else if (id.empty() || (!expected.empty() && expected != instance)) {
+          reply.status = id.empty() ? 400 : 421;
+          head = "Comfreywood-Not-Executed: 1\r\n";
+        } else {
+          this->record.Add("server " + instance + " runs request " + id);
+          reply = run({id, instance, request});
+          this->record.Add("server " + instance + " answers request " + id +
+                           " with " + std::to_string(reply.status));
+          head = "Comfreywood-Attempt-Id: " + id +
+                 "\r\nComfreywood-Response-Signature: " + instance + "." + id +
+                 "\r\n" + reply.headers;
+        }
+        return SendAll(socket,
+                       "HTTP/1.1 " + std::to_string(reply.status) + " -\r\n" +
+                           head + "Keep-Alive: timeout=10\r\nContent-Length: " +
+                           std::to_string(reply.body.size()) + "\r\n\r\n" +
+                           reply.body);
+      });
   this->store->Put("servers/" + instance, this->Registration(vm, 1));
   const std::lock_guard<std::mutex> lock(this->mutex);
   this->registered.push_back(vm);
@@ -214,8 +215,8 @@
     if (::getppid() != parent) {
       ::_exit(kCannotRun);
     }
-    const int log = ::open((name + ".log").c_str(),
-                           O_WRONLY | O_CREAT | O_APPEND, 0644);
+    const int log =
+        ::open((name + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(log, STDOUT_FILENO);
     ::dup2(log, STDERR_FILENO);
     ::execl(kProgram, kProgram, argument.c_str(), nullptr);
@@ -269,8 +270,8 @@
                                        const std::string& ip,
                                        const ClientRequest& request) {
   constexpr milliseconds kConnectTimeout{1000};
-  HttpStream stream{
-      Connect(ip, Deployment::kOutboundPort, kConnectTimeout), ""};
+  HttpStream stream{Connect(ip, Deployment::kOutboundPort, kConnectTimeout),
+                    ""};
   if (stream.socket < 0) {
     record.Add("client cannot connect for request " + request.id);
     return std::nullopt;
@@ -281,12 +282,12 @@
       request.method == "GET"
           ? ""
           : "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
-  SendAll(stream.socket,
-          request.method + " " + request.target + " HTTP/1.1\r\nHost: " +
-              request.host + "\r\nComfreywood-Attempt-Id: " + request.id +
-              "\r\nComfreywood-Deadline-Ms: " +
-              std::to_string(request.deadline_ms) + "\r\n" + length + "\r\n" +
-              request.body);
+  SendAll(stream.socket, request.method + " " + request.target +
+                             " HTTP/1.1\r\nHost: " + request.host +
+                             "\r\nComfreywood-Attempt-Id: " + request.id +
+                             "\r\nComfreywood-Deadline-Ms: " +
+                             std::to_string(request.deadline_ms) + "\r\n" +
+                             length + "\r\n" + request.body);
   std::optional<HttpMessage> response =
       ReadMessage(stream, true, milliseconds(request.deadline_ms));
   ::close(stream.socket);
@@ -295,10 +296,10 @@
   } else {
     const std::string signature =
         response->Header("Comfreywood-Response-Signature");
-    record.Add("client gets " + std::to_string(response->Status()) +
-               " for request " + request.id +
-               (signature.empty() ? ", no signature"
-                                  : ", signature " + signature));
+    record.Add(
+        "client gets " + std::to_string(response->Status()) + " for request " +
+        request.id +
+        (signature.empty() ? ", no signature" : ", signature " + signature));
   }
   return response;
 }
--- a/review/stand_ins_2/http.cc
+++ b/review/stand_ins_2/http.cc
@@ -161,8 +161,8 @@
 
 bool SendAll(int socket, const std::string& bytes) {
   for (std::size_t sent = 0; sent < bytes.size();) {
-    const ssize_t count = ::send(socket, bytes.data() + sent,
-                                 bytes.size() - sent, MSG_NOSIGNAL);
+    const ssize_t count =
+        ::send(socket, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
     if (count <= 0) {
       return false;
     }
--- a/review/stand_ins_2/relay.h
+++ b/review/stand_ins_2/relay.h
@@ -11,7 +11,9 @@
 /// \brief A TCP relay between daemons whose connections can be reset.
 class Relay {
  public:
-  Relay(const std::string& ip, int port, const std::string& target_ip,
+  Relay(const std::string& ip,
+        int port,
+        const std::string& target_ip,
         int target_port);
 
   /// \brief Resets all connections on both sides; returns their number. New
--- a/review/stand_ins_2/store.cc
+++ b/review/stand_ins_2/store.cc
@@ -19,8 +19,8 @@
               (j < text.size() ? static_cast<unsigned char>(text[j]) : 0U);
     }
     for (std::size_t j = 0; j < 4; ++j) {
-      encoded += i + j > text.size() ? '='
-                                     : kDigits[block >> (18 - 6 * j) & 0x3f];
+      encoded +=
+          i + j > text.size() ? '=' : kDigits[block >> (18 - 6 * j) & 0x3f];
     }
   }
   return encoded;
@@ -85,8 +85,8 @@
   if (this->items.erase(key) > 0) {
     ++this->revision;
     this->events.push_back({this->revision, key,
-                            "{\"key\":\"" + key + "\",\"rev\":" +
-                                std::to_string(this->revision) +
+                            "{\"key\":\"" + key +
+                                "\",\"rev\":" + std::to_string(this->revision) +
                                 ",\"deleted\":true}"});
     this->changed.notify_all();
   }
@@ -132,9 +132,9 @@
   std::string rendered;
   for (const auto& [key, item] : this->items) {
     if (HasPrefix(key, prefix)) {
-      rendered +=
-          (rendered.empty() ? "" : ",") +
-          Render(key, item.value, item.revision, item.create_revision) + "}";
+      rendered += (rendered.empty() ? "" : ",") +
+                  Render(key, item.value, item.revision, item.create_revision) +
+                  "}";
     }
   }
   return "{\"items\":[" + rendered +
