--- a/Source/daemon/forward_call.cc
+++ b/Source/daemon/forward_call.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "daemon/peer_call.h"
 
 namespace comfrey {
 namespace {
@@ -74,6 +75,12 @@
     return this->accepted;
   }
 
+  // Whether no further reply can arrive.
+  bool Ended() {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    return this->ended;
+  }
+
   bool HasResult() {
     const std::lock_guard<std::mutex> lock(this->mutex);
     return this->has_result;
@@ -288,9 +295,13 @@
         reactor.SendBody(*body, body_deadline, limits.cancelled);
     call.cancelled = call.cancelled || cancelled_in_body;
   }
-  const bool cancelled_later = reactor.WaitDone(
-      accepted_in_time ? limits.deadline + kReplyGrace : Clock::now(),
-      limits.cancelled);
+  // The status of a call whose replies have ended shows why they ended.
+  const Clock::time_point done_deadline =
+      accepted_in_time  ? limits.deadline + kReplyGrace
+      : reactor.Ended() ? Clock::now() + limits.accept_timeout
+                        : Clock::now();
+  const bool cancelled_later =
+      reactor.WaitDone(done_deadline, limits.cancelled);
   call.cancelled = call.cancelled || cancelled_later;
   call.accepted = reactor.Accepted();
   if (reactor.HasResult()) {
@@ -303,6 +314,13 @@
     call.error = CallError("forward to", address, kCancelledError);
     return call;
   }
+  const PeerCallEnd end = PeerCallEndOf(reactor.Status(), false);
+  if (end == PeerCallEnd::kUnreadable) {
+    call.transport = TransportOutcome::kUnreadable;
+    call.error = CallError("forward to", address,
+                           DescribePeerError(end, reactor.Status()));
+    return call;
+  }
   if (!accepted_in_time) {
     call.transport = TransportOutcome::kNotAccepted;
     call.error =
--- a/Source/daemon/forward_call.h
+++ b/Source/daemon/forward_call.h
@@ -17,6 +17,7 @@
   kNotSent,      ///< No connection; no byte of the request was sent.
   kReplied,      ///< `result` holds the reply of the owner.
   kNotAccepted,  ///< The owner did not accept within the accept timeout.
+  kUnreadable,   ///< One end could not read the message of the other.
   kFailed,       ///< The call failed after it may have reached the owner.
   kTimedOut,     ///< The owner accepted but did not reply by the deadline.
   kCancelled,    ///< Cancelled after the call may have reached the owner.
--- a/Source/daemon/ingress_attempt.cc
+++ b/Source/daemon/ingress_attempt.cc
@@ -55,8 +55,10 @@
     : identity(identity),
       dependencies(dependencies),
       fences(dependencies.counters.Counter("comfrey_ingress_fences_total")),
-      path_failures(dependencies.counters.Counter(
-          "comfrey_ingress_path_failures_total")) {}
+      path_failures(
+          dependencies.counters.Counter("comfrey_ingress_path_failures_total")),
+      unreadable(dependencies.counters.Counter(
+          "comfrey_ingress_unreadable_messages_total")) {}
 
 // The load is queried only before a request with a body is sent to another
 // region. In an overload most remote endpoints refuse the request, and links
@@ -75,31 +77,38 @@
   load_request.set_rank(request.match.rank->name);
   load_request.set_organisation(request.organisation);
   const Clock::time_point sent_at = Clock::now();
-  const std::optional<rpc::LoadReply> reply =
-      this->dependencies.owners.QueryLoad(
-          attempt.ip, load_request, request.deadline,
-          this->dependencies.directory.AcceptTimeoutOf(attempt.ip),
-          request.cancelled);
+  const LoadCallResult call = this->dependencies.owners.QueryLoad(
+      attempt.ip, load_request, request.deadline,
+      this->dependencies.directory.AcceptTimeoutOf(attempt.ip),
+      request.cancelled);
   const Clock::time_point now = Clock::now();
-  if (!reply) {
+  if (call.end == PeerCallEnd::kFailed) {
     this->RecordUnreachableOwner(request, attempt, sent_at, now);
     return false;
   }
   this->dependencies.directory.RecordAccepted(attempt.ip, sent_at, now);
-  if (!reply->has_status()) {
+  if (call.end == PeerCallEnd::kUnreadable) {
+    this->unreadable.Add();
+    attempt.SetOutcome(
+        CallerOutcome::kNotRun, rpc::REFUSAL_NONE,
+        absl::StrCat("the load query for ", attempt.endpoint,
+                     " was not read, or its reply cannot be read"));
+    return false;
+  }
+  if (!call.reply.has_status()) {
     attempt.SetOutcome(
         CallerOutcome::kNotRun, rpc::REFUSAL_NOT_OWNER,
         absl::StrCat("the owner does not know endpoint ", attempt.endpoint));
     return false;
   }
   rpc::Result result;
-  *result.mutable_status() = reply->status();
+  *result.mutable_status() = call.reply.status();
   this->dependencies.directory.RecordReply(
       request.service, request.match.rank->name, result, now);
   const EndpointLoad load = {
-      reply->status().load(), reply->status().limit(),
-      std::chrono::microseconds(reply->status().expected_wait_us()),
-      reply->status().suspect_for_us() > 0};
+      call.reply.status().load(), call.reply.status().limit(),
+      std::chrono::microseconds(call.reply.status().expected_wait_us()),
+      call.reply.status().suspect_for_us() > 0};
   if (AcceptsRemoteRequest(load, attempt.chosen.mode,
                            attempt.chosen.max_wait)) {
     return true;
@@ -244,7 +253,12 @@
        this->dependencies.directory.AcceptTimeoutOf(attempt.ip),
        request.cancelled});
   const Clock::time_point now = Clock::now();
-  if (call.accepted || call.transport == TransportOutcome::kReplied) {
+  const bool unreadable = call.transport == TransportOutcome::kUnreadable;
+  if (unreadable) {
+    this->unreadable.Add();
+  }
+  if (call.accepted || unreadable ||
+      call.transport == TransportOutcome::kReplied) {
     this->dependencies.directory.RecordAccepted(attempt.ip, sent_at,
                                                 sent_at + call.accept_time);
   } else if (!call.cancelled) {
--- a/Source/daemon/ingress_attempt.h
+++ b/Source/daemon/ingress_attempt.h
@@ -123,6 +123,8 @@
   std::atomic<std::uint64_t> next_sequence{1};
   Metric& fences;
   Metric& path_failures;
+  /// Calls in which one end could not read the message of the other.
+  Metric& unreadable;
 };
 
 }  // namespace comfrey
--- a/Source/daemon/owner_client.cc
+++ b/Source/daemon/owner_client.cc
@@ -4,8 +4,9 @@
 
 #include <algorithm>
 #include <condition_variable>
-#include <functional>
+#include <memory>
 #include <mutex>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "daemon/message_conversion.h"
@@ -19,29 +20,20 @@
 // connection.
 constexpr std::chrono::milliseconds kCallTimeout{250};
 
-template <typename Request, typename Reply>
-using UnaryCall = void (rpc::Peer::StubInterface::async_interface::*)(
-    grpc::ClientContext*,
-    const Request*,
-    Reply*,
-    std::function<void(grpc::Status)>);
-
-using AsyncPeer = rpc::Peer::StubInterface::async_interface;
-
 // The end of a call, which gRPC reports on one of its threads.
-class CallEnd {
+class CallWaiter {
  public:
-  void Set(bool ok) {
+  void Set(PeerCallEnd call_end) {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    this->succeeded = ok;
+    this->end = call_end;
     this->ended_at = Clock::now();
     this->done = true;
     this->changed.notify_all();
   }
 
   // Waits for the end of the call, and cancels it when `cancelled` returns
-  // true. Returns whether the call succeeded.
-  bool Wait(grpc::ClientContext& context, const CancelCheck& cancelled) {
+  // true. Returns how the call ended.
+  PeerCallEnd Wait(grpc::ClientContext& context, const CancelCheck& cancelled) {
     std::unique_lock<std::mutex> lock(this->mutex);
     const auto is_done = [this] { return this->done; };
     while (!this->changed.wait_for(lock, kCancelPollPeriod, is_done)) {
@@ -50,7 +42,7 @@
         this->changed.wait(lock, is_done);
       }
     }
-    return this->succeeded;
+    return this->end;
   }
 
   // Returns when the call ended; valid after Wait.
@@ -60,85 +52,89 @@
   std::mutex mutex;
   std::condition_variable changed;
   bool done = false;
-  bool succeeded = false;
+  PeerCallEnd end = PeerCallEnd::kFailed;
   Clock::time_point ended_at;
 };
 
 // A unary call that has been started over the pooled channel.
-template <typename Request, typename Reply>
+template <typename Request>
 class StartedCall {
  public:
   StartedCall(ChannelPool& channels,
               const std::string& address,
-              UnaryCall<Request, Reply> method,
               const Request& request,
-              Reply& reply,
               Clock::time_point deadline)
       : channels(channels), channel(channels.Get(address)) {
     this->context.set_deadline(ToSystemTime(deadline));
     this->context.set_wait_for_ready(true);
-    (this->channel->stub->async()->*method)(
-        &this->context, &request, &reply,
-        [this](const grpc::Status& status) { this->end.Set(status.ok()); });
+    StartPeerCall(*this->channel, this->context, request, this->reply,
+                  [this](PeerCallEnd end, const grpc::Status& /*status*/) {
+                    this->waiter.Set(end);
+                  });
   }
 
   StartedCall(const StartedCall&) = delete;
   StartedCall& operator=(const StartedCall&) = delete;
 
-  // Waits for the end of the call; returns whether it succeeded. If the call
-  // fails and is not cancelled, removes the channel from the pool.
-  bool Wait(const CancelCheck& cancelled) {
-    if (this->end.Wait(this->context, cancelled)) {
-      return true;
-    }
-    if (!cancelled()) {
+  // Waits for the end of the call. If the call fails and is not cancelled,
+  // removes the channel from the pool.
+  PeerCallEnd Wait(const CancelCheck& cancelled) {
+    const PeerCallEnd end = this->waiter.Wait(this->context, cancelled);
+    if (end == PeerCallEnd::kFailed && !cancelled()) {
       this->channels.Remove(this->channel);
     }
-    return false;
+    return end;
   }
 
-  Clock::time_point EndedAt() const { return this->end.EndedAt(); }
+  // Valid after Wait returned kReplied.
+  typename PeerMethod<Request>::Reply& Reply() { return this->reply.message; }
+
+  Clock::time_point EndedAt() const { return this->waiter.EndedAt(); }
 
  private:
   ChannelPool& channels;
   std::shared_ptr<PeerChannel> channel;
   grpc::ClientContext context;
-  CallEnd end;
+  PeerReplyTo<Request> reply;
+  CallWaiter waiter;
 };
 
-template <typename Request, typename Reply>
-bool CallOnce(ChannelPool& channels,
-              const std::string& address,
-              UnaryCall<Request, Reply> method,
-              const Request& request,
-              Reply& reply,
-              Clock::time_point deadline,
-              const CancelCheck& cancelled) {
-  StartedCall<Request, Reply> call(channels, address, method, request, reply,
-                                   deadline);
-  return call.Wait(cancelled);
+// Performs a unary call. Sets `reply` only if it was read completely.
+template <typename Request>
+PeerCallEnd CallOnce(ChannelPool& channels,
+                     const std::string& address,
+                     const Request& request,
+                     typename PeerMethod<Request>::Reply& reply,
+                     Clock::time_point deadline,
+                     const CancelCheck& cancelled) {
+  StartedCall<Request> call(channels, address, request, deadline);
+  const PeerCallEnd end = call.Wait(cancelled);
+  if (end == PeerCallEnd::kReplied) {
+    reply = std::move(call.Reply());
+  }
+  return end;
 }
 
 // Performs a unary call, and retries it once over a new connection if it fails.
 // GetStamp and GetLoad do not use this: a connection to another region may take
 // most of the time, and a retry would have to connect again.
-template <typename Request, typename Reply>
-bool CallWithRetry(ChannelPool& channels,
-                   const std::string& address,
-                   UnaryCall<Request, Reply> method,
-                   const Request& request,
-                   Reply& reply,
-                   Clock::time_point deadline,
-                   const CancelCheck& cancelled) {
+template <typename Request>
+PeerCallEnd CallWithRetry(ChannelPool& channels,
+                          const std::string& address,
+                          const Request& request,
+                          typename PeerMethod<Request>::Reply& reply,
+                          Clock::time_point deadline,
+                          const CancelCheck& cancelled) {
   constexpr int kTries = 2;
-  for (int i = 0; i < kTries && Clock::now() < deadline && !cancelled(); ++i) {
+  PeerCallEnd call_end = PeerCallEnd::kFailed;
+  for (int i = 0; i < kTries && call_end == PeerCallEnd::kFailed &&
+                  Clock::now() < deadline && !cancelled();
+       ++i) {
     const Clock::time_point end =
         std::min<Clock::time_point>(deadline, Clock::now() + kCallTimeout);
-    if (CallOnce(channels, address, method, request, reply, end, cancelled)) {
-      return true;
-    }
+    call_end = CallOnce(channels, address, request, reply, end, cancelled);
   }
-  return false;
+  return call_end;
 }
 
 std::string IpOf(const std::string& endpoint) {
@@ -159,7 +155,8 @@
   ForwardCallResult call = ForwardOnce(*channel, request, body, limits);
   if (call.transport == TransportOutcome::kReplied) {
     this->StoreStamp(ip, call.result.stamp());
-  } else if (!call.cancelled) {
+  } else if (!call.cancelled &&
+             call.transport != TransportOutcome::kUnreadable) {
     this->channels.Remove(channel);
   }
   return call;
@@ -178,10 +175,9 @@
     std::chrono::microseconds timeout,
     const CancelCheck& cancelled) {
   rpc::OwnerStamp stamp;
-  if (!CallOnce<rpc::StampRequest, rpc::OwnerStamp>(
-          this->channels, this->AddressOf(ip), &AsyncPeer::GetStamp,
-          rpc::StampRequest(), stamp,
-          std::min(deadline, Clock::now() + timeout), cancelled)) {
+  if (CallOnce(this->channels, this->AddressOf(ip), rpc::StampRequest(), stamp,
+               std::min(deadline, Clock::now() + timeout),
+               cancelled) != PeerCallEnd::kReplied) {
     return std::nullopt;
   }
   this->StoreStamp(ip, stamp);
@@ -192,42 +188,36 @@
     const std::vector<std::string>& ips,
     TimePoint deadline,
     const CancelCheck& cancelled) {
-  using StampCall = StartedCall<rpc::StampRequest, rpc::OwnerStamp>;
-  const UnaryCall<rpc::StampRequest, rpc::OwnerStamp> method =
-      &AsyncPeer::GetStamp;
+  using StampCall = StartedCall<rpc::StampRequest>;
   const rpc::StampRequest request;
-  std::vector<rpc::OwnerStamp> stamps(ips.size());
   std::vector<std::unique_ptr<StampCall>> calls;
   calls.reserve(ips.size());
-  for (std::size_t i = 0; i < ips.size(); ++i) {
-    calls.push_back(std::make_unique<StampCall>(this->channels,
-                                                this->AddressOf(ips[i]), method,
-                                                request, stamps[i], deadline));
+  for (const std::string& ip : ips) {
+    calls.push_back(std::make_unique<StampCall>(
+        this->channels, this->AddressOf(ip), request, deadline));
   }
   std::vector<std::optional<TimePoint>> replied_at(ips.size());
   for (std::size_t i = 0; i < ips.size(); ++i) {
-    if (calls[i]->Wait(cancelled)) {
-      this->StoreStamp(ips[i], stamps[i]);
+    if (calls[i]->Wait(cancelled) == PeerCallEnd::kReplied) {
+      this->StoreStamp(ips[i], calls[i]->Reply());
       replied_at[i] = calls[i]->EndedAt();
     }
   }
   return replied_at;
 }
 
-std::optional<rpc::LoadReply> OwnerClient::QueryLoad(
-    const std::string& ip,
-    const rpc::LoadRequest& request,
-    TimePoint deadline,
-    std::chrono::microseconds timeout,
-    const CancelCheck& cancelled) {
-  rpc::LoadReply reply;
-  if (!CallOnce<rpc::LoadRequest, rpc::LoadReply>(
-          this->channels, this->AddressOf(ip), &AsyncPeer::GetLoad, request,
-          reply, std::min(deadline, Clock::now() + timeout), cancelled)) {
-    return std::nullopt;
+LoadCallResult OwnerClient::QueryLoad(const std::string& ip,
+                                      const rpc::LoadRequest& request,
+                                      TimePoint deadline,
+                                      std::chrono::microseconds timeout,
+                                      const CancelCheck& cancelled) {
+  LoadCallResult call;
+  call.end = CallOnce(this->channels, this->AddressOf(ip), request, call.reply,
+                      std::min(deadline, Clock::now() + timeout), cancelled);
+  if (call.end == PeerCallEnd::kReplied) {
+    this->StoreStamp(ip, call.reply.stamp());
   }
-  this->StoreStamp(ip, reply.stamp());
-  return reply;
+  return call;
 }
 
 rpc::FenceReply OwnerClient::FenceAttempt(
@@ -236,10 +226,16 @@
     TimePoint deadline,
     const CancelCheck& cancelled) {
   rpc::FenceReply reply;
-  if (!CallWithRetry<rpc::FenceAttemptRequest, rpc::FenceReply>(
-          this->channels, this->AddressOf(ip), &AsyncPeer::FenceAttempt,
-          request, reply, deadline, cancelled)) {
-    reply.set_state(rpc::FENCE_UNSPECIFIED);
+  switch (CallWithRetry(this->channels, this->AddressOf(ip), request, reply,
+                        deadline, cancelled)) {
+    case PeerCallEnd::kReplied:
+      break;
+    case PeerCallEnd::kUnreadable:
+      reply.set_state(rpc::FENCE_UNKNOWN);
+      break;
+    case PeerCallEnd::kFailed:
+      reply.set_state(rpc::FENCE_UNSPECIFIED);
+      break;
   }
   return reply;
 }
@@ -253,10 +249,9 @@
   request.mutable_version()->set_generation(call.version.generation);
   request.mutable_version()->set_revision(call.version.revision);
   rpc::FenceReply reply;
-  if (!CallWithRetry<rpc::FenceKeyRequest, rpc::FenceReply>(
-          this->channels, this->AddressOf(IpOf(call.endpoint)),
-          &AsyncPeer::FenceKey, request, reply, call.deadline,
-          [] { return false; })) {
+  if (CallWithRetry(this->channels, this->AddressOf(IpOf(call.endpoint)),
+                    request, reply, call.deadline,
+                    [] { return false; }) != PeerCallEnd::kReplied) {
     return {};
   }
   return KeyFenceFromProto(reply);
--- a/Source/daemon/owner_client.h
+++ b/Source/daemon/owner_client.h
@@ -11,6 +11,7 @@
 #include "daemon/channel_pool.h"
 #include "daemon/forward_call.h"
 #include "daemon/owner_service.h"
+#include "daemon/peer_call.h"
 #include "peer.pb.h"
 
 namespace comfrey {
@@ -21,6 +22,12 @@
   std::chrono::steady_clock::time_point received_at;
 };
 
+/// \brief Result of a load query; `reply` is valid if the owner replied.
+struct LoadCallResult {
+  PeerCallEnd end = PeerCallEnd::kFailed;
+  rpc::LoadReply reply;
+};
+
 /// \brief Makes calls to the owners of endpoints; thread-safe.
 class OwnerClient {
  public:
@@ -55,16 +62,16 @@
       const CancelCheck& cancelled);
 
   /// \brief Queries the load of an endpoint from its owner, for at most
-  /// `timeout`; returns nothing if the call fails or is cancelled. Stores the
-  /// stamp from the reply.
-  std::optional<rpc::LoadReply> QueryLoad(const std::string& ip,
-                                          const rpc::LoadRequest& request,
-                                          TimePoint deadline,
-                                          std::chrono::microseconds timeout,
-                                          const CancelCheck& cancelled);
+  /// `timeout`. Stores the stamp from the reply.
+  LoadCallResult QueryLoad(const std::string& ip,
+                           const rpc::LoadRequest& request,
+                           TimePoint deadline,
+                           std::chrono::microseconds timeout,
+                           const CancelCheck& cancelled);
 
   /// \brief Fences an attempt; returns FENCE_UNSPECIFIED if the owner cannot be
-  /// reached or the call is cancelled.
+  /// reached or the call is cancelled, and FENCE_UNKNOWN if its reply cannot be
+  /// read.
   rpc::FenceReply FenceAttempt(const std::string& ip,
                                const rpc::FenceAttemptRequest& request,
                                TimePoint deadline,
--- a/Source/daemon/peer_runner.cc
+++ b/Source/daemon/peer_runner.cc
@@ -8,6 +8,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "daemon/forward_call.h"
+#include "daemon/peer_call.h"
 #include "daemon/peer_message_conversion.h"
 
 namespace comfrey {
@@ -16,38 +17,14 @@
 using Clock = std::chrono::steady_clock;
 
 // State of an asynchronous call. The callback of the call keeps it alive.
-template <typename Request, typename Reply>
-struct PeerCall {
+template <typename Request>
+struct PendingCall {
   std::shared_ptr<PeerChannel> channel;
   grpc::ClientContext context;
   Request request;
-  Reply reply;
+  PeerReplyTo<Request> reply;
 };
 
-void StartCall(rpc::Peer::StubInterface::async_interface* stub,
-               PeerCall<rpc::PingRequest, rpc::PingReply>& call,
-               std::function<void(grpc::Status)> done) {
-  stub->Ping(&call.context, &call.request, &call.reply, std::move(done));
-}
-
-void StartCall(rpc::Peer::StubInterface::async_interface* stub,
-               PeerCall<rpc::PingThroughRequest, rpc::PingThroughReply>& call,
-               std::function<void(grpc::Status)> done) {
-  stub->PingThrough(&call.context, &call.request, &call.reply, std::move(done));
-}
-
-void StartCall(rpc::Peer::StubInterface::async_interface* stub,
-               PeerCall<rpc::ExchangeRequest, rpc::ExchangeReply>& call,
-               std::function<void(grpc::Status)> done) {
-  stub->Exchange(&call.context, &call.request, &call.reply, std::move(done));
-}
-
-void StartCall(rpc::Peer::StubInterface::async_interface* stub,
-               PeerCall<rpc::PushRequest, rpc::PushReply>& call,
-               std::function<void(grpc::Status)> done) {
-  stub->Push(&call.context, &call.request, &call.reply, std::move(done));
-}
-
 // Published records omit the IP address of endpoints that have the address of
 // their member; this function inserts it.
 MemberRecord WithFullAddresses(MemberRecord record) {
@@ -236,7 +213,7 @@
   const TimePoint requested_at = Clock::now();
   const std::uint64_t probe = action.probe;
   const std::string address = action.address;
-  this->Start<rpc::PingRequest, rpc::PingReply>(
+  this->Start(
       address, action.timeout, Convert<rpc::PingRequest>(action.request),
       [this, probe, address, requested_at](bool ok,
                                            const rpc::PingReply& reply) {
@@ -259,53 +236,52 @@
 
 void PeerRunner::Perform(const SendPingThrough& action) {
   const std::uint64_t probe = action.probe;
-  this->Start<rpc::PingThroughRequest, rpc::PingThroughReply>(
-      action.address, action.timeout,
-      Convert<rpc::PingThroughRequest>(action.request),
-      [this, probe](bool ok, const rpc::PingThroughReply& reply) {
-        const std::lock_guard<std::mutex> lock(this->mutex);
-        if (ok) {
-          OnPingThroughReply(this->protocol, probe, FromProto(reply),
-                             Clock::now());
-        } else {
-          OnPingThroughTimeout(this->protocol, probe, Clock::now());
-        }
-      });
+  this->Start(action.address, action.timeout,
+              Convert<rpc::PingThroughRequest>(action.request),
+              [this, probe](bool ok, const rpc::PingThroughReply& reply) {
+                const std::lock_guard<std::mutex> lock(this->mutex);
+                if (ok) {
+                  OnPingThroughReply(this->protocol, probe, FromProto(reply),
+                                     Clock::now());
+                } else {
+                  OnPingThroughTimeout(this->protocol, probe, Clock::now());
+                }
+              });
 }
 
 void PeerRunner::Perform(const SendExchange& action) {
   const std::string address = action.address;
-  this->Start<rpc::ExchangeRequest, rpc::ExchangeReply>(
-      address, action.timeout, Convert<rpc::ExchangeRequest>(action.request),
-      [this, address](bool ok, const rpc::ExchangeReply& reply) {
-        if (!ok) {
-          return;
-        }
-        std::vector<PeerAction> next;
-        {
-          const std::lock_guard<std::mutex> lock(this->mutex);
-          next = OnExchangeReply(this->protocol, address, FromProto(reply),
-                                 Clock::now());
-        }
-        this->Perform(next);
-      });
+  this->Start(address, action.timeout,
+              Convert<rpc::ExchangeRequest>(action.request),
+              [this, address](bool ok, const rpc::ExchangeReply& reply) {
+                if (!ok) {
+                  return;
+                }
+                std::vector<PeerAction> next;
+                {
+                  const std::lock_guard<std::mutex> lock(this->mutex);
+                  next = OnExchangeReply(this->protocol, address,
+                                         FromProto(reply), Clock::now());
+                }
+                this->Perform(next);
+              });
 }
 
 void PeerRunner::Perform(const SendPush& action) {
   const std::string address = action.address;
-  this->Start<rpc::PushRequest, rpc::PushReply>(
-      address, action.timeout, Convert<rpc::PushRequest>(action.request),
-      [this, address](bool ok, const rpc::PushReply& reply) {
-        if (!ok) {
-          return;
-        }
-        std::vector<PeerAction> next;
-        {
-          const std::lock_guard<std::mutex> lock(this->mutex);
-          next = OnPushReply(this->protocol, address, FromProto(reply));
-        }
-        this->Perform(next);
-      });
+  this->Start(address, action.timeout,
+              Convert<rpc::PushRequest>(action.request),
+              [this, address](bool ok, const rpc::PushReply& reply) {
+                if (!ok) {
+                  return;
+                }
+                std::vector<PeerAction> next;
+                {
+                  const std::lock_guard<std::mutex> lock(this->mutex);
+                  next = OnPushReply(this->protocol, address, FromProto(reply));
+                }
+                this->Perform(next);
+              });
 }
 
 void PeerRunner::Confirm(const std::string& address,
@@ -318,7 +294,7 @@
 }
 
 // Starts a call. `done` is called with its result on a gRPC thread.
-template <typename Request, typename Reply, typename Done>
+template <typename Request, typename Done>
 void PeerRunner::Start(const std::string& ip,
                        std::chrono::milliseconds timeout,
                        const Request& request,
@@ -329,27 +305,27 @@
   }
   this->sent_messages.Add();
   this->sent_bytes.Add(static_cast<std::int64_t>(request.ByteSizeLong()));
-  auto call = std::make_shared<PeerCall<Request, Reply>>();
+  auto call = std::make_shared<PendingCall<Request>>();
   call->channel = this->channels.Get(absl::StrCat(ip, ":", this->peer_port));
   call->request = request;
   call->context.set_deadline(ToSystemTime(Clock::now() + timeout));
-  StartCall(call->channel->stub->async(), *call,
-            [this, call, done](const grpc::Status& status) {
-              this->received_bytes.Add(
-                  static_cast<std::int64_t>(call->reply.ByteSizeLong()));
-              done(status.ok(), call->reply);
-              // After a timeout, the connection may be broken without an error,
-              // so the next call uses a new one. After a refused connection,
-              // the channel would retry every second, which took 0.08% of a
-              // core per dead member.
-              if (status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED ||
-                  status.error_code() == grpc::StatusCode::UNAVAILABLE) {
-                this->channels.Remove(call->channel);
-              }
-              const std::lock_guard<std::mutex> lock(this->calls_mutex);
-              --this->calls_in_progress;
-              this->calls_ended.notify_all();
-            });
+  StartPeerCall(
+      *call->channel, call->context, call->request, call->reply,
+      [this, call, done](PeerCallEnd end, const grpc::Status& status) {
+        this->received_bytes.Add(
+            static_cast<std::int64_t>(call->reply.message.ByteSizeLong()));
+        done(end == PeerCallEnd::kReplied, call->reply.message);
+        // After a timeout, the connection may be broken without an error, so
+        // the next call uses a new one. After a refused connection, the channel
+        // would retry every second, which took 0.08% of a core per dead member.
+        if (status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED ||
+            status.error_code() == grpc::StatusCode::UNAVAILABLE) {
+          this->channels.Remove(call->channel);
+        }
+        const std::lock_guard<std::mutex> lock(this->calls_mutex);
+        --this->calls_in_progress;
+        this->calls_ended.notify_all();
+      });
 }
 
 }  // namespace comfrey
--- a/Source/daemon/peer_runner.h
+++ b/Source/daemon/peer_runner.h
@@ -101,7 +101,7 @@
                const rpc::PingReply& reply,
                TimePoint requested_at);
 
-  template <typename Request, typename Reply, typename Done>
+  template <typename Request, typename Done>
   void Start(const std::string& ip,
              std::chrono::milliseconds timeout,
              const Request& request,
--- a/Tests/daemon/ingress_test.cc
+++ b/Tests/daemon/ingress_test.cc
@@ -117,6 +117,8 @@
   bool answers_fences = false;
   // The backend server received the request and closed the connection.
   bool reports_lost_response = false;
+  // An owner that cannot read the forwarded message.
+  bool cannot_read = false;
 };
 
 void WaitForCancel(const grpc::ServerContext& context) {
@@ -153,6 +155,9 @@
   grpc::Status Forward(grpc::ServerContext* context,
                        const rpc::ForwardRequest*,
                        grpc::ServerWriter<rpc::ForwardReply>* writer) override {
+    if (this->behaviour.cannot_read) {
+      return {grpc::StatusCode::INTERNAL, "the message is malformed"};
+    }
     if (!this->behaviour.accepts) {
       WaitForCancel(*context);
       return grpc::Status::CANCELLED;
@@ -179,7 +184,8 @@
       WaitForCancel(*context);
       return grpc::Status::CANCELLED;
     }
-    reply->set_state(rpc::FENCE_RUNNING);
+    reply->set_state(this->behaviour.cannot_read ? rpc::FENCE_FENCED
+                                                 : rpc::FENCE_RUNNING);
     return grpc::Status::OK;
   }
 
@@ -245,5 +251,22 @@
   CHECK(owner.forwards <= kRequests + kRequests / 10);
 }
 
+// Guards against requests that are refused because an owner could not read the
+// message of another request and counts as unreachable.
+TEST_CASE("a message that an owner cannot read is no path failure",
+          "[ingress]") {
+  OwnerBehaviour behaviour{"cannot read", true, true};
+  behaviour.cannot_read = true;
+  FakeOwner owner(behaviour);
+  TestIngress ingress(owner.port);
+  const IngressReply reply = ingress.Send("/team/unsafe", [] { return false; });
+  CHECK(reply.outcome == CallerOutcome::kNotRun);
+  CHECK(
+      ingress.counters.Counter("comfrey_ingress_path_failures_total").Value() ==
+      0);
+  CHECK(ingress.counters.Counter("comfrey_ingress_unreadable_messages_total")
+            .Value() > 0);
+}
+
 }  // namespace
 }  // namespace comfrey
--- a/Tests/daemon/owner_client_test.cc
+++ b/Tests/daemon/owner_client_test.cc
@@ -1,9 +1,14 @@
 #include "daemon/owner_client.h"
 
+#include <grpcpp/generic/async_generic_service.h>
+#include <grpcpp/grpcpp.h>
+
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "daemon/raw_socket.h"
@@ -45,5 +50,116 @@
   CHECK(took < 2 * kTrialTimeout);
 }
 
+constexpr char kOwnerIp[] = "127.9.6.20";
+constexpr milliseconds kCallTime{1000};
+
+// Sends the same bytes as the reply to each call.
+class ReplyWithBytes : public grpc::ServerGenericBidiReactor {
+ public:
+  explicit ReplyWithBytes(const std::string& bytes) {
+    const grpc::Slice slice(bytes);
+    this->reply = grpc::ByteBuffer(&slice, 1);
+    this->StartRead(&this->request);
+  }
+
+  void OnReadDone(bool ok) override {
+    if (ok) {
+      this->StartWriteAndFinish(&this->reply, {}, grpc::Status::OK);
+    } else {
+      this->Finish(grpc::Status::CANCELLED);
+    }
+  }
+
+  void OnDone() override { delete this; }
+
+ private:
+  grpc::ByteBuffer request;
+  grpc::ByteBuffer reply;
+};
+
+// An owner whose reply to each call is the same bytes.
+class RawOwner : public grpc::CallbackGenericService {
+ public:
+  explicit RawOwner(std::string reply) : reply(std::move(reply)) {
+    grpc::ServerBuilder builder;
+    builder.AddListeningPort(std::string(kOwnerIp) + ":0",
+                             grpc::InsecureServerCredentials(), &this->port);
+    builder.RegisterCallbackGenericService(this);
+    this->server = builder.BuildAndStart();
+  }
+  ~RawOwner() override {
+    this->server->Shutdown(std::chrono::system_clock::now());
+  }
+
+  grpc::ServerGenericBidiReactor* CreateReactor(
+      grpc::GenericCallbackServerContext*) override {
+    return new ReplyWithBytes(this->reply);
+  }
+
+  int port = 0;
+
+ private:
+  std::string reply;
+  std::unique_ptr<grpc::Server> server;
+};
+
+// Returns a reply whose first fields can be read, and whose last one ends
+// early.
+template <typename Message>
+std::string CutReply(const Message& message) {
+  // The tag of field 15 with a length of 100 bytes, of which one follows.
+  return message.SerializeAsString() + "\x7a\x64x";
+}
+
+// Guards against a part of a reply that is taken for the whole, for example a
+// stored response without its body that reaches a caller as a success.
+TEST_CASE("a reply that ends early is not used", "[owner_client]") {
+  const auto never = [] { return false; };
+  ChannelPool channels(4);
+  {
+    rpc::FenceReply done;
+    done.set_state(rpc::FENCE_DONE);
+    done.mutable_answer()->set_status(200);
+    const RawOwner owner(CutReply(done));
+    OwnerClient owners(channels, owner.port);
+    const rpc::FenceReply reply =
+        owners.FenceAttempt(kOwnerIp, {}, Clock::now() + kCallTime, never);
+    CHECK(rpc::FenceState_Name(reply.state()) == "FENCE_UNKNOWN");
+    CHECK_FALSE(reply.has_answer());
+    FenceKeyCall fence;
+    fence.endpoint = std::string(kOwnerIp) + ":1";
+    fence.deadline = Clock::now() + kCallTime;
+    CHECK(owners.FenceKey(fence).state == KeyFenceState::kUndecidable);
+  }
+  rpc::OwnerStamp stamp;
+  stamp.set_incarnation(7);
+  const RawOwner owner(CutReply(stamp));
+  OwnerClient owners(channels, owner.port);
+  CHECK_FALSE(owners.RefreshStamp(kOwnerIp, Clock::now() + kCallTime, kCallTime,
+                                  never));
+  CHECK_FALSE(
+      owners.RefreshStamps({kOwnerIp}, Clock::now() + kCallTime, never)[0]);
+  CHECK_FALSE(owners.StampOf(kOwnerIp));
+}
+
+// Guards against an owner that counts as unreachable because one message could
+// not be read.
+TEST_CASE("a message that cannot be read leaves the connection in use",
+          "[owner_client]") {
+  ChannelPool channels(4);
+  const RawOwner owner("\x7a\x64x");
+  OwnerClient owners(channels, owner.port);
+  const std::string address = kOwnerIp + (":" + std::to_string(owner.port));
+  const std::shared_ptr<PeerChannel> channel = channels.Get(address);
+  const ForwardCallResult call = owners.Forward(
+      kOwnerIp, {}, nullptr, {Clock::now() + kCallTime, kCallTime});
+  CHECK(call.transport == TransportOutcome::kUnreadable);
+  CHECK(owners
+            .QueryLoad(kOwnerIp, {}, Clock::now() + kCallTime, kCallTime,
+                       [] { return false; })
+            .end == PeerCallEnd::kUnreadable);
+  CHECK(channels.Get(address) == channel);
+}
+
 }  // namespace
 }  // namespace comfrey
