Deliver no unmarked refusal of a backend server

What callers saw: an order ran, its backend server answered 503 without the mark, the reply was lost between two daemons, and the caller got 503, which promises that the order did not run (REFUSED).

Cause: the result for the ingress and the record in the ledger were made apart. The first turned an unmarked refusal into an unknown outcome, the second kept the raw response, and the fence passed it on. Repeated keys, FenceKey and recovered journals read the same records.

It cannot be made of 408, 421, 429 or 503 where callers take these for a promise. Also: the header Draining is read only where refusals are not marked, an unmarked 421 is unknown, and a backend server cannot send Comfrey-Outcome. request_offered says which state a fence reported.

--- a/Source/config/daemon_settings.cc
+++ b/Source/config/daemon_settings.cc
@@ -243,6 +243,11 @@
 
 }  // namespace
 
+RefusalMeaning RefusalMeaningOf(const HeaderNames& names) {
+  return names.not_executed.empty() ? RefusalMeaning::kNone
+                                    : RefusalMeaning::kNotRun;
+}
+
 DaemonSettings ParseDaemonSettings(absl::string_view source,
                                    absl::string_view text,
                                    std::vector<IniError>& errors) {
--- a/Source/config/daemon_settings.h
+++ b/Source/config/daemon_settings.h
@@ -11,6 +11,7 @@
 #include "absl/strings/string_view.h"
 #include "config/ini_document.h"
 #include "config/ini_fields.h"
+#include "core/deliverable_response.h"
 
 namespace comfrey {
 
@@ -33,6 +34,10 @@
   std::string signature;
 };
 
+/// \brief What callers take a refusal status for. Where backend servers mark
+/// what they did not run, an unmarked refusal must not look like one.
+RefusalMeaning RefusalMeaningOf(const HeaderNames& names);
+
 /// \brief Extensions to HTTP/1.1 that backend servers use.
 struct BackendProtocol {
   HeaderNames headers;
--- a/Source/core/attempt_journal.cc
+++ b/Source/core/attempt_journal.cc
@@ -11,16 +11,11 @@
 constexpr std::size_t kEntryOverhead = 320;
 
 std::size_t EntrySize(const JournalEntry& entry) {
-  std::size_t size = kEntryOverhead + 2 * entry.endpoint.size() +
-                     2 * entry.attempt.ingress.size() + entry.key.team.size() +
-                     entry.key.service.size() + entry.key.key.size();
-  if (entry.response != nullptr) {
-    size += sizeof(HttpResponse) + entry.response->body.size();
-    for (const HttpHeader& header : entry.response->headers) {
-      size += sizeof(HttpHeader) + header.name.size() + header.value.size();
-    }
-  }
-  return size;
+  const std::size_t size = kEntryOverhead + 2 * entry.endpoint.size() +
+                           2 * entry.attempt.ingress.size() +
+                           entry.key.team.size() + entry.key.service.size() +
+                           entry.key.key.size();
+  return size + SizeOf(entry.response);
 }
 
 template <typename Id>
@@ -117,7 +112,7 @@
 void RecordOutcome(AttemptJournal& journal,
                    const AttemptId& attempt,
                    JournalOutcome outcome,
-                   ResponsePtr response,
+                   DeliverableResponse response,
                    steady_clock::time_point now) {
   journal.clock = std::max(journal.clock, now);
   const auto found = journal.attempts.find(attempt);
--- a/Source/core/attempt_journal.h
+++ b/Source/core/attempt_journal.h
@@ -32,7 +32,7 @@
   /// For kKeyFence: the placement version for which the key was fenced.
   PlacementVersion fenced_for;
   /// Null if no complete response was received or stored.
-  ResponsePtr response;
+  DeliverableResponse response;
   std::chrono::steady_clock::time_point expires_at;
   std::size_t bytes = 0;
 };
@@ -85,7 +85,7 @@
 void RecordOutcome(AttemptJournal& journal,
                    const AttemptId& attempt,
                    JournalOutcome outcome,
-                   ResponsePtr response,
+                   DeliverableResponse response,
                    std::chrono::steady_clock::time_point now);
 
 struct JournalExcerpt {
--- a/Source/core/attempt_ledger.cc
+++ b/Source/core/attempt_ledger.cc
@@ -37,24 +37,13 @@
                                  : BaseSize(request.attempt);
 }
 
-std::size_t ResponseSize(const ResponsePtr& response) {
-  if (response == nullptr) {
-    return 0;
-  }
-  std::size_t size = sizeof(HttpResponse) + response->body.size();
-  for (const HttpHeader& header : response->headers) {
-    size += sizeof(HttpHeader) + header.name.size() + header.value.size();
-  }
-  return size;
-}
-
 template <typename Id>
 bool InsertRecord(AttemptLedger& ledger,
                   std::map<Id, LedgerRecord>& records,
                   const Id& id,
                   LedgerRecord record,
                   std::size_t reserve) {
-  record.bytes = BaseSize(id) + ResponseSize(record.response) + reserve;
+  record.bytes = BaseSize(id) + SizeOf(record.response) + reserve;
   if (ledger.bytes + record.bytes > ledger.limits.byte_budget) {
     return false;
   }
@@ -134,7 +123,7 @@
     case AttemptState::kRunning:
       return {LedgerAction::kWait, RunRefusal::kNone, nullptr};
     case AttemptState::kDone:
-      if (record.response != nullptr) {
+      if (record.response) {
         return {LedgerAction::kRespond, RunRefusal::kNone, record.response};
       }
       return {LedgerAction::kRefuseUnknown, RunRefusal::kResponseNotKept,
@@ -378,7 +367,7 @@
 
 void FinishAttempt(AttemptLedger& ledger,
                    const LedgerRequest& request,
-                   ResponsePtr response,
+                   DeliverableResponse response,
                    steady_clock::time_point now) {
   AdvanceClock(ledger, now);
   LedgerRecord* record =
@@ -394,7 +383,7 @@
                                  ? ledger.limits.byte_budget
                                  : ledger.limits.byte_budget / 2;
   ledger.bytes -= record->bytes;
-  record->bytes = base + ResponseSize(response);
+  record->bytes = base + SizeOf(response);
   if (ledger.bytes + record->bytes > budget) {
     record->bytes = base;
     response = nullptr;
@@ -534,8 +523,7 @@
       case AttemptState::kUnknown:
         return {KeyFenceState::kUnknown, nullptr, record.request_hash};
       case AttemptState::kDone:
-        return {record.response != nullptr ? KeyFenceState::kRan
-                                           : KeyFenceState::kUnknown,
+        return {record.response ? KeyFenceState::kRan : KeyFenceState::kUnknown,
                 record.response, record.request_hash};
       case AttemptState::kQueued: {
         LedgerRequest queued;
--- a/Source/core/attempt_ledger.h
+++ b/Source/core/attempt_ledger.h
@@ -5,14 +5,13 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "core/attempt_id.h"
-#include "core/http_message.h"
+#include "core/deliverable_response.h"
 #include "core/key_placement.h"
 
 namespace comfrey {
@@ -49,9 +48,6 @@
   std::chrono::microseconds uptime{0};
 };
 
-/// \brief A response that several callers may receive at the same time.
-using ResponsePtr = std::shared_ptr<const HttpResponse>;
-
 /// \brief Hash used to check that a repeated key comes with the same request.
 std::uint64_t HashRequest(std::string_view method,
                           std::string_view path,
@@ -97,7 +93,7 @@
 struct LedgerDecision {
   LedgerAction action = LedgerAction::kRefuseUnknown;
   RunRefusal reason = RunRefusal::kNone;
-  ResponsePtr response;
+  DeliverableResponse response;
 };
 
 struct LedgerRecord {
@@ -106,7 +102,7 @@
   std::uint64_t request_hash = 0;
   /// False if journals reported different request hashes for the key.
   bool hash_known = true;
-  ResponsePtr response;
+  DeliverableResponse response;
   RunRefusal refusal = RunRefusal::kNone;
   /// For a key in state kFenced: the placement version of the endpoint that
   /// requested the fence.
@@ -188,7 +184,7 @@
 /// key then get kRefuseUnknown with the reason kResponseNotKept.
 void FinishAttempt(AttemptLedger& ledger,
                    const LedgerRequest& request,
-                   ResponsePtr response,
+                   DeliverableResponse response,
                    std::chrono::steady_clock::time_point now);
 
 /// \brief Records that a running attempt received no complete response.
@@ -207,7 +203,7 @@
 struct AttemptFenceReply {
   /// kFenced: the attempt did not and will not run.
   AttemptState state = AttemptState::kUnknown;
-  ResponsePtr response;
+  DeliverableResponse response;
 };
 
 /// \brief Fences an attempt that is queued or has no record. If another attempt
@@ -226,7 +222,7 @@
 
 struct KeyFenceReply {
   KeyFenceState state = KeyFenceState::kUndecidable;
-  ResponsePtr response;
+  DeliverableResponse response;
   std::uint64_t request_hash = 0;
 };
 
--- a/Source/core/key_recovery.cc
+++ b/Source/core/key_recovery.cc
@@ -56,7 +56,7 @@
       record.state = AttemptState::kFenced;
       record.refusal = RunRefusal::kFenced;
       record.fenced_for = entry.fenced_for;
-    } else if (entry.response != nullptr) {
+    } else if (entry.response) {
       record.state = AttemptState::kDone;
       record.response = entry.response;
     } else {
--- a/Source/core/keyed_execution.cc
+++ b/Source/core/keyed_execution.cc
@@ -31,7 +31,7 @@
   return action;
 }
 
-KeyedAction Respond(ResponsePtr response) {
+KeyedAction Respond(DeliverableResponse response) {
   KeyedAction action;
   action.step = KeyedStep::kRespond;
   action.response = std::move(response);
--- a/Source/core/keyed_execution.h
+++ b/Source/core/keyed_execution.h
@@ -91,7 +91,7 @@
   /// For kRefuse: true if the request did not and will not run, false if that
   /// is unknown.
   bool not_run = false;
-  ResponsePtr response;
+  DeliverableResponse response;
   std::vector<std::string> endpoints_to_fence;
   PlacementVersion version;
 };
--- a/Source/daemon/ingress.cc
+++ b/Source/daemon/ingress.cc
@@ -277,8 +277,11 @@
       .Add("outcome", OutcomeName(attempt.outcome))
       .AddBool("sent", attempt.sent)
       .AddDuration("took", Clock::now() - attempt.started_at);
+  if (attempt.fence) {
+    event.Add("fence", rpc::FenceState_Name(*attempt.fence));
+  }
   if (attempt.outcome == CallerOutcome::kAnswered) {
-    event.Add("status", attempt.response.status);
+    event.Add("status", attempt.response->status);
   } else {
     event.Add("reason", rpc::RefusalReason_Name(attempt.reason))
         .Add("detail", attempt.detail);
@@ -324,7 +327,7 @@
     const bool answered = attempt.outcome == CallerOutcome::kAnswered &&
                           attempt.reason == rpc::REFUSAL_NONE;
     const bool final = idempotent
-                           ? answered && attempt.response.status < kServerError
+                           ? answered && attempt.response->status < kServerError
                            : attempt.outcome != CallerOutcome::kNotRun;
     if (final) {
       return attempt.ToReply();
--- a/Source/daemon/ingress_attempt.cc
+++ b/Source/daemon/ingress_attempt.cc
@@ -44,7 +44,7 @@
 
 IngressReply IngressAttempt::ToReply() {
   if (this->outcome == CallerOutcome::kAnswered) {
-    return {this->outcome, std::move(this->response)};
+    return {this->outcome, this->response.Take()};
   }
   return MakeLocalReply(
       this->outcome, HttpStatusOf(this->outcome, this->reason), this->detail);
@@ -230,9 +230,7 @@
         answered                                    ? JournalOutcome::kAnswered
         : attempt.outcome == CallerOutcome::kNotRun ? JournalOutcome::kNotRun
                                                     : JournalOutcome::kUnknown,
-        answered ? std::make_shared<const HttpResponse>(attempt.response)
-                 : nullptr,
-        Clock::now());
+        attempt.response, Clock::now());
   }
 }
 
@@ -247,7 +245,7 @@
       std::chrono::duration_cast<std::chrono::microseconds>(sent_at -
                                                             request.read_at)
           .count());
-  const ForwardCallResult call = this->dependencies.owners.Forward(
+  ForwardCallResult call = this->dependencies.owners.Forward(
       attempt.ip, attempt.message, request.message.stream.get(),
       {request.deadline,
        this->dependencies.directory.AcceptTimeoutOf(attempt.ip),
@@ -278,8 +276,7 @@
     attempt.detail = call.result.detail();
     switch (call.result.outcome()) {
       case rpc::OUTCOME_ANSWERED:
-        attempt.outcome = CallerOutcome::kAnswered;
-        attempt.response = FromProto(call.result.answer());
+        this->SetResponse(*call.result.mutable_answer(), attempt);
         return;
       case rpc::OUTCOME_NOT_RUN:
         attempt.outcome = CallerOutcome::kNotRun;
@@ -302,6 +299,21 @@
   }
 }
 
+// Sets the outcome of an attempt to a response of its backend server.
+void AttemptSender::SetResponse(rpc::Answer& answer, IngressAttempt& attempt) {
+  const int status = answer.status();
+  attempt.response =
+      TakeResponse(answer, RefusalMeaningOf(this->dependencies.headers));
+  if (attempt.response) {
+    attempt.outcome = CallerOutcome::kAnswered;
+    return;
+  }
+  attempt.SetOutcome(CallerOutcome::kUnknown, rpc::REFUSAL_BACKEND_FAILED,
+                     absl::StrCat("the owner passed on an unmarked refusal "
+                                  "with status ",
+                                  status));
+}
+
 // Queries the outcome of an attempt whose reply was lost, over a new
 // connection, and prevents the attempt from running if it has not started. The
 // outcome remains unknown if the request is cancelled before.
@@ -322,16 +334,16 @@
       std::min<Clock::time_point>(request.deadline, now + kFenceTimeout),
       now + kMinFenceTimeout);
   while (Clock::now() < fence_deadline && !request.cancelled()) {
-    const rpc::FenceReply reply = this->dependencies.owners.FenceAttempt(
+    rpc::FenceReply reply = this->dependencies.owners.FenceAttempt(
         attempt.ip, fence, fence_deadline, request.cancelled);
+    attempt.fence = reply.state();
     switch (reply.state()) {
       case rpc::FENCE_FENCED:
         attempt.outcome = CallerOutcome::kNotRun;
         attempt.sent = false;
         return;
       case rpc::FENCE_DONE:
-        attempt.outcome = CallerOutcome::kAnswered;
-        attempt.response = FromProto(reply.answer());
+        this->SetResponse(*reply.mutable_answer(), attempt);
         return;
       case rpc::FENCE_RUNNING:
         // The owner is reachable, so wait for the result until the deadline.
--- a/Source/daemon/ingress_attempt.h
+++ b/Source/daemon/ingress_attempt.h
@@ -12,6 +12,7 @@
 #include "config/config_version.h"
 #include "config/daemon_settings.h"
 #include "config/route_table.h"
+#include "core/deliverable_response.h"
 #include "core/http_message.h"
 #include "core/key_placement.h"
 #include "daemon/config_holder.h"
@@ -67,8 +68,11 @@
   rpc::ForwardRequest message;
   CallerOutcome outcome = CallerOutcome::kNotRun;
   rpc::RefusalReason reason = rpc::REFUSAL_NONE;
-  HttpResponse response;
+  /// The response of the backend server if the outcome is kAnswered.
+  DeliverableResponse response;
   std::string detail;
+  /// The state of the attempt at its owner after its reply was lost.
+  std::optional<rpc::FenceState> fence;
   /// Whether a backend server may have received the request.
   bool sent = false;
   ChosenEndpoint chosen;
@@ -111,6 +115,7 @@
 
  private:
   bool AttachFreshStamp(const IngressRequest& request, IngressAttempt& attempt);
+  void SetResponse(rpc::Answer& answer, IngressAttempt& attempt);
   void FenceAfterFailure(const IngressRequest& request,
                          IngressAttempt& attempt);
   void RecordUnreachableOwner(const IngressRequest& request,
--- a/Source/daemon/ingress_reply.cc
+++ b/Source/daemon/ingress_reply.cc
@@ -39,7 +39,7 @@
   reply.outcome = outcome;
   reply.response.status = status;
   reply.response.headers = {
-      {"Comfrey-Outcome",
+      {kOutcomeHeader,
        outcome == CallerOutcome::kNotRun ? "not-run" : "unknown"},
       {"Content-Type", "text/plain"}};
   if (status == kUnavailable) {
--- a/Source/daemon/ingress_reply.h
+++ b/Source/daemon/ingress_reply.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "absl/strings/string_view.h"
+#include "core/deliverable_response.h"
 #include "core/http_message.h"
 #include "peer.pb.h"
 
--- a/Source/daemon/key_journal.cc
+++ b/Source/daemon/key_journal.cc
@@ -49,7 +49,7 @@
 
 void KeyJournal::RecordAttemptOutcome(const AttemptId& attempt,
                                       JournalOutcome outcome,
-                                      ResponsePtr response,
+                                      DeliverableResponse response,
                                       TimePoint now) {
   const std::lock_guard<std::mutex> lock(this->mutex);
   RecordOutcome(this->journal, attempt, outcome, std::move(response), now);
--- a/Source/daemon/key_journal.h
+++ b/Source/daemon/key_journal.h
@@ -36,7 +36,7 @@
                           TimePoint now);
   void RecordAttemptOutcome(const AttemptId& attempt,
                             JournalOutcome outcome,
-                            ResponsePtr response,
+                            DeliverableResponse response,
                             TimePoint now);
 
   /// \brief Returns the entries that a restarted owner requests.
--- a/Source/daemon/key_recovery_runner.cc
+++ b/Source/daemon/key_recovery_runner.cc
@@ -18,12 +18,13 @@
 
 constexpr std::chrono::milliseconds kCallTimeout{1000};
 
-JournalExcerpt ExcerptFromProto(const rpc::RecoverKeysReply& reply,
-                                const std::string& endpoint) {
+JournalExcerpt TakeExcerpt(rpc::RecoverKeysReply& reply,
+                           const std::string& endpoint,
+                           RefusalMeaning meaning) {
   JournalExcerpt excerpt;
   excerpt.complete = reply.complete();
-  for (const rpc::JournalEntry& entry : reply.entries()) {
-    excerpt.entries.push_back(FromProto(entry, endpoint));
+  for (rpc::JournalEntry& entry : *reply.mutable_entries()) {
+    excerpt.entries.push_back(TakeJournalEntry(entry, endpoint, meaning));
   }
   return excerpt;
 }
@@ -34,11 +35,13 @@
                                      KeyJournal& journal,
                                      ChannelPool& channels,
                                      int peer_port,
+                                     RefusalMeaning meaning,
                                      RecoveryMembership membership)
     : owner(owner),
       journal(journal),
       channels(channels),
       peer_port(peer_port),
+      meaning(meaning),
       membership(std::move(membership)) {}
 
 void KeyRecoveryRunner::ReadMissingJournals() {
@@ -89,7 +92,8 @@
     }
     const std::lock_guard<std::mutex> lock(endpoint.mutex);
     MergeJournal(endpoint.keyed.recovery, endpoint.keyed.ledger, member.name,
-                 ExcerptFromProto(reply, request.endpoint()), Clock::now());
+                 TakeExcerpt(reply, request.endpoint(), this->meaning),
+                 Clock::now());
     if (IsRecovered(endpoint.keyed.recovery, Clock::now())) {
       spdlog::info("recovered the idempotency keys of {}", request.endpoint());
       return;
--- a/Source/daemon/key_recovery_runner.h
+++ b/Source/daemon/key_recovery_runner.h
@@ -30,6 +30,7 @@
                     KeyJournal& journal,
                     ChannelPool& channels,
                     int peer_port,
+                    RefusalMeaning meaning,
                     RecoveryMembership membership);
 
   /// \brief Requests each missing journal once from its member; blocks.
@@ -46,6 +47,7 @@
   KeyJournal& journal;
   ChannelPool& channels;
   int peer_port;
+  RefusalMeaning meaning;
   RecoveryMembership membership;
 };
 
--- a/Source/daemon/message_conversion.cc
+++ b/Source/daemon/message_conversion.cc
@@ -1,7 +1,7 @@
 #include "daemon/message_conversion.h"
 
-#include <memory>
 #include <optional>
+#include <utility>
 
 namespace comfrey {
 namespace {
@@ -47,21 +47,20 @@
   return {message.ingress(), message.incarnation(), message.sequence()};
 }
 
-void ToProto(const HttpResponse& response, rpc::Answer& message) {
-  message.set_status(response.status);
-  for (const HttpHeader& header : response.headers) {
+void ToProto(const DeliverableResponse& response, rpc::Answer& message) {
+  message.set_status(response->status);
+  for (const HttpHeader& header : response->headers) {
     AddHeader(header, *message.add_headers());
   }
-  message.set_body(response.body);
+  message.set_body(response->body);
 }
 
-HttpResponse FromProto(const rpc::Answer& message) {
-  return {message.status(), HeadersFromProto(message.headers()),
-          message.body()};
-}
-
-ResponsePtr SharedResponseFromProto(const rpc::Answer& message) {
-  return std::make_shared<const HttpResponse>(FromProto(message));
+// A daemon of an earlier release may send a response that must not be
+// delivered.
+DeliverableResponse TakeResponse(rpc::Answer& message, RefusalMeaning meaning) {
+  return MakeDeliverable({message.status(), HeadersFromProto(message.headers()),
+                          std::move(*message.mutable_body())},
+                         meaning);
 }
 
 void ToProto(const EndpointSummary& summary,
@@ -103,11 +102,12 @@
   }
   message.set_request_hash(fence.request_hash);
   if (fence.response) {
-    ToProto(*fence.response, *message.mutable_answer());
+    ToProto(fence.response, *message.mutable_answer());
   }
 }
 
-KeyFenceReply KeyFenceFromProto(const rpc::FenceReply& message) {
+KeyFenceReply KeyFenceFromProto(rpc::FenceReply& message,
+                                RefusalMeaning meaning) {
   KeyFenceReply fence;
   fence.request_hash = message.request_hash();
   switch (message.state()) {
@@ -115,8 +115,9 @@
       fence.state = KeyFenceState::kFenced;
       break;
     case rpc::FENCE_DONE:
-      fence.state = KeyFenceState::kRan;
-      fence.response = SharedResponseFromProto(message.answer());
+      fence.response = TakeResponse(*message.mutable_answer(), meaning);
+      fence.state =
+          fence.response ? KeyFenceState::kRan : KeyFenceState::kUnknown;
       break;
     case rpc::FENCE_UNKNOWN:
     case rpc::FENCE_RUNNING:
@@ -173,12 +174,13 @@
   message.set_outcome(entry.response ? rpc::OUTCOME_ANSWERED
                                      : rpc::OUTCOME_UNKNOWN);
   if (entry.response) {
-    ToProto(*entry.response, *message.mutable_answer());
+    ToProto(entry.response, *message.mutable_answer());
   }
 }
 
-JournalEntry FromProto(const rpc::JournalEntry& message,
-                       const std::string& endpoint) {
+JournalEntry TakeJournalEntry(rpc::JournalEntry& message,
+                              const std::string& endpoint,
+                              RefusalMeaning meaning) {
   JournalEntry entry;
   entry.kind =
       message.key_fence() ? JournalKind::kKeyFence : JournalKind::kAttempt;
@@ -190,7 +192,7 @@
   entry.fenced_for = {message.fenced_for().generation(),
                       message.fenced_for().revision()};
   if (message.has_answer()) {
-    entry.response = SharedResponseFromProto(message.answer());
+    entry.response = TakeResponse(*message.mutable_answer(), meaning);
   }
   return entry;
 }
--- a/Source/daemon/message_conversion.h
+++ b/Source/daemon/message_conversion.h
@@ -18,10 +18,11 @@
 void ToProto(const AttemptId& id, rpc::AttemptId& message);
 AttemptId FromProto(const rpc::AttemptId& message);
 
-void ToProto(const HttpResponse& response, rpc::Answer& message);
-HttpResponse FromProto(const rpc::Answer& message);
+void ToProto(const DeliverableResponse& response, rpc::Answer& message);
 
-ResponsePtr SharedResponseFromProto(const rpc::Answer& message);
+/// \brief Returns the response in a message for delivery, or none if it must
+/// not be delivered. Empties the message.
+DeliverableResponse TakeResponse(rpc::Answer& message, RefusalMeaning meaning);
 
 /// \brief Conversions of summaries; the ages in the message are relative to
 /// `now`.
@@ -32,7 +33,8 @@
                           std::chrono::steady_clock::time_point now);
 
 void ToProto(const KeyFenceReply& fence, rpc::FenceReply& message);
-KeyFenceReply KeyFenceFromProto(const rpc::FenceReply& message);
+KeyFenceReply KeyFenceFromProto(rpc::FenceReply& message,
+                                RefusalMeaning meaning);
 
 void ToProto(const OwnerStamp& stamp, rpc::OwnerStamp& message);
 OwnerStamp FromProto(const rpc::OwnerStamp& message);
@@ -43,8 +45,9 @@
 
 /// \brief Conversions of the journal entries in `RecoverKeys` replies.
 void ToProto(const JournalEntry& entry, rpc::JournalEntry& message);
-JournalEntry FromProto(const rpc::JournalEntry& message,
-                       const std::string& endpoint);
+JournalEntry TakeJournalEntry(rpc::JournalEntry& message,
+                              const std::string& endpoint,
+                              RefusalMeaning meaning);
 
 /// \brief Converts the key phase of an endpoint from the configuration.
 KeyPhase KeyPhaseOf(KeysState state);
--- a/Source/daemon/owner_client.cc
+++ b/Source/daemon/owner_client.cc
@@ -143,8 +143,10 @@
 
 }  // namespace
 
-OwnerClient::OwnerClient(ChannelPool& channels, int peer_port)
-    : channels(channels), peer_port(peer_port) {}
+OwnerClient::OwnerClient(ChannelPool& channels,
+                         int peer_port,
+                         RefusalMeaning meaning)
+    : channels(channels), peer_port(peer_port), meaning(meaning) {}
 
 ForwardCallResult OwnerClient::Forward(const std::string& ip,
                                        const rpc::ForwardRequest& request,
@@ -254,7 +256,7 @@
                     [] { return false; }) != PeerCallEnd::kReplied) {
     return {};
   }
-  return KeyFenceFromProto(reply);
+  return KeyFenceFromProto(reply, this->meaning);
 }
 
 std::string OwnerClient::AddressOf(const std::string& ip) const {
--- a/Source/daemon/owner_client.h
+++ b/Source/daemon/owner_client.h
@@ -33,7 +33,9 @@
  public:
   using TimePoint = std::chrono::steady_clock::time_point;
 
-  OwnerClient(ChannelPool& channels, int peer_port);
+  OwnerClient(ChannelPool& channels,
+              int peer_port,
+              RefusalMeaning meaning = RefusalMeaning::kNone);
 
   /// \brief Sends one attempt, whose body is read from `body` unless it is
   /// null. If the call fails or gets no reply, the next call uses a new
@@ -87,6 +89,7 @@
 
   ChannelPool& channels;
   int peer_port;
+  RefusalMeaning meaning;
   std::mutex mutex;
   std::map<std::string, ReceivedStamp> stamps;
 };
--- a/Source/daemon/owner_result.cc
+++ b/Source/daemon/owner_result.cc
@@ -8,7 +8,6 @@
 namespace comfrey {
 namespace {
 
-constexpr int kRequestTimeout = 408;
 constexpr int kMisdirected = 421;
 constexpr int kTooManyRequests = 429;
 constexpr int kServerError = 500;
@@ -47,7 +46,7 @@
   return MakeResult(rpc::OUTCOME_UNKNOWN, reason, detail);
 }
 
-rpc::Result MakeAnsweredResult(const HttpResponse& response) {
+rpc::Result MakeAnsweredResult(const DeliverableResponse& response) {
   rpc::Result result;
   result.set_outcome(rpc::OUTCOME_ANSWERED);
   ToProto(response, *result.mutable_answer());
@@ -150,11 +149,11 @@
       break;
   }
   const HttpResponse& response = result.response;
-  if (IsDrainRefusal(response)) {
-    return BackendReplyClass::kDraining;
-  }
+  // Backend servers that mark refusals say that they are draining in the
+  // registry, and their header Draining means nothing.
   if (names.not_executed.empty()) {
-    return IsShed(response)                  ? BackendReplyClass::kShed
+    return IsDrainRefusal(response)          ? BackendReplyClass::kDraining
+           : IsShed(response)                ? BackendReplyClass::kShed
            : response.status >= kServerError ? BackendReplyClass::kServerError
                                              : BackendReplyClass::kOk;
   }
@@ -164,8 +163,7 @@
   if (!FindHeader(response.headers, names.not_executed).empty()) {
     return BackendReplyClass::kNotExecuted;
   }
-  if (response.status == kTooManyRequests || response.status == kUnavailable ||
-      response.status == kRequestTimeout) {
+  if (IsRefusalStatus(response.status)) {
     return BackendReplyClass::kUnmarkedRefusal;
   }
   return response.status >= kServerError ? BackendReplyClass::kServerError
@@ -254,19 +252,38 @@
   }
 }
 
-rpc::Result ToResult(const BackendResult& backend, BackendReplyClass reply) {
-  rpc::Result result;
+DeliverableResponse TakeDeliverable(BackendResult& backend,
+                                    BackendReplyClass reply,
+                                    const HeaderNames& names) {
   switch (reply) {
     case BackendReplyClass::kOk:
     case BackendReplyClass::kServerError:
-      result = MakeAnsweredResult(backend.response);
+    case BackendReplyClass::kShed:
+    case BackendReplyClass::kDraining:
+      return MakeDeliverable(std::move(backend.response),
+                             RefusalMeaningOf(names));
+    case BackendReplyClass::kNotExecuted:
+    case BackendReplyClass::kOtherInstance:
+    case BackendReplyClass::kUnmarkedRefusal:
+    case BackendReplyClass::kNotSent:
+    case BackendReplyClass::kFailed:
+    case BackendReplyClass::kStaleConnection:
+    case BackendReplyClass::kTimedOut:
+    case BackendReplyClass::kCancelled:
       break;
+  }
+  return nullptr;
+}
+
+rpc::Result ToResult(const BackendResult& backend,
+                     BackendReplyClass reply,
+                     const DeliverableResponse& response) {
+  rpc::Result result;
+  switch (reply) {
     case BackendReplyClass::kShed:
-      result = MakeAnsweredResult(backend.response);
       result.set_reason(rpc::REFUSAL_BACKEND_SHED);
       break;
     case BackendReplyClass::kDraining:
-      result = MakeAnsweredResult(backend.response);
       result.set_reason(rpc::REFUSAL_LEAVING);
       break;
     case BackendReplyClass::kNotExecuted:
@@ -288,6 +305,9 @@
     case BackendReplyClass::kNotSent:
       return MakeNotRunResult(rpc::REFUSAL_BACKEND_CONNECT,
                               backend.error.message());
+    case BackendReplyClass::kOk:
+    case BackendReplyClass::kServerError:
+      break;
     case BackendReplyClass::kFailed:
     case BackendReplyClass::kStaleConnection:
     case BackendReplyClass::kTimedOut:
@@ -296,6 +316,10 @@
                                  backend.error.message());
       break;
   }
+  if (response) {
+    result.set_outcome(rpc::OUTCOME_ANSWERED);
+    ToProto(response, *result.mutable_answer());
+  }
   result.set_sent_to_backend(true);
   return result;
 }
@@ -318,7 +342,7 @@
       break;
   }
   if (fence.response) {
-    ToProto(*fence.response, *reply.mutable_answer());
+    ToProto(fence.response, *reply.mutable_answer());
   }
   return reply;
 }
--- a/Source/daemon/owner_result.h
+++ b/Source/daemon/owner_result.h
@@ -6,6 +6,7 @@
 #include "absl/strings/string_view.h"
 #include "core/admission_queue.h"
 #include "core/attempt_ledger.h"
+#include "core/deliverable_response.h"
 #include "core/endpoint_health.h"
 #include "core/failure_suspicion.h"
 #include "core/http_message.h"
@@ -48,11 +49,19 @@
                               absl::string_view detail);
 
 /// \brief Makes the result of a forwarded request that was answered.
-rpc::Result MakeAnsweredResult(const HttpResponse& response);
+rpc::Result MakeAnsweredResult(const DeliverableResponse& response);
 
-/// \brief Makes the result of a forwarded request from that of its backend
-/// call.
-rpc::Result ToResult(const BackendResult& backend, BackendReplyClass reply);
+/// \brief Takes the response out of a backend call for its caller and the
+/// record of its attempt; none if the call did not end with one for them.
+DeliverableResponse TakeDeliverable(BackendResult& backend,
+                                    BackendReplyClass reply,
+                                    const HeaderNames& names);
+
+/// \brief Makes the result of a forwarded request from its backend call and
+/// the deliverable response of that call.
+rpc::Result ToResult(const BackendResult& backend,
+                     BackendReplyClass reply,
+                     const DeliverableResponse& response);
 
 rpc::FenceReply ToFenceReply(const AttemptFenceReply& fence);
 
--- a/Source/daemon/owner_service.cc
+++ b/Source/daemon/owner_service.cc
@@ -261,7 +261,7 @@
       case KeyedStep::kRun:
         return true;
       case KeyedStep::kRespond:
-        call.result = MakeAnsweredResult(*action.response);
+        call.result = MakeAnsweredResult(action.response);
         return false;
       case KeyedStep::kRefuse:
         call.result = MakeResult(
@@ -426,7 +426,7 @@
     return this->aborting || (repeatable && call.callbacks.cancelled());
   };
   call.started = Clock::now();
-  const BackendResult backend = endpoint.client.Call(backend_call);
+  BackendResult backend = endpoint.client.Call(backend_call);
   this->backend_calls.Add();
   if (backend.outcome != BackendOutcome::kAnswered) {
     this->backend_failures.Add();
@@ -445,18 +445,15 @@
     endpoint.drain.backend_server = true;
     UpdateDraining(endpoint);
   }
-  call.result = ToResult(backend, reply);
-  if (!repeatable) {
-    const bool answered = backend.outcome == BackendOutcome::kAnswered &&
-                          reply != BackendReplyClass::kNotExecuted &&
-                          reply != BackendReplyClass::kOtherInstance;
-    if (answered) {
-      FinishAttempt(endpoint.keyed.ledger, ledger_request,
-                    std::make_shared<const HttpResponse>(backend.response),
-                    now);
-    } else {
-      MarkOutcomeUnknown(endpoint.keyed.ledger, ledger_request, now);
-    }
+  // The ledger keeps what the caller gets, so that a fence or a repeated key
+  // does not say more than the first result.
+  const DeliverableResponse response =
+      TakeDeliverable(backend, reply, this->protocol.headers);
+  call.result = ToResult(backend, reply, response);
+  if (!repeatable && response) {
+    FinishAttempt(endpoint.keyed.ledger, ledger_request, response, now);
+  } else if (!repeatable) {
+    MarkOutcomeUnknown(endpoint.keyed.ledger, ledger_request, now);
   }
   AdvanceQueue(endpoint, now);
   endpoint.changed.notify_all();
--- a/Tests/core/at_most_once_model.cc
+++ b/Tests/core/at_most_once_model.cc
@@ -195,10 +195,10 @@
   void HandleResult(int p,
                     const AttemptId& attempt,
                     JournalOutcome outcome,
-                    const ResponsePtr& response);
+                    const DeliverableResponse& response);
   void AnswerCaller(const std::shared_ptr<IngressCall>& call,
                     JournalOutcome outcome,
-                    const ResponsePtr& response);
+                    const DeliverableResponse& response);
 
   void ReceiveForward(int o,
                       const LedgerRequest& forward,
@@ -219,7 +219,7 @@
   void Reply(int o,
              const std::shared_ptr<PendingForward>& pending,
              JournalOutcome outcome,
-             const ResponsePtr& response);
+             const DeliverableResponse& response);
 
   std::mt19937_64 rng;
   Mutation mutation;
@@ -731,7 +731,7 @@
 void Model::HandleResult(int p,
                          const AttemptId& attempt,
                          JournalOutcome outcome,
-                         const ResponsePtr& response) {
+                         const DeliverableResponse& response) {
   Process& process = this->processes[p];
   RecordOutcome(process.journal, attempt, outcome, response, this->Steady(p));
   const auto found = process.calls.find(attempt);
@@ -753,7 +753,7 @@
 
 void Model::AnswerCaller(const std::shared_ptr<IngressCall>& call,
                          JournalOutcome outcome,
-                         const ResponsePtr& response) {
+                         const DeliverableResponse& response) {
   call->finished = true;
   CallerRequest& request = this->requests[call->request];
   request.answered = true;
@@ -1018,7 +1018,7 @@
       MarkOutcomeUnknown(ledger, request, this->Steady(o));
     } else {
       FinishAttempt(ledger, request,
-                    std::make_shared<HttpResponse>(HttpResponse{200, {}, body}),
+                    MakeDeliverable({200, {}, body}, RefusalMeaning::kNone),
                     this->Steady(o));
     }
     this->DecideAgain(o, request);
@@ -1028,7 +1028,7 @@
 void Model::Reply(int o,
                   const std::shared_ptr<PendingForward>& pending,
                   JournalOutcome outcome,
-                  const ResponsePtr& response) {
+                  const DeliverableResponse& response) {
   pending->finished = true;
   const int p = pending->ingress;
   const std::uint64_t incarnation = pending->ingress_incarnation;
--- a/Tests/core/attempt_ledger_test.cc
+++ b/Tests/core/attempt_ledger_test.cc
@@ -33,9 +33,10 @@
   return request;
 }
 
-ResponsePtr Response(const std::string& body) {
-  return std::make_shared<HttpResponse>(HttpResponse{
-      201, {{"Content-Type", "text/plain"}, {"X-Order", "9"}}, body});
+DeliverableResponse Response(const std::string& body) {
+  return MakeDeliverable(
+      {201, {{"Content-Type", "text/plain"}, {"X-Order", "9"}}, body},
+      RefusalMeaning::kNone);
 }
 
 LedgerAction Begin(AttemptLedger& ledger, const LedgerRequest& r, int ms) {
--- a/Tests/core/key_recovery_test.cc
+++ b/Tests/core/key_recovery_test.cc
@@ -22,8 +22,8 @@
   return request;
 }
 
-ResponsePtr Response(const std::string& body) {
-  return std::make_shared<HttpResponse>(HttpResponse{200, {}, body});
+DeliverableResponse Response(const std::string& body) {
+  return MakeDeliverable({200, {}, body}, RefusalMeaning::kNone);
 }
 
 // Guards against a restarted owner that runs a key of its earlier incarnation
--- a/Tests/core/keyed_execution_test.cc
+++ b/Tests/core/keyed_execution_test.cc
@@ -92,8 +92,8 @@
     RunRefusal reason;
     bool not_run;
   };
-  const ResponsePtr response =
-      std::make_shared<HttpResponse>(HttpResponse{200, {}, "x"});
+  const DeliverableResponse response =
+      MakeDeliverable({200, {}, "x"}, RefusalMeaning::kNone);
   const Case cases[] = {
       {{KeyFenceState::kFenced, nullptr, 0},
        KeyedStep::kRun,
--- a/Tests/daemon/backend_client_test.cc
+++ b/Tests/daemon/backend_client_test.cc
@@ -729,10 +729,10 @@
   while (!copied) {
     std::this_thread::yield();
   }
-  const BackendResult second =
-      CallWithId(client, test.second_id, test.idempotent);
+  BackendResult second = CallWithId(client, test.second_id, test.idempotent);
+  const BackendReplyClass reply = ClassifyReply(second, protocol.headers);
   const rpc::Result result =
-      ToResult(second, ClassifyReply(second, protocol.headers));
+      ToResult(second, reply, TakeDeliverable(second, reply, protocol.headers));
   CHECK(runs == 1);
   if (second.connection_stale) {
     CHECK(test.idempotent);
@@ -740,8 +740,8 @@
     CHECK(result.sent_to_backend());
     return;
   }
-  CHECK(second.response.status == 200);
-  CHECK(second.response.body == "own");
+  CHECK(result.answer().status() == 200);
+  CHECK(result.answer().body() == "own");
   CHECK(result.outcome() == rpc::OUTCOME_ANSWERED);
 }
 
@@ -824,8 +824,8 @@
     }
     CHECK(result.outcome == BackendOutcome::kFailed);
     CHECK(result.response.status == 0);
-    CHECK(ToResult(result, ClassifyReply(result, protocol.headers)).outcome() ==
-          rpc::OUTCOME_UNKNOWN);
+    CHECK(ToResult(result, ClassifyReply(result, protocol.headers), nullptr)
+              .outcome() == rpc::OUTCOME_UNKNOWN);
   }
 }
 
--- a/Tests/daemon/ingress_test.cc
+++ b/Tests/daemon/ingress_test.cc
@@ -68,8 +68,10 @@
 
 // An ingress whose endpoints are owned by a server on `owner_port`.
 struct TestIngress {
-  explicit TestIngress(int owner_port, int endpoints = 1)
-      : owners(this->channels, owner_port) {
+  explicit TestIngress(int owner_port,
+                       int endpoints = 1,
+                       HeaderNames names = {})
+      : headers(std::move(names)), owners(this->channels, owner_port) {
     const std::shared_ptr<const ConfigStore> store = MakeStore(endpoints);
     this->config.Replace(store);
     this->directory.ApplyConfig(*store);
@@ -80,6 +82,7 @@
     return this->ingress.Handle({"POST", path, {{"Host", "a"}}, ""}, cancelled);
   }
 
+  HeaderNames headers;
   ConfigHolder config;
   CounterRegistry counters;
   ChannelPool channels{4};
@@ -89,14 +92,8 @@
   ServiceLevels levels;
   RequestLog log{this->counters};
   Ingress ingress{{"vm-1", 1},
-                  {this->config,
-                   this->directory,
-                   this->owners,
-                   this->journal,
-                   this->levels,
-                   this->counters,
-                   this->log,
-                   {}}};
+                  {this->config, this->directory, this->owners, this->journal,
+                   this->levels, this->counters, this->log, this->headers}};
 };
 
 // Sends a request that is cancelled after kCancelAfter. Returns the time that
@@ -117,6 +114,10 @@
   bool answers_fences = false;
   // The backend server received the request and closed the connection.
   bool reports_lost_response = false;
+  // If not 0, replies to Forward calls and fences hold a response with this
+  // status.
+  int result_status = 0;
+  int fence_status = 0;
   // An owner that cannot read the forwarded message.
   bool cannot_read = false;
 };
@@ -174,6 +175,13 @@
       writer->Write(reply);
       return grpc::Status::OK;
     }
+    if (this->behaviour.result_status != 0) {
+      rpc::Result& result = *reply.mutable_result();
+      result.set_outcome(rpc::OUTCOME_ANSWERED);
+      result.mutable_answer()->set_status(this->behaviour.result_status);
+      writer->Write(reply);
+      return grpc::Status::OK;
+    }
     return {grpc::StatusCode::UNAVAILABLE, "the result is lost"};
   }
 
@@ -186,6 +194,10 @@
     }
     reply->set_state(this->behaviour.cannot_read ? rpc::FENCE_FENCED
                                                  : rpc::FENCE_RUNNING);
+    if (this->behaviour.fence_status != 0) {
+      reply->set_state(rpc::FENCE_DONE);
+      reply->mutable_answer()->set_status(this->behaviour.fence_status);
+    }
     return grpc::Status::OK;
   }
 
@@ -251,6 +263,30 @@
   CHECK(owner.forwards <= kRequests + kRequests / 10);
 }
 
+// Guards against a status of a backend server that reaches a caller as the
+// promise that the request did not run, first-hand or from a fence, also from
+// an owner of an earlier release.
+TEST_CASE("an unmarked refusal does not reach callers as a promise",
+          "[ingress]") {
+  HeaderNames marked;
+  marked.not_executed = "X-Not-Run";
+  for (const int status : {408, 421, 429, 503}) {
+    OwnerBehaviour first_hand{"first-hand", true, true};
+    first_hand.result_status = status;
+    OwnerBehaviour fenced{"fence", true, true};
+    fenced.fence_status = status;
+    for (const OwnerBehaviour& behaviour : {first_hand, fenced}) {
+      INFO(behaviour.name << " " << status);
+      FakeOwner owner(behaviour);
+      TestIngress ingress(owner.port, 1, marked);
+      const IngressReply reply =
+          ingress.Send("/team/unsafe", [] { return false; });
+      CHECK(reply.outcome == CallerOutcome::kUnknown);
+      CHECK(reply.response.status == 502);
+    }
+  }
+}
+
 // Guards against requests that are refused because an owner could not read the
 // message of another request and counts as unreachable.
 TEST_CASE("a message that an owner cannot read is no path failure",
--- a/Tests/daemon/owner_result_test.cc
+++ b/Tests/daemon/owner_result_test.cc
@@ -33,7 +33,7 @@
     BackendReplyClass reply;
     rpc::Outcome outcome;
   };
-  const std::vector<Case> cases = {
+  std::vector<Case> cases = {
       {"ok", Answer(200), BackendReplyClass::kOk, rpc::OUTCOME_ANSWERED},
       {"error", Answer(500), BackendReplyClass::kServerError,
        rpc::OUTCOME_ANSWERED},
@@ -51,14 +51,19 @@
        rpc::OUTCOME_UNKNOWN},
       {"421", Answer(421), BackendReplyClass::kOtherInstance,
        rpc::OUTCOME_NOT_RUN},
+      {"503 with Draining", Answer(503, {{"Draining", "true"}}),
+       BackendReplyClass::kUnmarkedRefusal, rpc::OUTCOME_UNKNOWN},
       {"504", Answer(504), BackendReplyClass::kServerError,
        rpc::OUTCOME_ANSWERED},
   };
-  for (const Case& c : cases) {
+  for (Case& c : cases) {
     INFO(c.name);
     const BackendReplyClass reply = ClassifyReply(c.result, MarkedNames());
     CHECK(reply == c.reply);
-    const rpc::Result result = ToResult(c.result, reply);
+    const DeliverableResponse response =
+        TakeDeliverable(c.result, reply, MarkedNames());
+    CHECK(bool(response) == (c.outcome == rpc::OUTCOME_ANSWERED));
+    const rpc::Result result = ToResult(c.result, reply, response);
     CHECK(result.outcome() == c.outcome);
     CHECK(result.sent_to_backend());
   }
@@ -73,8 +78,8 @@
   const BackendReplyClass reply = ClassifyReply(result, MarkedNames());
   CHECK(reply == BackendReplyClass::kStaleConnection);
   CHECK(FinishOutcomeOf(reply) == FinishOutcome::kCancelled);
-  CHECK(ToResult(result, reply).outcome() == rpc::OUTCOME_UNKNOWN);
-  CHECK(ToResult(result, reply).sent_to_backend());
+  CHECK(ToResult(result, reply, nullptr).outcome() == rpc::OUTCOME_UNKNOWN);
+  CHECK(ToResult(result, reply, nullptr).sent_to_backend());
 }
 
 // Checks the classification of replies from backend servers that do not mark
@@ -113,8 +118,8 @@
     CHECK_FALSE(is_suspect(other));
   }
   BackendResult not_sent;
-  CHECK_FALSE(
-      ToResult(not_sent, BackendReplyClass::kNotSent).sent_to_backend());
+  CHECK_FALSE(ToResult(not_sent, BackendReplyClass::kNotSent, nullptr)
+                  .sent_to_backend());
 }
 
 }  // namespace
--- a/Tests/daemon/owner_service_test.cc
+++ b/Tests/daemon/owner_service_test.cc
@@ -77,15 +77,17 @@
 // An owner with one endpoint, whose backend server holds all responses until
 // Release is called.
 struct OwnerFixture {
-  OwnerFixture()
+  explicit OwnerFixture(const BackendProtocol& protocol = {})
       : server(kIp, [this](RawSocket& socket, int) { this->ServeOne(socket); }),
         watchdog(this->timers),
         log(this->counters),
-        owner({kIp, 1, Clock::now(), std::chrono::system_clock::now()},
-              this->watchdog,
-              this->counters,
-              this->log,
-              [](const FenceKeyCall&) { return KeyFenceReply(); }),
+        owner(
+            {kIp, 1, Clock::now(), std::chrono::system_clock::now()},
+            this->watchdog,
+            this->counters,
+            this->log,
+            [](const FenceKeyCall&) { return KeyFenceReply(); },
+            protocol),
         endpoint(MakeEndpoint(this->server.Port())) {
     this->Apply({this->endpoint});
   }
@@ -96,7 +98,7 @@
     if (HasHead(socket.Receive(HasHead, kTestTimeout, closed))) {
       ++this->received;
       WaitUntil([this] { return this->released.load(); });
-      socket.Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+      socket.Send("HTTP/1.1 " + this->status + "\r\nContent-Length: 0\r\n\r\n");
     }
   }
 
@@ -133,6 +135,8 @@
     return result.get();
   }
 
+  // Status line of all responses; set before the first request.
+  std::string status = "200 OK";
   std::atomic<int> received{0};
   std::atomic<int> accepted{0};
   std::atomic<bool> released{false};
@@ -193,6 +197,36 @@
   CHECK(fixture.received == 1);
 }
 
+// Guards against an order that ran and whose caller is told that it did not,
+// because the reply was lost and the fence returns the status of the backend
+// server, which promises nothing without the mark.
+TEST_CASE("a fence returns no refusal that the backend server did not mark",
+          "[owner_service]") {
+  BackendProtocol protocol;
+  protocol.headers.not_executed = "X-Not-Run";
+  for (const char* status :
+       {"408 Slow", "421 Elsewhere", "429 Many", "503 Failed"}) {
+    INFO(status);
+    OwnerFixture fixture(protocol);
+    fixture.status = status;
+    fixture.Release();
+    const rpc::ForwardRequest request = fixture.MakeRequest(false);
+    std::future<rpc::Result> future = fixture.Forward(request);
+    const rpc::Result result = fixture.WaitForResult(future);
+    CHECK(rpc::Outcome_Name(result.outcome()) == "OUTCOME_UNKNOWN");
+    rpc::FenceAttemptRequest fence;
+    *fence.mutable_attempt() = request.attempt();
+    *fence.mutable_stamp() = request.stamp();
+    fence.set_endpoint(request.endpoint());
+    fence.set_team(request.team());
+    fence.set_service(request.service());
+    const rpc::FenceReply reply = fixture.owner.FenceAttempt(fence);
+    CHECK(rpc::FenceState_Name(reply.state()) == "FENCE_UNKNOWN");
+    CHECK_FALSE(reply.has_answer());
+    CHECK(fixture.received == 1);
+  }
+}
+
 // Guards against a duplicate of a returned attempt that runs after the endpoint
 // is back, although its ingress has sent the request to another endpoint.
 TEST_CASE("a returned attempt never runs", "[owner_service]") {
