Let a registration of an unpublished service hide no endpoint

Cause: of several registrations with one address the latest was used before it was known whether its service is published. Change: only registrations of published services are compared. Evidence: "a registration of an unpublished service hides no endpoint" fails without the change (no endpoint is left) and passes with it.

--- a/Source/config/registry_view.cc
+++ b/Source/config/registry_view.cc
@@ -135,13 +135,23 @@
 
 using RegistrationEntry = std::pair<const std::string, KnownRegistration>;
 
+bool HasService(const PublishedConfig& config, const std::string& name) {
+  return std::any_of(
+      config.services.begin(), config.services.end(),
+      [&](const PublishedService& service) { return service.name == name; });
+}
+
 // Returns the registration in use for each address. If several registrations
 // have the same address, this is the one of the backend server that started
-// last.
+// last. A registration whose service is not published names no endpoint and
+// hides none: another writer may have left it.
 std::map<std::string, const RegistrationEntry*> FindLatestRegistrations(
     const RegistryView& view) {
   std::map<std::string, const RegistrationEntry*> latest;
   for (const RegistrationEntry& entry : view.registrations) {
+    if (!HasService(*view.config, entry.second.endpoint.service)) {
+      continue;
+    }
     const RegistrationEntry*& registration =
         latest[FormatSocketAddress(entry.second.endpoint.address)];
     const auto start_order = [](const RegistrationEntry& e) {
--- a/Tests/config/registry_view_test.cc
+++ b/Tests/config/registry_view_test.cc
@@ -76,6 +76,21 @@
 
 const RegistryServiceSettings kSettings{{{"budapest-a", "budapest"}}, 0.7};
 
+// Guards against a sound backend server that is hidden by an odd entry with its
+// address and a later start.
+TEST_CASE("a registration of an unpublished service hides no endpoint") {
+  RegistrationChange sound = MakeRegistration("i-1", "10.1.0.1", 3);
+  RegistrationChange odd = MakeRegistration("i-2", "10.1.0.1", 4);
+  odd.endpoint->service = "no-such-service";
+  odd.endpoint->started_at = sound.endpoint->started_at + seconds(60);
+  RegistryView view;
+  ApplyRegistryUpdate(view, MakeListing({sound, odd}), kNow);
+  const auto team = BuildRegistryTeam(view, kSettings);
+  REQUIRE(team);
+  REQUIRE(team->services[0].endpoints.size() == 1);
+  CHECK(team->services[0].endpoints[0].instance == "i-1");
+}
+
 // Guards against routes, ranks or endpoints that are lost in the conversion.
 TEST_CASE("the published configuration becomes a team") {
   RegistryView view;
