Use the newest configuration of an update of the registry

Change: a version that is not newer does not replace one of the same update. Evidence: "the newest configuration of an update is used" fails without the change (12 in place of 13) and passes with it.

--- a/Source/platform/registry_decoder.cc
+++ b/Source/platform/registry_decoder.cc
@@ -367,7 +367,12 @@
     update.config_problem = std::string(config.status().message());
     return;
   }
-  update.config = *std::move(config);
+  // The events of a watch are in the order of their writing. A version that is
+  // not newer than one before it must not take its place.
+  if (!update.config || update.config->version < config->version) {
+    update.config = *std::move(config);
+    update.config_problem.clear();
+  }
 }
 
 void AddRegistration(const json& item,
--- a/Tests/platform/registry_decoder_test.cc
+++ b/Tests/platform/registry_decoder_test.cc
@@ -337,5 +337,24 @@
   CHECK(update.config->version == 12);
 }
 
+// Guards against a new configuration that is hidden by an older one in the same
+// response of the registry.
+TEST_CASE("the newest configuration of an update is used") {
+  const std::string newer =
+      absl::StrReplaceAll(kConfigJson, {{"\"r12\"", "\"r13\""}});
+  for (const bool newer_first : {true, false}) {
+    INFO(newer_first);
+    RegistryUpdate update;
+    AddItem(MakeStoreItem("op/config", "{"), update);
+    AddItem(MakeStoreItem("op/config", newer_first ? newer : kConfigJson),
+            update);
+    AddItem(MakeStoreItem("op/config", newer_first ? kConfigJson : newer),
+            update);
+    REQUIRE(update.config);
+    CHECK(update.config->version == 13);
+    CHECK(update.config_problem.empty());
+  }
+}
+
 }  // namespace
 }  // namespace comfrey::platform
