Forward Idempotency-Key like any other header with a registry

Cause: the header counted as a key of the fleet, and no owner that reads a registry ever has a confirmed configuration, without which keys don't run. Change: the configuration of a registry says that the fleet uses no keys; frontend and ingress then treat the header like any other. Evidence: "with a registry Idempotency-Key is a header like any other" (real processes) gets 503 on the untouched code and 200 now, and the backend server gets the header.

--- a/Source/config/registry_view.cc
+++ b/Source/config/registry_view.cc
@@ -307,7 +307,11 @@
   team.ranks = BuildRanks(*view.config);
   team.lacks_routes = view.config->lacks_routes;
   team.entry_errors = BuildEntryErrors(view);
-  team.caller_limits = view.config->limits;
+  team.caller_limits = view.config->limits.value_or(CallerLimits());
+  // An owner runs a key only while its configuration is confirmed by the
+  // configuration service or its peers. With a registry there is neither, and
+  // each request with the header would be refused.
+  team.caller_limits->idempotency_keys = false;
   std::map<std::string, std::vector<EndpointConfig>> endpoints;
   for (const auto& [address, registration] : FindLatestRegistrations(view)) {
     endpoints[registration->second.endpoint.service].push_back(
--- a/Source/config/team_config.h
+++ b/Source/config/team_config.h
@@ -152,6 +152,9 @@
   std::chrono::milliseconds header_timeout{5000};
   /// Maximum time without a request on an open connection.
   std::chrono::milliseconds idle_timeout{5000};
+  /// Whether the header Idempotency-Key of a request is a key of the fleet.
+  /// Otherwise it is forwarded like any other header.
+  bool idempotency_keys = true;
 };
 
 /// \brief The configuration of one team.
--- a/Source/daemon/caller_request.cc
+++ b/Source/daemon/caller_request.cc
@@ -257,7 +257,8 @@
     caller.refusal = MakeRefusal(kBadRequest, ambiguous);
     return;
   }
-  const bool keyed = !FindHeader(head.headers, kKeyHeader).empty();
+  const bool keyed =
+      limits.idempotency_keys && !FindHeader(head.headers, kKeyHeader).empty();
   if (keyed) {
     limits.body_bytes = std::min(limits.body_bytes, kMaxKeyedBodyBytes);
   }
--- a/Source/daemon/ingress.cc
+++ b/Source/daemon/ingress.cc
@@ -116,6 +116,16 @@
   }
 }
 
+// Returns the idempotency key of a request; empty if it has none, or if the
+// fleet uses no keys.
+std::string KeyOf(const IngressRequest& request) {
+  const std::optional<CallerLimits>& limits = request.match.team->caller_limits;
+  if (limits && !limits->idempotency_keys) {
+    return "";
+  }
+  return std::string(FindHeader(request.message.headers, kKeyHeader));
+}
+
 std::string FormatSeconds(std::chrono::microseconds time) {
   return absl::StrFormat("%.2f", std::chrono::duration<double>(time).count());
 }
@@ -293,7 +303,7 @@
   if (context.match.route->repeat_safe) {
     return this->ForwardUnkeyed(context);
   }
-  const std::string key(FindHeader(context.message.headers, kKeyHeader));
+  const std::string key = KeyOf(context);
   if (key.size() > kMaxKeyLength) {
     return MakeLocalReply(CallerOutcome::kNotRun, kBadRequest,
                           absl::StrCat("Idempotency-Key is longer than ",
--- a/Tests/config/registry_view_test.cc
+++ b/Tests/config/registry_view_test.cc
@@ -99,6 +99,8 @@
       view, MakeListing({MakeRegistration("i-1", "10.1.0.1", 3)}), kNow));
   const auto team = BuildRegistryTeam(view, kSettings);
   REQUIRE(team);
+  REQUIRE(team->caller_limits);
+  CHECK_FALSE(team->caller_limits->idempotency_keys);
   CHECK(team->generation == 4);
   REQUIRE(team->services.size() == 2);
   REQUIRE(team->services[0].endpoints.size() == 1);
--- a/Tests/system/registry_test.cc
+++ b/Tests/system/registry_test.cc
@@ -70,7 +70,8 @@
           absl::StrCat(this->instance, " ", request.target, " ",
                        request.get_header_value("X-Caller"), " ",
                        request.get_header_value("X-Left").empty() ? "" : "left",
-                       " ", request.body),
+                       " ", request.body, " key ",
+                       request.get_header_value("Idempotency-Key")),
           "text/plain");
     };
     this->server.Get(".*", handle_work);
@@ -204,6 +205,27 @@
   fleet.registry.SetUnavailable(false);
 }
 
+// Guards against orders that are always refused because their header
+// Idempotency-Key counts as a key, which no owner can confirm with a registry,
+// and against a header that the backend server does not get.
+TEST_CASE("with a registry Idempotency-Key is a header like any other") {
+  RegistryFleet fleet;
+  REQUIRE(WaitFor(
+      [] { return RegistryFleet::IsReady(1) && RegistryFleet::IsReady(2); }));
+  httplib::Client client(AddressOf(1), kCallerPort);
+  // The route is not idempotent.
+  const httplib::Result result =
+      client.Post("/a/b",
+                  {{"Host", "shop.example"},
+                   {"X-Attempt", "8"},
+                   {"X-Left", "4000"},
+                   {"Idempotency-Key", "order-4711"}},
+                  "body", "text/plain");
+  REQUIRE(result);
+  CHECK(result->status == 200);
+  CHECK_THAT(result->body, Catch::Contains("key order-4711"));
+}
+
 // Guards against a daemon that waits for the response to a watch that the
 // registry never sends, and meanwhile serves by a configuration that was
 // replaced.
