Send the bytes after a response together with it in a test

Cause, in the test: its backend server sent a whole response and then, with another call, the bytes that follow it. On a busy machine the client reused the connection in between, when nothing was wrong with it yet; its second request then failed as sent on a stale connection, which is right.

The first of the bytes now come with the response.

--- a/Tests/daemon/backend_client_test.cc
+++ b/Tests/daemon/backend_client_test.cc
@@ -907,15 +907,19 @@
           return;
         }
         socket.Receive(HasHead, kTestTimeout, closed);
-        socket.Send(test.start);
         // Many repeats at once, so that the test is not limited by its own
         // system calls.
         std::string block = test.repeated;
         while (!slow && block.size() < (8 << 10)) {
           block += test.repeated;
         }
-        closed = false;
-        while (!closed && socket.Send(slow ? block.substr(0, 8) : block)) {
+        if (slow) {
+          block = block.substr(0, 8);
+        }
+        // The first bytes come with the start: the client could otherwise reuse
+        // the connection after a whole response before it can see any of them.
+        closed = !socket.Send(test.start + block);
+        while (!closed && socket.Send(block)) {
           socket.Receive(HasHead, std::chrono::milliseconds(slow ? 5 : 0),
                          closed);
         }
