Notice callers that leave while their body is unread

Cause: the frontend peeks at one byte to see the end of a connection; bytes of an upload that waits for a slot stand before it. Change: if bytes are waiting, it asks the kernel whether the caller has ended its side of the connection.

--- a/Source/daemon/http_frontend.cc
+++ b/Source/daemon/http_frontend.cc
@@ -111,11 +111,16 @@
                         "the daemon failed to handle the request");
 }
 
-// Whether the caller has closed or reset its connection.
+// Whether the caller has closed or reset its connection. The end of the
+// connection may stand behind bytes of a body that is not read yet.
 bool HasDisconnected(int socket) {
   char byte = 0;
   const ssize_t count =
       ::recv(socket, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  if (count > 0) {
+    pollfd entry{socket, POLLRDHUP, 0};
+    return ::poll(&entry, 1, 0) > 0;
+  }
   return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK &&
                         errno != EINTR);
 }
--- a/Tests/daemon/upload_test.cc
+++ b/Tests/daemon/upload_test.cc
@@ -75,7 +75,8 @@
       : port(RawServer(kIp, [](RawSocket&, int) {}).Port()),
         frontend(
             [this, handler = std::move(handler)](const HttpRequest& request,
-                                                 const CancelCheck&) {
+                                                 const CancelCheck& cancelled) {
+              this->wait(cancelled);
               handler(request);
               return IngressReply{
                   this->outcome,
@@ -93,6 +94,8 @@
     return RawSocket::Connect(kIp, this->port);
   }
 
+  // Called before the handler.
+  std::function<void(const CancelCheck&)> wait = [](const CancelCheck&) {};
   // Outcome of all requests.
   std::atomic<CallerOutcome> outcome{CallerOutcome::kAnswered};
 
@@ -120,6 +123,34 @@
                       MakeChunks(body, chunk_size));
 }
 
+// Guards against orders that run for callers that have left, since the close of
+// the connection stands behind a body that waits for a slot.
+TEST_CASE("a caller that leaves while its body is unread is noticed",
+          "[upload]") {
+  constexpr milliseconds kMaxNoticeTime{500};
+  const bool chunked = GENERATE(true, false);
+  INFO(chunked);
+  std::promise<void> arrived;
+  std::promise<Clock::time_point> noticed;
+  TestFrontend frontend([](const HttpRequest&) {});
+  frontend.wait = [&](const CancelCheck& cancelled) {
+    CHECK_FALSE(cancelled());
+    arrived.set_value();
+    const Clock::time_point end = Clock::now() + 4 * kMaxNoticeTime;
+    while (!cancelled() && Clock::now() < end) {
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+    noticed.set_value(Clock::now());
+  };
+  const std::string body = MakeBody(90'000);
+  auto caller = frontend.Connect();
+  REQUIRE(caller->Send(chunked ? WithChunks(body, 7000) : WithLength(body)));
+  arrived.get_future().wait();
+  const Clock::time_point left_at = Clock::now();
+  caller.reset();
+  CHECK(noticed.get_future().get() - left_at < kMaxNoticeTime);
+}
+
 // Guards against bytes of a large body that are lost, changed or taken for the
 // next request.
 TEST_CASE("a large body reaches the handler unchanged", "[upload]") {
