Share the memory for ledgers between the endpoints of a daemon

Cause: the record of an order is kept for 30 s, and each endpoint had 512 KiB for records, a fourteenth of the daemon's memory for them, also where it is the only endpoint of its VM. Change: the endpoints of a daemon share 7 MiB, which is what 14 of them had.

--- a/Source/daemon/owned_endpoint.cc
+++ b/Source/daemon/owned_endpoint.cc
@@ -9,10 +9,12 @@
 namespace comfrey {
 namespace {
 
-// The endpoints of a VM share the memory of its daemon. In a fleet of the
-// target size, a VM has about 14 endpoints; with 512 KiB each, their ledgers
-// take 7 MB of the daemon's limit of 32 MB.
-constexpr std::size_t kLedgerBytes = std::size_t{512} << 10;
+// The ledgers of all endpoints of a VM take at most this part of the limit of
+// 32 MB of its daemon.
+constexpr std::size_t kLedgerBytes = std::size_t{7} << 20;
+// In a fleet of the target size, a VM has about 14 endpoints. With more of
+// them, each still has this much.
+constexpr std::size_t kMinLedgerBytes = std::size_t{512} << 10;
 
 // Without a configured latency, the expected service time is 1/4 of the rank's
 // latency target, since a target leaves time for a wait and a retry.
@@ -66,7 +68,7 @@
                           const ServiceConfig& service) {
   const KeyTimes times = MakeKeyTimes(service);
   LedgerLimits limits;
-  limits.byte_budget = kLedgerBytes;
+  limits.byte_budget = kMinLedgerBytes;
   KeyedOwner keyed;
   keyed.endpoint = identity.endpoint.address;
   keyed.ledger = MakeAttemptLedger(times, limits, identity.incarnation,
@@ -241,4 +243,11 @@
   }
 }
 
+// A VM with one fast endpoint may run hundreds of orders a second, and the
+// record of each is kept for half a minute and longer.
+void ShareLedgerBytes(OwnedEndpoint& endpoint, std::size_t endpoint_count) {
+  endpoint.keyed.ledger.limits.byte_budget = std::max(
+      kMinLedgerBytes, kLedgerBytes / std::max<std::size_t>(endpoint_count, 1));
+}
+
 }  // namespace comfrey
--- a/Source/daemon/owned_endpoint.h
+++ b/Source/daemon/owned_endpoint.h
@@ -129,6 +129,10 @@
                           const std::string& sibling,
                           const EndpointSummary& summary);
 
+/// \brief Gives an endpoint its part of the memory for ledgers, which the
+/// configured endpoints of this daemon share equally.
+void ShareLedgerBytes(OwnedEndpoint& endpoint, std::size_t endpoint_count);
+
 }  // namespace comfrey
 
 #endif  // DAEMON_OWNED_ENDPOINT_H_
--- a/Source/daemon/owner_service.cc
+++ b/Source/daemon/owner_service.cc
@@ -130,8 +130,9 @@
     }
   }
   for (auto& [key, endpoint] : this->endpoints) {
+    const std::lock_guard<std::mutex> endpoint_lock(endpoint->mutex);
+    ShareLedgerBytes(*endpoint, configured.size());
     if (configured.count(key) == 0) {
-      const std::lock_guard<std::mutex> endpoint_lock(endpoint->mutex);
       endpoint->configured = false;
       UpdateDraining(*endpoint);
     }
--- a/Tests/daemon/owner_service_test.cc
+++ b/Tests/daemon/owner_service_test.cc
@@ -227,6 +227,23 @@
   }
 }
 
+// Guards against orders that are refused at an idle endpoint because the ledger
+// is full of orders that ran: 80 orders a second, whose records are kept for
+// 30 s.
+TEST_CASE("orders at the rate of a fast endpoint do not fill the ledger",
+          "[owner_service]") {
+  constexpr int kOrders = 80 * 30;
+  OwnerFixture fixture;
+  fixture.Release();
+  int answered = 0;
+  for (int i = 0; i < kOrders; ++i) {
+    const rpc::Result result = fixture.owner.Forward(
+        fixture.MakeRequest(false), {[] {}, [] { return false; }});
+    answered += result.outcome() == rpc::OUTCOME_ANSWERED ? 1 : 0;
+  }
+  CHECK(answered == kOrders);
+}
+
 // Guards against a duplicate of a returned attempt that runs after the endpoint
 // is back, although its ingress has sent the request to another endpoint.
 TEST_CASE("a returned attempt never runs", "[owner_service]") {
