Count a run in a test before its backend server sends bytes

Cause, in the test: its backend server sent the copy and counted the run after that, while the client returns as soon as it has read the copy. With a pause of 10 ms between the two the test fails each time. The run is now counted when the request has arrived; the checks are the same.

--- a/Tests/daemon/backend_client_test.cc
+++ b/Tests/daemon/backend_client_test.cc
@@ -709,13 +709,15 @@
           }
           copied = true;
           request = socket.Receive(HasHead, kTestTimeout, closed);
-          if (HasHead(request) &&
-              test.copy_time == CopyTime::kAfterNextRequest) {
-            socket.Send(copy);
-          }
         }
         if (HasHead(request)) {
+          // Counted before any byte is sent, since the client may return as
+          // soon as it has read the copy.
           ++runs;
+          if (connection == 0 &&
+              test.copy_time == CopyTime::kAfterNextRequest) {
+            socket.Send(copy);
+          }
           socket.Send(MakeOwnResponse(test.second_id));
           socket.Receive(HasHead, kTestTimeout, closed);
         }
