Charge the end of a request to no path that it says nothing about

Seen by callers: orders refused, or answered 502, after requests of others that ended for a reason of their own: a deadline shorter than the time of the path, an order too old for a stamp, an upload that breaks off. Cause: the limit of a call is the smaller of the request's deadline and the path's time, and either end counted as a failure of the path; a stamp that was of no use counted as an owner that cannot be reached; a call cancelled for its body replaced the connection. Change: a call says whether it shows a failure of the path. If it says nothing, the path is checked by a trial of the daemon and stays in use.

--- a/Source/core/path_health.cc
+++ b/Source/core/path_health.cc
@@ -64,6 +64,16 @@
   path.trial_started = now;
 }
 
+void RequestCheck(PathHealth& path) {
+  path.check_requested = true;
+}
+
+bool TakeCheck(PathHealth& path) {
+  const bool due = path.check_requested && IsPathUsable(path);
+  path.check_requested = false;
+  return due;
+}
+
 void RecordPathSuccess(PathHealth& path, TimePoint sent_at, TimePoint now) {
   if (path.state != PathState::kUsable && sent_at <= path.suspect_since) {
     // The attempt is older than the failure: the owner may have sent its reply
@@ -75,6 +85,7 @@
   }
   path.state = PathState::kUsable;
   path.failures = 0;
+  path.check_requested = false;
   const auto measured = std::min<microseconds>(
       std::chrono::duration_cast<microseconds>(now - sent_at), kMaxAcceptTime);
   // The minimum is kept in addition to the average, because the average
--- a/Source/core/path_health.h
+++ b/Source/core/path_health.h
@@ -32,6 +32,8 @@
   std::chrono::steady_clock::time_point suspect_since;
   std::chrono::steady_clock::time_point retry_at;
   std::chrono::steady_clock::time_point trial_started;
+  /// Whether a trial is due although the path is usable, see `RequestCheck`.
+  bool check_requested = false;
 };
 
 /// \brief Returns how long to wait for the owner to accept or refuse an attempt
@@ -51,6 +53,17 @@
 /// ends.
 void BeginTrial(PathHealth& path, std::chrono::steady_clock::time_point now);
 
+/// \brief Records that an attempt ended without an acceptance for a reason of
+/// its own, for example because its deadline was short.
+///
+/// This says nothing about the path, so a usable path stays in use until a
+/// trial has shown that it failed.
+void RequestCheck(PathHealth& path);
+
+/// \brief Returns whether a check of a usable path is due, and marks it as
+/// begun.
+bool TakeCheck(PathHealth& path);
+
 /// \brief Records that the owner accepted or refused an attempt.
 ///
 /// A suspect path becomes usable only if the attempt was sent after the path
--- a/Source/daemon/endpoint_directory.cc
+++ b/Source/daemon/endpoint_directory.cc
@@ -483,7 +483,12 @@
   }
   std::vector<std::string> due;
   for (auto& [ip, path] : this->paths) {
-    if (in_use.count(ip) > 0 && !IsPathUsable(path) && IsTrialDue(path, now)) {
+    if (in_use.count(ip) == 0) {
+      continue;
+    }
+    if (TakeCheck(path)) {
+      due.push_back(ip);
+    } else if (!IsPathUsable(path) && IsTrialDue(path, now)) {
       BeginTrial(path, now);
       due.push_back(ip);
     }
@@ -558,6 +563,11 @@
   this->UpdateReachability(ip, was_clear);
 }
 
+void EndpointDirectory::RequestPathCheck(const std::string& ip) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  RequestCheck(this->paths[ip]);
+}
+
 // Updates the views of the owner's endpoints if its path has become usable or
 // suspect.
 void EndpointDirectory::UpdateReachability(const std::string& ip,
--- a/Source/daemon/endpoint_directory.h
+++ b/Source/daemon/endpoint_directory.h
@@ -121,9 +121,9 @@
   /// the result by RecordAccepted or RecordFailure.
   std::vector<std::string> UnconnectedStandbys();
 
-  /// \brief Begins the due trials of suspect paths and returns their owners.
-  /// The caller reports the result of each trial by RecordAccepted or
-  /// RecordFailure.
+  /// \brief Begins the due trials of suspect paths, and of paths whose check
+  /// was requested, and returns their owners. The caller reports the result of
+  /// each trial by RecordAccepted or RecordFailure.
   std::vector<std::string> BeginDueTrials();
 
   /// \brief Applies the status in a reply of an owner.
@@ -137,6 +137,9 @@
                      PathFailure failure,
                      TimePoint sent_at,
                      TimePoint now);
+  /// \brief Requests a trial of the path to an owner after a call that ended
+  /// for a reason of its own, see RequestCheck.
+  void RequestPathCheck(const std::string& ip);
   std::chrono::microseconds AcceptTimeoutOf(const std::string& ip);
 
   /// \brief Adds recent summaries of the other endpoints of the service to a
--- a/Source/daemon/forward_call.cc
+++ b/Source/daemon/forward_call.cc
@@ -169,7 +169,8 @@
   }
 
   // Sends the body once the owner asks for it. Returns whether the request was
-  // cancelled before; the call is cancelled if the body cannot be read.
+  // cancelled before; the call is cancelled if the body cannot be read, see
+  // BodyFailed.
   bool SendBody(BodyStream& body,
                 Clock::time_point deadline,
                 const CancelCheck& cancelled) {
@@ -186,6 +187,7 @@
           ReadPart(body, std::min<Clock::time_point>(
                              deadline, Clock::now() + kCancelPollPeriod));
       if (next.kind == BodyPartKind::kFailed) {
+        this->body_failed = true;
         this->context.TryCancel();
         break;
       }
@@ -201,6 +203,10 @@
     return stopped;
   }
 
+  // Whether the call was cancelled because the body could not be read; valid
+  // after SendBody.
+  bool BodyFailed() const { return this->body_failed; }
+
  private:
   bool IsOver() const { return this->has_result || this->ended; }
 
@@ -235,6 +241,7 @@
   rpc::UploadPart part;
   // Whether `part` is being written. The constructor writes the head.
   bool writing = true;
+  bool body_failed = false;
 };
 
 absl::Status CallError(absl::string_view action,
@@ -282,24 +289,27 @@
   // The accept time starts here, since the handshake of a new connection takes
   // additional round trips.
   const Clock::time_point sent_at = Clock::now();
+  const Clock::time_point accept_deadline = sent_at + limits.accept_timeout;
   call.cancelled = reactor.WaitAccepted(
-      std::min(limits.deadline, sent_at + limits.accept_timeout),
-      limits.cancelled);
+      std::min(limits.deadline, accept_deadline), limits.cancelled);
   call.accept_time = std::chrono::duration_cast<std::chrono::microseconds>(
       Clock::now() - sent_at);
   const bool accepted_in_time = reactor.Accepted();
+  const bool ended_in_time = reactor.Ended();
+  bool body_failed = false;
   if constexpr (std::is_same_v<Reactor, UploadReactor>) {
     const Clock::time_point body_deadline =
         accepted_in_time && !call.cancelled ? limits.deadline : sent_at;
     const bool cancelled_in_body =
         reactor.SendBody(*body, body_deadline, limits.cancelled);
     call.cancelled = call.cancelled || cancelled_in_body;
+    body_failed = reactor.BodyFailed();
   }
   // The status of a call whose replies have ended shows why they ended.
   const Clock::time_point done_deadline =
-      accepted_in_time  ? limits.deadline + kReplyGrace
-      : reactor.Ended() ? Clock::now() + limits.accept_timeout
-                        : Clock::now();
+      accepted_in_time ? limits.deadline + kReplyGrace
+      : ended_in_time  ? Clock::now() + limits.accept_timeout
+                       : Clock::now();
   const bool cancelled_later =
       reactor.WaitDone(done_deadline, limits.cancelled);
   call.cancelled = call.cancelled || cancelled_later;
@@ -323,6 +333,7 @@
   }
   if (!accepted_in_time) {
     call.transport = TransportOutcome::kNotAccepted;
+    call.path_failed = ended_in_time || accept_deadline <= limits.deadline;
     call.error =
         CallError("forward to", address,
                   reactor.Status().error_code() == grpc::StatusCode::CANCELLED
@@ -333,6 +344,7 @@
   const bool timed_out = Clock::now() >= limits.deadline;
   call.transport =
       timed_out ? TransportOutcome::kTimedOut : TransportOutcome::kFailed;
+  call.path_failed = !timed_out && !body_failed;
   call.error = CallError("forward to", address,
                          timed_out ? "no result by the deadline"
                                    : reactor.Status().error_message());
@@ -346,13 +358,16 @@
                               BodyStream* body,
                               const ForwardLimits& limits) {
   const Clock::time_point accept_deadline =
-      std::min(limits.deadline, Clock::now() + limits.accept_timeout);
+      Clock::now() + limits.accept_timeout;
+  const Clock::time_point connect_deadline =
+      std::min(limits.deadline, accept_deadline);
   // The call starts only when the connection is open. Without a connection, the
   // owner certainly did not receive the request.
-  if (!WaitConnected(*owner.channel, accept_deadline, limits.cancelled)) {
+  if (!WaitConnected(*owner.channel, connect_deadline, limits.cancelled)) {
     ForwardCallResult call;
     call.transport = TransportOutcome::kNotSent;
-    call.cancelled = Clock::now() < accept_deadline;
+    call.cancelled = Clock::now() < connect_deadline;
+    call.path_failed = !call.cancelled && accept_deadline <= limits.deadline;
     call.error =
         CallError("connect to", owner.address,
                   call.cancelled ? kCancelledError : "no connection in time");
--- a/Source/daemon/forward_call.h
+++ b/Source/daemon/forward_call.h
@@ -29,9 +29,12 @@
   rpc::Result result;
   absl::Status error;
   bool accepted = false;
-  /// Whether the request was cancelled before the call ended. Such a call says
-  /// nothing about the path to the owner.
+  /// Whether the request was cancelled before the call ended.
   bool cancelled = false;
+  /// Whether the end of the call shows that the owner or the path to it failed.
+  /// If the call ended because of its own request (a deadline, a cancellation,
+  /// a body that cannot be read), it says nothing about them.
+  bool path_failed = false;
   std::chrono::microseconds accept_time{0};
 };
 
--- a/Source/daemon/ingress_attempt.cc
+++ b/Source/daemon/ingress_attempt.cc
@@ -81,20 +81,12 @@
       attempt.ip, load_request, request.deadline,
       this->dependencies.directory.AcceptTimeoutOf(attempt.ip),
       request.cancelled);
-  const Clock::time_point now = Clock::now();
-  if (call.end == PeerCallEnd::kFailed) {
-    this->RecordUnreachableOwner(request, attempt, sent_at, now);
+  if (call.end != PeerCallEnd::kReplied) {
+    this->RecordNoReply(request, attempt, call.end, sent_at);
     return false;
   }
+  const Clock::time_point now = Clock::now();
   this->dependencies.directory.RecordAccepted(attempt.ip, sent_at, now);
-  if (call.end == PeerCallEnd::kUnreadable) {
-    this->unreadable.Add();
-    attempt.SetOutcome(
-        CallerOutcome::kNotRun, rpc::REFUSAL_NONE,
-        absl::StrCat("the load query for ", attempt.endpoint,
-                     " was not read, or its reply cannot be read"));
-    return false;
-  }
   if (!call.reply.has_status()) {
     attempt.SetOutcome(
         CallerOutcome::kNotRun, rpc::REFUSAL_NOT_OWNER,
@@ -121,22 +113,42 @@
   return false;
 }
 
-// Records a failure of the path to the owner, unless the wait was cancelled,
-// and sets the outcome of the attempt: nothing was sent, so it did not run.
-void AttemptSender::RecordUnreachableOwner(const IngressRequest& request,
-                                           IngressAttempt& attempt,
-                                           Clock::time_point sent_at,
-                                           Clock::time_point now) {
+// Records the end of a call to the owner that was made before the request was
+// sent and that brought no reply. Sets the outcome of the attempt: nothing was
+// sent, so it did not run.
+void AttemptSender::RecordNoReply(const IngressRequest& request,
+                                  IngressAttempt& attempt,
+                                  PeerCallEnd end,
+                                  Clock::time_point sent_at) {
+  EndpointDirectory& directory = this->dependencies.directory;
+  attempt.SetOutcome(CallerOutcome::kNotRun, rpc::REFUSAL_NONE,
+                     "the request was cancelled before it was sent");
   if (request.cancelled()) {
-    attempt.SetOutcome(CallerOutcome::kNotRun, rpc::REFUSAL_NONE,
-                       "the request was cancelled before it was sent");
+    directory.RequestPathCheck(attempt.ip);
     return;
   }
-  this->dependencies.directory.RecordFailure(
-      attempt.ip, PathFailure::kTransport, sent_at, now);
-  attempt.SetOutcome(
-      CallerOutcome::kNotRun, rpc::REFUSAL_NONE,
-      absl::StrCat("the owner of ", attempt.endpoint, " cannot be reached"));
+  switch (end) {
+    case PeerCallEnd::kUnreadable:
+      this->unreadable.Add();
+      directory.RecordAccepted(attempt.ip, sent_at, Clock::now());
+      attempt.detail = absl::StrCat("a call to the owner of ", attempt.endpoint,
+                                    " was not read, or its reply cannot be "
+                                    "read");
+      return;
+    case PeerCallEnd::kExpired:
+      directory.RequestPathCheck(attempt.ip);
+      attempt.reason = rpc::REFUSAL_DEADLINE;
+      attempt.detail = absl::StrCat("the deadline passed before the owner of ",
+                                    attempt.endpoint, " replied");
+      return;
+    case PeerCallEnd::kReplied:
+    case PeerCallEnd::kFailed:
+      break;
+  }
+  directory.RecordFailure(attempt.ip, PathFailure::kTransport, sent_at,
+                          Clock::now());
+  attempt.detail =
+      absl::StrCat("the owner of ", attempt.endpoint, " cannot be reached");
 }
 
 void AttemptSender::FillRequest(const IngressRequest& request,
@@ -170,7 +182,8 @@
 }
 
 // Adds a stamp of the owner to the message, and requests a new stamp if the
-// stored one is too old. Returns false if there is no usable stamp.
+// stored one is too old. If there is no usable stamp, returns false and sets
+// the outcome of the attempt.
 bool AttemptSender::AttachFreshStamp(const IngressRequest& request,
                                      IngressAttempt& attempt) {
   std::optional<ReceivedStamp> stamp =
@@ -185,12 +198,22 @@
                retention, request.read_at, stamp->received_at);
   };
   if (!usable()) {
-    stamp = this->dependencies.owners.RefreshStamp(
+    const Clock::time_point sent_at = Clock::now();
+    const StampCallResult call = this->dependencies.owners.RefreshStamp(
         attempt.ip, request.deadline,
         this->dependencies.directory.AcceptTimeoutOf(attempt.ip),
         request.cancelled);
+    if (call.end != PeerCallEnd::kReplied) {
+      this->RecordNoReply(request, attempt, call.end, sent_at);
+      return false;
+    }
+    stamp = call.stamp;
   }
+  // A new stamp is of no use to a request that was read too long ago, or before
+  // this process paused. That is no fault of the owner.
   if (!usable()) {
+    attempt.SetOutcome(CallerOutcome::kNotRun, rpc::REFUSAL_STALE_FORWARD,
+                       "the request was read too long ago for a new stamp");
     return false;
   }
   ToProto(stamp->stamp, *attempt.message.mutable_stamp());
@@ -201,8 +224,6 @@
 void AttemptSender::SendNonIdempotent(const IngressRequest& request,
                                       IngressAttempt& attempt) {
   if (!this->AttachFreshStamp(request, attempt)) {
-    const auto now = Clock::now();
-    this->RecordUnreachableOwner(request, attempt, now, now);
     return;
   }
   const LedgerRequest ledger_request = LedgerRequestFromProto(attempt.message);
@@ -250,27 +271,10 @@
       {request.deadline,
        this->dependencies.directory.AcceptTimeoutOf(attempt.ip),
        request.cancelled});
-  const Clock::time_point now = Clock::now();
-  const bool unreadable = call.transport == TransportOutcome::kUnreadable;
-  if (unreadable) {
-    this->unreadable.Add();
-  }
-  if (call.accepted || unreadable ||
-      call.transport == TransportOutcome::kReplied) {
-    this->dependencies.directory.RecordAccepted(attempt.ip, sent_at,
-                                                sent_at + call.accept_time);
-  } else if (!call.cancelled) {
-    this->path_failures.Add();
-    this->dependencies.directory.RecordFailure(
-        attempt.ip,
-        call.transport == TransportOutcome::kNotAccepted
-            ? PathFailure::kAcceptTimeout
-            : PathFailure::kTransport,
-        sent_at, now);
-  }
+  this->RecordPath(attempt, call, sent_at);
   if (call.transport == TransportOutcome::kReplied) {
     this->dependencies.directory.RecordReply(
-        request.service, request.match.rank->name, call.result, now);
+        request.service, request.match.rank->name, call.result, Clock::now());
     attempt.reason = call.result.reason();
     attempt.sent = call.result.sent_to_backend();
     attempt.detail = call.result.detail();
@@ -299,6 +303,33 @@
   }
 }
 
+// Records what the end of a Forward call says about the path to the owner. If
+// it says nothing, the path is checked: a connection may have become silent
+// while no request waited long enough to notice it.
+void AttemptSender::RecordPath(const IngressAttempt& attempt,
+                               const ForwardCallResult& call,
+                               Clock::time_point sent_at) {
+  EndpointDirectory& directory = this->dependencies.directory;
+  const bool unreadable = call.transport == TransportOutcome::kUnreadable;
+  const bool replied = call.transport == TransportOutcome::kReplied;
+  if (unreadable) {
+    this->unreadable.Add();
+  }
+  if (call.accepted || unreadable || replied) {
+    directory.RecordAccepted(attempt.ip, sent_at, sent_at + call.accept_time);
+  } else if (call.path_failed) {
+    this->path_failures.Add();
+    directory.RecordFailure(attempt.ip,
+                            call.transport == TransportOutcome::kNotAccepted
+                                ? PathFailure::kAcceptTimeout
+                                : PathFailure::kTransport,
+                            sent_at, Clock::now());
+  }
+  if (!call.path_failed && !unreadable && !replied) {
+    directory.RequestPathCheck(attempt.ip);
+  }
+}
+
 // Sets the outcome of an attempt to a response of its backend server.
 void AttemptSender::SetResponse(rpc::Answer& answer, IngressAttempt& attempt) {
   const int status = answer.status();
--- a/Source/daemon/ingress_attempt.h
+++ b/Source/daemon/ingress_attempt.h
@@ -118,10 +118,13 @@
   void SetResponse(rpc::Answer& answer, IngressAttempt& attempt);
   void FenceAfterFailure(const IngressRequest& request,
                          IngressAttempt& attempt);
-  void RecordUnreachableOwner(const IngressRequest& request,
-                              IngressAttempt& attempt,
-                              TimePoint sent_at,
-                              TimePoint now);
+  void RecordNoReply(const IngressRequest& request,
+                     IngressAttempt& attempt,
+                     PeerCallEnd end,
+                     TimePoint sent_at);
+  void RecordPath(const IngressAttempt& attempt,
+                  const ForwardCallResult& call,
+                  TimePoint sent_at);
 
   IngressIdentity identity;
   IngressDependencies dependencies;
--- a/Source/daemon/owner_client.cc
+++ b/Source/daemon/owner_client.cc
@@ -56,6 +56,14 @@
   Clock::time_point ended_at;
 };
 
+// Time limits of a unary call.
+struct CallLimits {
+  // Deadline of the request for which the call is made.
+  Clock::time_point deadline;
+  // Time that the peer has to reply.
+  std::chrono::microseconds timeout;
+};
+
 // A unary call that has been started over the pooled channel.
 template <typename Request>
 class StartedCall {
@@ -63,14 +71,21 @@
   StartedCall(ChannelPool& channels,
               const std::string& address,
               const Request& request,
-              Clock::time_point deadline)
+              const CallLimits& limits)
       : channels(channels), channel(channels.Get(address)) {
-    this->context.set_deadline(ToSystemTime(deadline));
+    const Clock::time_point reply_deadline = Clock::now() + limits.timeout;
+    const bool may_expire = limits.deadline < reply_deadline;
+    this->context.set_deadline(
+        ToSystemTime(std::min(limits.deadline, reply_deadline)));
     this->context.set_wait_for_ready(true);
-    StartPeerCall(*this->channel, this->context, request, this->reply,
-                  [this](PeerCallEnd end, const grpc::Status& /*status*/) {
-                    this->waiter.Set(end);
-                  });
+    StartPeerCall(
+        *this->channel, this->context, request, this->reply,
+        [this, may_expire](PeerCallEnd end, const grpc::Status& status) {
+          const bool expired =
+              may_expire &&
+              status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED;
+          this->waiter.Set(expired ? PeerCallEnd::kExpired : end);
+        });
   }
 
   StartedCall(const StartedCall&) = delete;
@@ -105,9 +120,9 @@
                      const std::string& address,
                      const Request& request,
                      typename PeerMethod<Request>::Reply& reply,
-                     Clock::time_point deadline,
+                     const CallLimits& limits,
                      const CancelCheck& cancelled) {
-  StartedCall<Request> call(channels, address, request, deadline);
+  StartedCall<Request> call(channels, address, request, limits);
   const PeerCallEnd end = call.Wait(cancelled);
   if (end == PeerCallEnd::kReplied) {
     reply = std::move(call.Reply());
@@ -130,9 +145,8 @@
   for (int i = 0; i < kTries && call_end == PeerCallEnd::kFailed &&
                   Clock::now() < deadline && !cancelled();
        ++i) {
-    const Clock::time_point end =
-        std::min<Clock::time_point>(deadline, Clock::now() + kCallTimeout);
-    call_end = CallOnce(channels, address, request, reply, end, cancelled);
+    call_end = CallOnce(channels, address, request, reply,
+                        {deadline, kCallTimeout}, cancelled);
   }
   return call_end;
 }
@@ -157,8 +171,7 @@
   ForwardCallResult call = ForwardOnce(*channel, request, body, limits);
   if (call.transport == TransportOutcome::kReplied) {
     this->StoreStamp(ip, call.result.stamp());
-  } else if (!call.cancelled &&
-             call.transport != TransportOutcome::kUnreadable) {
+  } else if (call.path_failed) {
     this->channels.Remove(channel);
   }
   return call;
@@ -171,19 +184,19 @@
                                      : std::make_optional(found->second);
 }
 
-std::optional<ReceivedStamp> OwnerClient::RefreshStamp(
-    const std::string& ip,
-    TimePoint deadline,
-    std::chrono::microseconds timeout,
-    const CancelCheck& cancelled) {
+StampCallResult OwnerClient::RefreshStamp(const std::string& ip,
+                                          TimePoint deadline,
+                                          std::chrono::microseconds timeout,
+                                          const CancelCheck& cancelled) {
+  StampCallResult call;
   rpc::OwnerStamp stamp;
-  if (CallOnce(this->channels, this->AddressOf(ip), rpc::StampRequest(), stamp,
-               std::min(deadline, Clock::now() + timeout),
-               cancelled) != PeerCallEnd::kReplied) {
-    return std::nullopt;
+  call.end = CallOnce(this->channels, this->AddressOf(ip), rpc::StampRequest(),
+                      stamp, {deadline, timeout}, cancelled);
+  if (call.end == PeerCallEnd::kReplied) {
+    this->StoreStamp(ip, stamp);
+    call.stamp = {FromProto(stamp), Clock::now()};
   }
-  this->StoreStamp(ip, stamp);
-  return ReceivedStamp{FromProto(stamp), Clock::now()};
+  return call;
 }
 
 std::vector<std::optional<OwnerClient::TimePoint>> OwnerClient::RefreshStamps(
@@ -192,11 +205,14 @@
     const CancelCheck& cancelled) {
   using StampCall = StartedCall<rpc::StampRequest>;
   const rpc::StampRequest request;
+  const CallLimits limits = {
+      TimePoint::max(), std::chrono::duration_cast<std::chrono::microseconds>(
+                            deadline - Clock::now())};
   std::vector<std::unique_ptr<StampCall>> calls;
   calls.reserve(ips.size());
   for (const std::string& ip : ips) {
     calls.push_back(std::make_unique<StampCall>(
-        this->channels, this->AddressOf(ip), request, deadline));
+        this->channels, this->AddressOf(ip), request, limits));
   }
   std::vector<std::optional<TimePoint>> replied_at(ips.size());
   for (std::size_t i = 0; i < ips.size(); ++i) {
@@ -215,7 +231,7 @@
                                       const CancelCheck& cancelled) {
   LoadCallResult call;
   call.end = CallOnce(this->channels, this->AddressOf(ip), request, call.reply,
-                      std::min(deadline, Clock::now() + timeout), cancelled);
+                      {deadline, timeout}, cancelled);
   if (call.end == PeerCallEnd::kReplied) {
     this->StoreStamp(ip, call.reply.stamp());
   }
@@ -235,6 +251,7 @@
     case PeerCallEnd::kUnreadable:
       reply.set_state(rpc::FENCE_UNKNOWN);
       break;
+    case PeerCallEnd::kExpired:
     case PeerCallEnd::kFailed:
       reply.set_state(rpc::FENCE_UNSPECIFIED);
       break;
--- a/Source/daemon/owner_client.h
+++ b/Source/daemon/owner_client.h
@@ -22,6 +22,12 @@
   std::chrono::steady_clock::time_point received_at;
 };
 
+/// \brief Result of a call for a stamp; `stamp` is valid if the owner replied.
+struct StampCallResult {
+  PeerCallEnd end = PeerCallEnd::kFailed;
+  ReceivedStamp stamp;
+};
+
 /// \brief Result of a load query; `reply` is valid if the owner replied.
 struct LoadCallResult {
   PeerCallEnd end = PeerCallEnd::kFailed;
@@ -38,7 +44,7 @@
               RefusalMeaning meaning = RefusalMeaning::kNone);
 
   /// \brief Sends one attempt, whose body is read from `body` unless it is
-  /// null. If the call fails or gets no reply, the next call uses a new
+  /// null. If the owner or the path to it failed, the next call uses a new
   /// connection.
   ForwardCallResult Forward(const std::string& ip,
                             const rpc::ForwardRequest& request,
@@ -48,12 +54,11 @@
   /// \brief Returns the newest stamp of the owner, or nothing if none is known.
   std::optional<ReceivedStamp> StampOf(const std::string& ip);
 
-  /// \brief Requests a new stamp from the owner, for at most `timeout`; returns
-  /// nothing if the call fails or is cancelled.
-  std::optional<ReceivedStamp> RefreshStamp(const std::string& ip,
-                                            TimePoint deadline,
-                                            std::chrono::microseconds timeout,
-                                            const CancelCheck& cancelled);
+  /// \brief Requests a new stamp from the owner, for at most `timeout`.
+  StampCallResult RefreshStamp(const std::string& ip,
+                               TimePoint deadline,
+                               std::chrono::microseconds timeout,
+                               const CancelCheck& cancelled);
 
   /// \brief Requests a new stamp from each of the owners at the same time.
   /// Returns when each replied, or nothing for an owner whose call failed or
--- a/Source/daemon/peer_call.h
+++ b/Source/daemon/peer_call.h
@@ -17,7 +17,10 @@
 enum class PeerCallEnd {
   kReplied,     ///< The whole reply was read.
   kUnreadable,  ///< One end could not read the message of the other.
-  kFailed,      ///< The peer or the path to it failed.
+  /// The deadline of the request came before the end of the time that the peer
+  /// has to reply. This says nothing about the peer or the path.
+  kExpired,
+  kFailed,  ///< The peer or the path to it failed.
 };
 
 /// \brief Classifies the end of a call. `reply_read` is whether a whole reply
--- a/Tests/core/path_health_test.cc
+++ b/Tests/core/path_health_test.cc
@@ -56,6 +56,25 @@
   CHECK(fixture.path.retry_at - now < milliseconds(300));
 }
 
+// Guards against a silent path that stays in use because no request waits long
+// enough on it, and against taking a path out of use for requests that end by
+// themselves.
+TEST_CASE("a requested check leaves the path in use until it fails") {
+  PathFixture fixture;
+  CHECK_FALSE(TakeCheck(fixture.path));
+  RequestCheck(fixture.path);
+  CHECK(IsPathUsable(fixture.path));
+  CHECK(TakeCheck(fixture.path));
+  CHECK_FALSE(TakeCheck(fixture.path));
+  RequestCheck(fixture.path);
+  RecordPathSuccess(fixture.path, kStart, kStart + milliseconds(1));
+  CHECK_FALSE(TakeCheck(fixture.path));
+  RequestCheck(fixture.path);
+  fixture.Fail(PathFailure::kTransport, kStart, kStart + milliseconds(2));
+  CHECK_FALSE(TakeCheck(fixture.path));
+  CHECK_FALSE(IsPathUsable(fixture.path));
+}
+
 // Guards against several increases of the backoff by requests that were in
 // flight during the same fault.
 TEST_CASE("failures in flight together count once") {
--- a/Tests/daemon/endpoint_directory_test.cc
+++ b/Tests/daemon/endpoint_directory_test.cc
@@ -103,6 +103,20 @@
   return count;
 }
 
+// Guards against a silent path whose requests all end before its accept
+// timeout, so that none of them shows that it failed.
+TEST_CASE("a path whose requests end by themselves is tried") {
+  EndpointDirectory directory("vm-1", {"budapest", "bud-a"});
+  directory.ApplyConfig(MakeStore());
+  directory.RequestPathCheck(IpOf(0));
+  CHECK(CountChoices(directory, AddressOf(0)) > 0);
+  CHECK(directory.BeginDueTrials() == std::vector<std::string>{IpOf(0)});
+  CHECK(directory.BeginDueTrials().empty());
+  const auto now = std::chrono::steady_clock::now();
+  directory.RecordFailure(IpOf(0), PathFailure::kTransport, now, now);
+  CHECK(CountChoices(directory, AddressOf(0)) == 0);
+}
+
 // Guards against an endpoint that gets no requests for good, because the status
 // that took it out of use is only replaced by replies to requests.
 TEST_CASE("an endpoint is used again after its reported status has expired") {
--- a/Tests/daemon/owner_client_test.cc
+++ b/Tests/daemon/owner_client_test.cc
@@ -135,8 +135,9 @@
   stamp.set_incarnation(7);
   const RawOwner owner(CutReply(stamp));
   OwnerClient owners(channels, owner.port);
-  CHECK_FALSE(owners.RefreshStamp(kOwnerIp, Clock::now() + kCallTime, kCallTime,
-                                  never));
+  CHECK(
+      owners.RefreshStamp(kOwnerIp, Clock::now() + kCallTime, kCallTime, never)
+          .end == PeerCallEnd::kUnreadable);
   CHECK_FALSE(
       owners.RefreshStamps({kOwnerIp}, Clock::now() + kCallTime, never)[0]);
   CHECK_FALSE(owners.StampOf(kOwnerIp));
@@ -161,5 +162,34 @@
   CHECK(channels.Get(address) == channel);
 }
 
+// Guards against a path that counts as failed because the requests on it have
+// less time than a peer, and against one that never fails for that reason.
+TEST_CASE("only a call that lasts its time shows that a path failed",
+          "[owner_client]") {
+  constexpr milliseconds kShort{50};
+  constexpr milliseconds kLong{300};
+  const auto never = [] { return false; };
+  const RawServer silent(kOwnerIp, StaySilent);
+  const std::string address = kOwnerIp + (":" + std::to_string(silent.Port()));
+  for (const bool request_ends_first : {true, false}) {
+    INFO(request_ends_first);
+    const milliseconds left = request_ends_first ? kShort : kLong;
+    const milliseconds timeout = request_ends_first ? kLong : kShort;
+    const PeerCallEnd end =
+        request_ends_first ? PeerCallEnd::kExpired : PeerCallEnd::kFailed;
+    ChannelPool channels(4);
+    OwnerClient owners(channels, silent.Port());
+    const std::shared_ptr<PeerChannel> channel = channels.Get(address);
+    CHECK(owners.RefreshStamp(kOwnerIp, Clock::now() + left, timeout, never)
+              .end == end);
+    CHECK((channels.Get(address) == channel) == request_ends_first);
+    const std::shared_ptr<PeerChannel> next = channels.Get(address);
+    const ForwardCallResult call = owners.Forward(
+        kOwnerIp, {}, nullptr, {Clock::now() + left, timeout, never});
+    CHECK(call.path_failed == !request_ends_first);
+    CHECK((channels.Get(address) == next) == request_ends_first);
+  }
+}
+
 }  // namespace
 }  // namespace comfrey
--- a/Tests/daemon/peer_path_test.cc
+++ b/Tests/daemon/peer_path_test.cc
@@ -27,6 +27,8 @@
     "cs \x80\xff";
 // More than the largest body that is forwarded in one message.
 constexpr std::size_t kUploadBytes = 100'000;
+// Less than the shortest accept timeout of a path, which is 250 ms.
+constexpr std::chrono::milliseconds kShortDeadline{40};
 
 int FreePort() {
   return RawServer(kIp, [](RawSocket&, int) {}).Port();
@@ -57,11 +59,28 @@
   order.name = "order";
   order.path = "/order";
   order.repeat_safe = false;
+  RouteConfig hurried = safe;
+  hurried.name = "hurried";
+  hurried.path = "/hurried";
+  hurried.deadline = kShortDeadline;
+  RouteConfig hurried_order = hurried;
+  hurried_order.name = "hurried-order";
+  hurried_order.path = "/hurried-order";
+  hurried_order.repeat_safe = false;
+  // No stamp is ever fresh enough for this service, as for an order that was
+  // read before its ingress paused.
+  ServiceConfig stale = service;
+  stale.name = "stale";
+  stale.key_retention = std::chrono::microseconds(0);
+  RouteConfig stale_order = order;
+  stale_order.name = "stale-order";
+  stale_order.service = stale.name;
+  stale_order.path = "/stale-order";
   TeamConfig team;
   team.team = "team";
-  team.services = {service};
+  team.services = {service, stale};
   team.ranks = {rank};
-  team.routes = {safe, order};
+  team.routes = {safe, order, hurried, hurried_order, stale_order};
   auto store = std::make_shared<ConfigStore>();
   ReplaceTeam(*store, {1, 1}, team);
   return store;
@@ -108,6 +127,18 @@
     return this->ingress.Handle(request, [] { return false; });
   }
 
+  // Sends a request whose owner neither accepts nor refuses it while it waits.
+  IngressReply SendToBusyOwner(const HttpRequest& request) {
+    const std::lock_guard<std::mutex> busy(
+        this->owner.Endpoints().front()->mutex);
+    return this->Send(request);
+  }
+
+  // The connection over which requests are forwarded.
+  std::shared_ptr<PeerChannel> Connection() {
+    return this->channels.Get(absl::StrCat(kIp, ":", this->peer_port));
+  }
+
   std::int64_t Count(const std::string& counter) {
     return this->counters.Counter(counter).Value();
   }
@@ -227,5 +258,76 @@
   CHECK(path.Count("comfrey_ingress_path_failures_total") == 0);
 }
 
+// Sends orders, and one unusual request in six of them. Returns how many of the
+// orders are served.
+template <typename SendUnusual>
+int CountServedOrders(PeerPath& path, int orders, SendUnusual send_unusual) {
+  constexpr int kOrdersPerUnusual = 5;
+  int served = 0;
+  for (int i = 0; i < orders; ++i) {
+    if (i % kOrdersPerUnusual == 0) {
+      send_unusual();
+    }
+    const IngressReply reply = path.Send(path.MakeRequest("/order", "Kovacs"));
+    served += reply.response.status == 200 ? 1 : 0;
+  }
+  return served;
+}
+
+// Guards against orders of others that are refused because the deadline of one
+// request, which is shorter than the time that a path has, is taken for a dead
+// path.
+TEST_CASE("a short deadline of one request leaves others alone",
+          "[peer_path]") {
+  constexpr int kOrders = 15;
+  const std::string route = GENERATE("/hurried", "/hurried-order");
+  INFO(route);
+  PeerPath path;
+  REQUIRE(path.Send(path.MakeRequest("/order", "Kovacs")).response.status ==
+          200);
+  const std::shared_ptr<PeerChannel> connection = path.Connection();
+  CHECK(CountServedOrders(path, kOrders, [&] {
+          path.SendToBusyOwner(path.MakeRequest(route, "Kovacs"));
+        }) == kOrders);
+  CHECK(path.Count("comfrey_ingress_path_failures_total") == 0);
+  CHECK(path.Connection() == connection);
+}
+
+// Guards against orders of others that are refused because a request is too old
+// for any stamp, which is taken for an owner that cannot be reached.
+TEST_CASE("a stale order leaves others alone", "[peer_path]") {
+  constexpr int kOrders = 15;
+  PeerPath path;
+  CHECK(CountServedOrders(path, kOrders, [&] {
+          const IngressReply reply =
+              path.Send(path.MakeRequest("/stale-order", "Kovacs"));
+          CHECK(reply.outcome == CallerOutcome::kNotRun);
+        }) == kOrders);
+}
+
+// Guards against a connection that is given up, with the requests of others on
+// their way to it, because the body of one upload breaks off.
+TEST_CASE("a body that breaks off leaves the connection in use",
+          "[peer_path]") {
+  for (const char* route : {"/safe", "/order"}) {
+    INFO(route);
+    PeerPath path;
+    REQUIRE(path.Send(path.MakeRequest("/order", "Kovacs")).response.status ==
+            200);
+    const std::shared_ptr<PeerChannel> connection = path.Connection();
+    HttpRequest request = path.MakeRequest(route, "Kovacs");
+    AddUpload(request);
+    request.stream->read = [first = true](Clock::time_point) mutable {
+      const BodyPartKind kind =
+          first ? BodyPartKind::kBytes : BodyPartKind::kFailed;
+      first = false;
+      return BodyPart{kind, kind == BodyPartKind::kBytes ? "x" : ""};
+    };
+    CHECK(path.Send(request).response.status >= 500);
+    CHECK(path.Connection() == connection);
+    CHECK(path.Count("comfrey_ingress_path_failures_total") == 0);
+  }
+}
+
 }  // namespace
 }  // namespace comfrey
