Blame no backend server for a short deadline

Seen by callers: orders refused, or queued elsewhere, because the backend server was suspected of failing after one request that had little time left, from its caller or after it waited in a queue. Cause: a call that its deadline ended, and a 504, counted as a failure however little time the call had; one failure is enough for a suspicion. Change: such a call is evidence only if it lasted twice the assumed service time.

--- a/Source/core/admission_queue.cc
+++ b/Source/core/admission_queue.cc
@@ -260,12 +260,10 @@
     queue.policy.ranks.push_back({"default", 1, 1.0, microseconds(0)});
   }
   for (const RankPolicy& policy : queue.policy.ranks) {
+    const std::size_t index = queue.ranks.size();
     RankState& rank = queue.ranks.emplace_back();
     rank.policy = policy;
-    rank.mean_service_time =
-        ToSeconds(policy.expected_service_time > microseconds(0)
-                      ? policy.expected_service_time
-                      : queue.policy.expected_service_time);
+    rank.mean_service_time = ToSeconds(AssumedServiceTime(queue.policy, index));
     rank.service_time_deviation = rank.mean_service_time / 2;
     rank.last_sample_time = now;
     queue.by_urgency.push_back(queue.by_urgency.size());
@@ -329,6 +327,15 @@
 
 }  // namespace
 
+microseconds AssumedServiceTime(const AdmissionPolicy& policy,
+                                std::size_t rank) {
+  if (rank >= policy.ranks.size()) {
+    return microseconds(0);
+  }
+  const microseconds of_rank = policy.ranks[rank].expected_service_time;
+  return of_rank > microseconds(0) ? of_rank : policy.expected_service_time;
+}
+
 AdmissionQueue::AdmissionQueue(AdmissionPolicy policy, TimePoint now)
     : policy(std::move(policy)),
       adaptive_limit(static_cast<double>(this->policy.slots)),
--- a/Source/core/admission_queue.h
+++ b/Source/core/admission_queue.h
@@ -48,6 +48,11 @@
   std::size_t urgent_slots = 0;
 };
 
+/// \brief Service time that the policy assumes for the items of a rank,
+/// whatever was measured; 0 if the rank is not known.
+std::chrono::microseconds AssumedServiceTime(const AdmissionPolicy& policy,
+                                             std::size_t rank);
+
 enum class AdmissionVerdict { kRun, kQueued, kRefused };
 
 enum class RefusalReason {
--- a/Source/daemon/owner_service.cc
+++ b/Source/daemon/owner_service.cc
@@ -26,6 +26,13 @@
 constexpr std::chrono::microseconds kSuspectRetryDelay =
     std::chrono::milliseconds(500);
 
+// A call that its deadline ended is a failure of the backend server only if it
+// lasted this many of its expected service times.
+constexpr int kServiceTimesBeforeFailure = 2;
+// A backend server that answers 504 at the deadline does so at most this much
+// before.
+constexpr std::chrono::milliseconds kDeadlineSlack{100};
+
 // Number of slots that stay free when a request from another region starts.
 constexpr std::size_t kReservedSlots = 1;
 
@@ -36,6 +43,7 @@
 }
 
 constexpr int kServerError = 500;
+constexpr int kGatewayTimeout = 504;
 
 // Returns the id that identifies the request in the logs of all daemons.
 std::string TraceIdOf(const rpc::ForwardRequest& message,
@@ -439,7 +447,8 @@
       ClassifyReply(backend, this->protocol.headers);
   Finish(endpoint.queue, call.item, FinishOutcomeOf(reply), now);
   call.service_time = backend.latency;
-  if (IsSameBackendServer(called, endpoint.identity.endpoint)) {
+  if (IsSameBackendServer(called, endpoint.identity.endpoint) &&
+      IsEvidence(call, backend, reply, now)) {
     this->RecordReply(call, reply, now);
   }
   if (reply == BackendReplyClass::kDraining) {
@@ -460,6 +469,26 @@
   endpoint.changed.notify_all();
 }
 
+// Returns whether the end of a call says something about the backend server. A
+// request with little time left ends at its deadline at any of them. It may
+// have come with a short deadline, or have spent its time in queues.
+bool OwnerService::IsEvidence(const Call& call,
+                              const BackendResult& backend,
+                              BackendReplyClass reply,
+                              Clock::time_point now) {
+  const bool ended_by_deadline =
+      reply == BackendReplyClass::kTimedOut ||
+      (reply == BackendReplyClass::kNotSent && now >= call.deadline) ||
+      (reply == BackendReplyClass::kServerError &&
+       backend.response.status == kGatewayTimeout &&
+       now + kDeadlineSlack >= call.deadline);
+  const AdmissionQueue& queue = call.endpoint.queue;
+  const std::size_t rank = RankIndex(queue, call.message.rank());
+  return !ended_by_deadline ||
+         call.service_time >= kServiceTimesBeforeFailure *
+                                  AssumedServiceTime(queue.policy, rank);
+}
+
 // Updates the health and the failure suspicion of the endpoint, and logs when
 // the endpoint becomes suspect or is cleared.
 void OwnerService::RecordReply(Call& call,
--- a/Source/daemon/owner_service.h
+++ b/Source/daemon/owner_service.h
@@ -129,6 +129,10 @@
   void LogResult(const Call& call,
                  const OwnedEndpoint& endpoint,
                  const rpc::Result& result) const;
+  static bool IsEvidence(const Call& call,
+                         const BackendResult& backend,
+                         BackendReplyClass reply,
+                         Clock::time_point now);
   void RecordReply(Call& call, BackendReplyClass reply, Clock::time_point now);
   void FillForecast(OwnedEndpoint& endpoint,
                     const std::string& rank_name,
--- a/Tests/daemon/owner_service_test.cc
+++ b/Tests/daemon/owner_service_test.cc
@@ -43,11 +43,12 @@
   return endpoint;
 }
 
-TeamConfig MakeTeam(std::vector<EndpointConfig> endpoints) {
+TeamConfig MakeTeam(std::vector<EndpointConfig> endpoints,
+                    milliseconds target) {
   RankConfig rank;
   rank.name = "rank";
   rank.urgency = 1;
-  rank.target = seconds(10);
+  rank.target = target;
   ServiceConfig service;
   service.name = "service";
   service.slots = 1;
@@ -77,8 +78,10 @@
 // An owner with one endpoint, whose backend server holds all responses until
 // Release is called.
 struct OwnerFixture {
-  explicit OwnerFixture(const BackendProtocol& protocol = {})
-      : server(kIp, [this](RawSocket& socket, int) { this->ServeOne(socket); }),
+  explicit OwnerFixture(const BackendProtocol& protocol = {},
+                        milliseconds target = seconds(10))
+      : target(target),
+        server(kIp, [this](RawSocket& socket, int) { this->ServeOne(socket); }),
         watchdog(this->timers),
         log(this->counters),
         owner(
@@ -106,7 +109,8 @@
 
   void Apply(std::vector<EndpointConfig> endpoints) {
     ConfigStore store;
-    ReplaceTeam(store, {1, ++this->revision}, MakeTeam(std::move(endpoints)));
+    ReplaceTeam(store, {1, ++this->revision},
+                MakeTeam(std::move(endpoints), this->target));
     this->owner.ApplyConfig(store);
   }
 
@@ -140,6 +144,7 @@
   std::atomic<int> received{0};
   std::atomic<int> accepted{0};
   std::atomic<bool> released{false};
+  milliseconds target;
   std::uint64_t revision = 0;
   std::uint64_t sequence = 0;
   RawServer server;
@@ -266,6 +271,30 @@
   CHECK(fixture.received == 1);
 }
 
+// Guards against orders of others that are refused because the short deadline
+// of one request is taken for a fault of the backend server, and against a
+// backend server that hangs and is never suspected.
+TEST_CASE("a short deadline of one request is no fault of a backend server",
+          "[owner_service]") {
+  const bool short_deadline = GENERATE(true, false);
+  INFO("short deadline " << short_deadline);
+  // The expected service time is a quarter of the target: 100 ms.
+  OwnerFixture fixture({}, milliseconds(400));
+  rpc::ForwardRequest hurried = fixture.MakeRequest(true);
+  hurried.set_time_left_us(
+      std::chrono::microseconds(milliseconds(short_deadline ? 150 : 300))
+          .count());
+  std::future<rpc::Result> timed_out = fixture.Forward(hurried);
+  CHECK(fixture.WaitForResult(timed_out).outcome() == rpc::OUTCOME_UNKNOWN);
+  fixture.Release();
+  std::future<rpc::Result> order = fixture.Forward(fixture.MakeRequest(false));
+  const rpc::Result result = fixture.WaitForResult(order);
+  CHECK(rpc::RefusalReason_Name(result.reason()) ==
+        (short_deadline ? "REFUSAL_NONE" : "REFUSAL_SUSPECT"));
+  CHECK(rpc::Outcome_Name(result.outcome()) ==
+        (short_deadline ? "OUTCOME_ANSWERED" : "OUTCOME_NOT_RUN"));
+}
+
 // Guards against a request that gets a slot just before its endpoint leaves,
 // and is sent to the backend server afterwards.
 TEST_CASE("a request with a slot is not sent once its endpoint leaves",
