Use a backend server while its daemon stops

Change: until all callers are answered, it takes the work that will end in time; then it drains and refuses for 0.3 s. The state that an owner reports moves to endpoint_status, out of a file that had grown large. The settings of tests with a registry are made in one place.

--- a/Source/core/admission_forecast.cc
+++ b/Source/core/admission_forecast.cc
@@ -79,6 +79,16 @@
                    true, std::max(now, queue.last_update)));
 }
 
+microseconds ExpectedServiceTime(const AdmissionQueue& queue,
+                                 std::size_t rank,
+                                 TimePoint now) {
+  if (rank >= queue.ranks.size()) {
+    return microseconds(0);
+  }
+  return ToMicroseconds(
+      EstimateServiceTime(queue.ranks[rank], std::max(now, queue.last_update)));
+}
+
 double EstimateWait(const AdmissionQueue& queue,
                     const RankState& rank,
                     std::size_t own_length,
--- a/Source/core/admission_forecast.h
+++ b/Source/core/admission_forecast.h
@@ -39,6 +39,12 @@
                                        const std::string& organisation,
                                        TimePoint now);
 
+/// \brief Estimated service time of the items of a rank; 0 if the rank is not
+/// known.
+std::chrono::microseconds ExpectedServiceTime(const AdmissionQueue& queue,
+                                              std::size_t rank,
+                                              TimePoint now);
+
 /// \brief Estimates the wait of an arriving item, in seconds, from the items
 /// that are queued ahead of it; `own_length` of them are of its organisation.
 ///
--- a/Source/core/admission_queue.cc
+++ b/Source/core/admission_queue.cc
@@ -327,6 +327,13 @@
 
 }  // namespace
 
+std::size_t FindRank(const AdmissionPolicy& policy, const std::string& name) {
+  const auto found =
+      std::find_if(policy.ranks.begin(), policy.ranks.end(),
+                   [&](const RankPolicy& rank) { return rank.name == name; });
+  return static_cast<std::size_t>(found - policy.ranks.begin());
+}
+
 microseconds AssumedServiceTime(const AdmissionPolicy& policy,
                                 std::size_t rank) {
   if (rank >= policy.ranks.size()) {
--- a/Source/core/admission_queue.h
+++ b/Source/core/admission_queue.h
@@ -48,6 +48,10 @@
   std::size_t urgent_slots = 0;
 };
 
+/// \brief Index of the rank with this name in AdmissionPolicy::ranks, or their
+/// number if there is none.
+std::size_t FindRank(const AdmissionPolicy& policy, const std::string& name);
+
 /// \brief Service time that the policy assumes for the items of a rank,
 /// whatever was measured; 0 if the rank is not known.
 std::chrono::microseconds AssumedServiceTime(const AdmissionPolicy& policy,
--- a/Source/daemon/daemon.cc
+++ b/Source/daemon/daemon.cc
@@ -29,6 +29,10 @@
 constexpr std::chrono::milliseconds kRecoveryPeriod{500};
 constexpr std::chrono::milliseconds kVmListPeriod{2000};
 constexpr std::chrono::milliseconds kDrainPollPeriod{20};
+// Time for which a stopping daemon refuses forwarded requests before its server
+// ends. The other daemons learn from the refusals that it leaves; a request
+// that meets the end of the server has an unknown outcome.
+constexpr std::chrono::milliseconds kRefusalTime{300};
 // The daemon tests suspect paths with messages of its own, not with requests of
 // callers.
 constexpr std::chrono::milliseconds kPathTrialPeriod{200};
@@ -364,10 +368,10 @@
   const TimePoint begin = Clock::now();
   const StopPhases phases = PlanStop(this->settings.max_drain_time);
   this->leaving = true;
+  const TimePoint abort_at = begin + phases.abort;
   this->runner.BeginLeaving();
-  this->owner.DrainForShutdown();
+  this->owner.BeginStop(abort_at);
   std::this_thread::sleep_until(begin + phases.close);
-  const TimePoint abort_at = begin + phases.abort;
   const TimerService::SubscriptionId abort =
       this->timers.Subscribe(kTickPeriod, [this, abort_at](TimePoint now) {
         if (now >= abort_at && !this->frontend.IsAborting()) {
@@ -382,12 +386,16 @@
                this->frontend.CountInProgress());
   this->frontend.Stop();
   spdlog::info("stop: all callers are answered");
+  this->owner.DrainForShutdown();
+  const TimePoint drained_at = Clock::now();
   this->timers.Unsubscribe(abort);
   for (HttpFrontend* pages : {&this->status_frontend, &this->ready_frontend}) {
     pages->Abort();
     pages->Stop();
   }
   this->WaitForForwardedRequests(abort_at);
+  std::this_thread::sleep_until(
+      std::min<TimePoint>(drained_at + kRefusalTime, abort_at));
   // Ends the calls to backend servers that remain, which the server of the
   // peers would wait for. The timers run on, since they end these calls.
   this->owner.AbortBackendCalls();
--- a/Source/daemon/owner_service.cc
+++ b/Source/daemon/owner_service.cc
@@ -7,6 +7,7 @@
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "daemon/endpoint_status.h"
 #include "daemon/message_conversion.h"
 #include "daemon/owner_result.h"
 
@@ -17,15 +18,10 @@
 
 // How often a waiting call checks whether the ingress has cancelled it.
 constexpr std::chrono::milliseconds kCancelPollPeriod{50};
-// Longest time for which an endpoint is reported as full. The forecast may be
-// wrong, so an ingress tries the endpoint again after at most this time.
-constexpr std::chrono::microseconds kMaxFullForecast =
-    std::chrono::milliseconds(100);
-// An ingress that was refused by a suspect endpoint tries it again after this
-// time.
-constexpr std::chrono::microseconds kSuspectRetryDelay =
-    std::chrono::milliseconds(500);
-
+// During a planned stop, a request is taken only if this many of its expected
+// service times are left, so that few requests are still running when the stop
+// aborts them.
+constexpr int kServiceTimesBeforeStop = 3;
 // A call that its deadline ended is a failure of the backend server only if it
 // lasted this many of its expected service times.
 constexpr int kServiceTimesBeforeFailure = 2;
@@ -59,14 +55,6 @@
                       message.attempt().sequence());
 }
 
-std::size_t RankIndex(const AdmissionQueue& queue, const std::string& rank) {
-  const std::vector<RankPolicy>& ranks = queue.policy.ranks;
-  const auto found =
-      std::find_if(ranks.begin(), ranks.end(),
-                   [&](const RankPolicy& r) { return r.name == rank; });
-  return static_cast<std::size_t>(found - ranks.begin());
-}
-
 rpc::Result MakeLeavingResult(const std::string& endpoint) {
   return MakeNotRunResult(rpc::REFUSAL_LEAVING,
                           absl::StrCat(endpoint, " is draining"));
@@ -167,10 +155,10 @@
         {}};
     call.request.stream = callbacks.body;
     result = this->Run(call);
-    this->FillStatus(*endpoint, result);
+    FillStatus(*endpoint, result);
     this->LogResult(call, *endpoint, result);
-    this->FillForecast(*endpoint, request.rank(), request.organisation(),
-                       result);
+    FillForecast(*endpoint, request.rank(), request.organisation(),
+                 this->suspicion, result);
   }
   if (result.outcome() == rpc::OUTCOME_NOT_RUN) {
     this->refusals.Add();
@@ -200,7 +188,7 @@
   // While draining, a non-idempotent attempt is refused only if the ledger does
   // not know it, so that a repeated key that ran here is still answered.
   // AdmitNonIdempotent decides about it.
-  if (message.repeatable() && IsLeaving(endpoint)) {
+  if (message.repeatable() && this->IsRefusedAsLeaving(call, received)) {
     return MakeLeavingResult(message.endpoint());
   }
   if (this->RefuseIfSuspect(call)) {
@@ -224,6 +212,22 @@
   return std::move(call.result);
 }
 
+// Returns whether the request must not start because its endpoint is leaving,
+// or because the stop of this daemon would abort it. The backend server goes on
+// while its daemon stops, so refusing everything at once would waste it.
+bool OwnerService::IsRefusedAsLeaving(const Call& call,
+                                      Clock::time_point now) const {
+  const AdmissionQueue& queue = call.endpoint.queue;
+  const Clock::time_point end = this->stop_end;
+  if (IsLeaving(call.endpoint) || end == Clock::time_point::max()) {
+    return IsLeaving(call.endpoint);
+  }
+  const std::size_t rank = FindRank(queue.policy, call.message.rank());
+  return now + ExpectedWait(queue, rank, call.message.organisation(), now) +
+             kServiceTimesBeforeStop * ExpectedServiceTime(queue, rank, now) >
+         end;
+}
+
 // A suspect endpoint runs an occasional repeatable request as a trial of
 // whether it still fails, since such a request can be retried elsewhere. A
 // refused attempt without a key is not recorded in the ledger, like one that
@@ -253,7 +257,7 @@
   for (;;) {
     const Clock::time_point now = Clock::now();
     const auto wall = std::chrono::system_clock::now();
-    if (IsLeaving(endpoint)) {
+    if (this->IsRefusedAsLeaving(call, now)) {
       const std::optional<LedgerDecision> known =
           LookUpAttempt(endpoint.keyed.ledger, call.execution.request,
                         endpoint.keyed.version, now);
@@ -326,7 +330,7 @@
   OwnedEndpoint& endpoint = call.endpoint;
   const Clock::time_point now = Clock::now();
   WorkItem item;
-  item.rank = RankIndex(endpoint.queue, call.message.rank());
+  item.rank = FindRank(endpoint.queue.policy, call.message.rank());
   item.organisation = call.message.organisation();
   bool run_now = call.message.run_now();
   if (call.message.spare_only() &&
@@ -483,7 +487,7 @@
        backend.response.status == kGatewayTimeout &&
        now + kDeadlineSlack >= call.deadline);
   const AdmissionQueue& queue = call.endpoint.queue;
-  const std::size_t rank = RankIndex(queue, call.message.rank());
+  const std::size_t rank = FindRank(queue.policy, call.message.rank());
   return !ended_by_deadline ||
          call.service_time >= kServiceTimesBeforeFailure *
                                   AssumedServiceTime(queue.policy, rank);
@@ -597,9 +601,9 @@
       this->Find(request.team(), request.service(), request.endpoint());
   if (endpoint) {
     rpc::Result result;
-    this->FillStatus(*endpoint, result);
-    this->FillForecast(*endpoint, request.rank(), request.organisation(),
-                       result);
+    FillStatus(*endpoint, result);
+    FillForecast(*endpoint, request.rank(), request.organisation(),
+                 this->suspicion, result);
     *reply.mutable_status() = std::move(*result.mutable_status());
   }
   return reply;
@@ -658,7 +662,7 @@
   std::vector<rpc::EndpointStatus> statuses;
   for (const std::shared_ptr<OwnedEndpoint>& endpoint : this->Endpoints()) {
     rpc::Result result;
-    this->FillStatus(*endpoint, result);
+    FillStatus(*endpoint, result);
     const std::lock_guard<std::mutex> lock(endpoint->mutex);
     if (endpoint->configured) {
       statuses.push_back(result.status());
@@ -686,64 +690,4 @@
   return found == this->endpoints.end() ? nullptr : found->second;
 }
 
-// Adds the expected wait to the status, and the times for which the endpoint
-// refuses further requests, so that the ingress does not try it during them.
-void OwnerService::FillForecast(OwnedEndpoint& endpoint,
-                                const std::string& rank_name,
-                                const std::string& organisation,
-                                rpc::Result& result) const {
-  rpc::EndpointStatus& status = *result.mutable_status();
-  const std::lock_guard<std::mutex> lock(endpoint.mutex);
-  const Clock::time_point now = Clock::now();
-  if (IsSuspect(endpoint.suspicion, this->suspicion, now)) {
-    status.set_suspect_for_us(kSuspectRetryDelay.count());
-  }
-  const std::size_t rank = RankIndex(endpoint.queue, rank_name);
-  status.set_expected_wait_us(
-      ExpectedWait(endpoint.queue, rank, organisation, now).count());
-  if (result.reason() != rpc::REFUSAL_QUEUE_FULL) {
-    return;
-  }
-  for (const RefusalForecast& forecast :
-       ForecastRefusals(endpoint.queue, now)) {
-    if (forecast.rank == rank) {
-      status.set_full_for_us(
-          std::min(forecast.refused_for, kMaxFullForecast).count());
-    }
-  }
-}
-
-void OwnerService::FillStatus(OwnedEndpoint& endpoint,
-                              rpc::Result& result) const {
-  const Clock::time_point now = Clock::now();
-  const std::lock_guard<std::mutex> lock(endpoint.mutex);
-  rpc::EndpointStatus& status = *result.mutable_status();
-  status.set_endpoint(endpoint.identity.endpoint.address);
-  status.set_team(endpoint.identity.team);
-  status.set_service(endpoint.identity.service);
-  status.set_verdict(static_cast<std::uint32_t>(endpoint.verdict.state));
-  status.set_reason(static_cast<std::uint32_t>(endpoint.verdict.reason));
-  status.set_severity(endpoint.verdict.severity);
-  status.set_slot_share(endpoint.verdict.slot_share);
-  status.set_draining(endpoint.drain.Any());
-  if (endpoint.verdict.state == EndpointState::kEjected) {
-    status.set_ejected_for_us(
-        std::chrono::duration_cast<std::chrono::microseconds>(
-            std::max(endpoint.health.ejected_until - now,
-                     Clock::duration::zero()))
-            .count());
-  }
-  status.set_load(static_cast<std::uint32_t>(endpoint.queue.running.size() +
-                                             endpoint.queue.queued.size()));
-  status.set_limit(
-      static_cast<std::uint32_t>(ConcurrencyLimit(endpoint.queue)));
-  const std::optional<EndpointSummary> summary =
-      SummarizeEndpoint(endpoint.health, now);
-  if (summary) {
-    status.set_latency_us(summary->median_latency.count());
-    ToProto(*summary, now, *result.mutable_summary());
-    result.mutable_summary()->set_endpoint(endpoint.identity.endpoint.address);
-  }
-}
-
 }  // namespace comfrey
--- a/Source/daemon/owner_service.h
+++ b/Source/daemon/owner_service.h
@@ -92,6 +92,10 @@
                                     DrainSource source,
                                     bool draining);
 
+  /// \brief Begins a planned stop. Until DrainForShutdown, the endpoints take
+  /// requests that are expected to end well before `end`.
+  void BeginStop(Clock::time_point end) { this->stop_end = end; }
+
   /// \brief Drains all endpoints before the daemon exits; cannot be undone.
   void DrainForShutdown();
 
@@ -118,6 +122,7 @@
                                       const std::string& service,
                                       const std::string& endpoint) const;
   rpc::Result Run(Call& call);
+  bool IsRefusedAsLeaving(const Call& call, Clock::time_point now) const;
   bool RefuseIfSuspect(Call& call);
   void ReportAccepted(Call& call);
   bool AdmitNonIdempotent(Call& call, std::unique_lock<std::mutex>& lock);
@@ -134,11 +139,6 @@
                          BackendReplyClass reply,
                          Clock::time_point now);
   void RecordReply(Call& call, BackendReplyClass reply, Clock::time_point now);
-  void FillForecast(OwnedEndpoint& endpoint,
-                    const std::string& rank_name,
-                    const std::string& organisation,
-                    rpc::Result& result) const;
-  void FillStatus(OwnedEndpoint& endpoint, rpc::Result& result) const;
 
   OwnerIdentity identity;
   CallWatchdog& watchdog;
@@ -146,6 +146,8 @@
   FenceKeyFunction fence_key;
   BackendProtocol protocol;
   SuspicionPolicy suspicion;
+  /// When requests in flight are aborted by a planned stop.
+  std::atomic<Clock::time_point> stop_end{Clock::time_point::max()};
   std::atomic<bool> aborting{false};
   Metric& attempts;
   Metric& refusals;
--- a/Tests/daemon/owner_service_test.cc
+++ b/Tests/daemon/owner_service_test.cc
@@ -295,6 +295,34 @@
         (short_deadline ? "OUTCOME_ANSWERED" : "OUTCOME_NOT_RUN"));
 }
 
+// Guards against a healthy backend server that gets no work for the whole stop
+// of its daemon, and against work that the end of the stop would break off.
+TEST_CASE("a stopping daemon takes the work that ends in time",
+          "[owner_service]") {
+  const bool repeatable = GENERATE(true, false);
+  INFO("repeatable " << repeatable);
+  // The expected service time is a quarter of the target of 10 s.
+  for (const seconds left : {seconds(20), seconds(5)}) {
+    INFO(left.count() << " s are left");
+    OwnerFixture fixture;
+    fixture.Release();
+    fixture.owner.BeginStop(Clock::now() + left);
+    std::future<rpc::Result> future =
+        fixture.Forward(fixture.MakeRequest(repeatable));
+    const rpc::Result result = fixture.WaitForResult(future);
+    const bool in_time = left == seconds(20);
+    CHECK(rpc::Outcome_Name(result.outcome()) ==
+          (in_time ? "OUTCOME_ANSWERED" : "OUTCOME_NOT_RUN"));
+    CHECK(rpc::RefusalReason_Name(result.reason()) ==
+          (in_time ? "REFUSAL_NONE" : "REFUSAL_LEAVING"));
+    CHECK(fixture.received == (in_time ? 1 : 0));
+    fixture.owner.DrainForShutdown();
+    std::future<rpc::Result> late =
+        fixture.Forward(fixture.MakeRequest(repeatable));
+    CHECK(fixture.WaitForResult(late).outcome() == rpc::OUTCOME_NOT_RUN);
+  }
+}
+
 // Guards against a request that gets a slot just before its endpoint leaves,
 // and is sent to the backend server afterwards.
 TEST_CASE("a request with a slot is not sent once its endpoint leaves",
--- a/Tests/platform/fake_registry.cc
+++ b/Tests/platform/fake_registry.cc
@@ -11,7 +11,6 @@
 
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
-constexpr int kThreadCount = 64;
 
 void SetJsonBody(httplib::Response& response, const std::string& body) {
   response.set_content(body, "application/json");
@@ -19,9 +18,9 @@
 
 }  // namespace
 
-FakeRegistry::FakeRegistry(const std::string& ip, int port) {
-  this->server.new_task_queue = [] {
-    return new httplib::ThreadPool(kThreadCount);
+FakeRegistry::FakeRegistry(const std::string& ip, int port, int threads) {
+  this->server.new_task_queue = [threads] {
+    return new httplib::ThreadPool(static_cast<std::size_t>(threads));
   };
   this->server.Get("/kv-key", [this](const auto& request, auto& response) {
     this->Read(request, response);
@@ -48,7 +47,13 @@
 
 void FakeRegistry::Put(const std::string& key, const std::string& value) {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  this->items[key] = {value, ++this->revision};
+  this->items[key] = {value, ++this->revision, false};
+  this->changed.notify_all();
+}
+
+void FakeRegistry::Remove(const std::string& key) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->items[key] = {"", ++this->revision, true};
   this->changed.notify_all();
 }
 
@@ -71,6 +76,10 @@
 
 std::string FakeRegistry::Render(const std::string& key,
                                  const Item& item) const {
+  if (item.removed) {
+    return absl::StrCat("{\"key\":\"", key, "\",\"rev\":", item.revision,
+                        ",\"deleted\":true");
+  }
   return absl::StrCat("{\"key\":\"", key, "\",\"value\":\"",
                       absl::Base64Escape(item.value),
                       "\",\"rev\":", item.revision,
@@ -96,7 +105,7 @@
   }
   const std::string key = request.get_param_value("key");
   const auto found = this->items.find(key);
-  if (found == this->items.end()) {
+  if (found == this->items.end() || found->second.removed) {
     response.status = kNotFound;
     return;
   }
@@ -113,7 +122,8 @@
   }
   std::string rendered;
   for (const auto& [key, item] : this->items) {
-    if (absl::StartsWith(key, request.get_param_value("prefix"))) {
+    if (!item.removed &&
+        absl::StartsWith(key, request.get_param_value("prefix"))) {
       absl::StrAppend(&rendered, rendered.empty() ? "" : ",",
                       this->Render(key, item), "}");
     }
--- a/Tests/platform/fake_registry.h
+++ b/Tests/platform/fake_registry.h
@@ -16,7 +16,9 @@
 /// items can be read by key, by prefix, or by a watch.
 class FakeRegistry {
  public:
-  FakeRegistry(const std::string& ip, int port);
+  /// \brief Starts the registry. It answers up to `threads` calls at a time,
+  /// waiting watches included.
+  FakeRegistry(const std::string& ip, int port, int threads = 64);
   ~FakeRegistry();
 
   FakeRegistry(const FakeRegistry&) = delete;
@@ -25,6 +27,9 @@
   /// \brief Writes an item and increments the revision.
   void Put(const std::string& key, const std::string& value);
 
+  /// \brief Removes an item and increments the revision.
+  void Remove(const std::string& key);
+
   /// \brief Makes all calls fail with status 503, including watches that are
   /// waiting.
   void SetUnavailable(bool enabled);
@@ -40,6 +45,7 @@
   struct Item {
     std::string value;
     std::uint64_t revision = 0;
+    bool removed = false;
   };
 
   /// \brief Returns the JSON object of an item without the closing brace.
--- a/Tests/platform/published_documents.cc
+++ b/Tests/platform/published_documents.cc
@@ -19,15 +19,25 @@
                       R"(","cold_remaining":"0ms","sequence":1})");
 }
 
-std::string MakeConfiguration(int version, const std::string& prefix) {
+std::string MakeConfiguration(int version,
+                              const std::vector<TestRoute>& routes) {
+  std::string resources;
+  for (const TestRoute& route : routes) {
+    absl::StrAppend(
+        &resources, R"({"entry_kind":"routes","metadata":{"name":"x)",
+        resources.size(), R"("},"spec":{"host":"shop.example","prefix":")",
+        route.prefix, R"(","kind":")", route.idempotent ? "safe" : "unsafe",
+        R"(","timeout":"5s","target_latency":"1s",)",
+        R"("priority":0,"service":"booking","max_attempts":2}},)");
+  }
   return absl::StrCat(
-      R"({"version":"r)", version, R"(","resources":[)",
-      R"({"entry_kind":"routes","metadata":{"name":"x"},"spec":{)",
-      R"("host":"shop.example","prefix":")", prefix,
-      R"(","kind":"unsafe","timeout":"5s","target_latency":"1s",)",
-      R"("priority":0,"service":"booking","max_attempts":2}},)",
+      R"({"version":"r)", version, R"(","resources":[)", resources,
       R"({"entry_kind":"services","metadata":{"name":"booking"},)",
       R"("spec":{"health_path":"/health"}}]})");
 }
 
+std::string MakeConfiguration(int version, const std::string& prefix) {
+  return MakeConfiguration(version, {{prefix, false}});
+}
+
 }  // namespace comfrey
--- a/Tests/platform/published_documents.h
+++ b/Tests/platform/published_documents.h
@@ -2,6 +2,7 @@
 #define TESTS_PLATFORM_PUBLISHED_DOCUMENTS_H_
 
 #include <string>
+#include <vector>
 
 #include "platform/registry_decoder.h"
 
@@ -17,6 +18,16 @@
                              const std::string& failure_domain,
                              bool draining);
 
+/// \brief A route from the host shop.example to the service booking.
+struct TestRoute {
+  std::string prefix;
+  bool idempotent = false;
+};
+
+/// \brief Returns a configuration with the routes.
+std::string MakeConfiguration(int version,
+                              const std::vector<TestRoute>& routes);
+
 /// \brief Returns a configuration with one non-idempotent route from the host
 /// shop.example to the service booking.
 std::string MakeConfiguration(int version, const std::string& prefix);
--- a/Tests/system/fleet.cc
+++ b/Tests/system/fleet.cc
@@ -20,6 +20,7 @@
 // The daemon behind the relay listens on this port.
 constexpr int kRelayedPeerPort = 7401;
 constexpr int kHttpPort = 8080;
+constexpr int kReadyPort = 8082;
 constexpr int kBackendPort = 8081;
 constexpr std::chrono::seconds kCallTimeout{20};
 constexpr std::chrono::seconds kReadyTimeout{20};
@@ -73,6 +74,20 @@
   return mkdtemp(name.data());
 }
 
+std::string MakeRegistrySettings(const RegistryVm& vm) {
+  return absl::StrCat(
+      "[daemon]\nname = ", vm.name, "\naddress = ", vm.ip,
+      "\npeer_port = ", kPeerPort, "\npeer_listen_port = ", vm.peer_listen_port,
+      "\nhttp_port = ", kHttpPort, "\nregion = ", vm.region,
+      "\nfailure_domain = ", vm.failure_domain, "\nready_listen = ", vm.ip, ":",
+      kReadyPort, "\nready_path = /ready\nlocal_service = ", vm.local_service,
+      "\n[registry]\naddress = ", vm.registry, "\nregions = a r\n[headers]\n",
+      "attempt_id = X-Attempt\ntime_left = X-Left\n",
+      "expected_instance = X-Instance\nnot_executed = X-Not-Run\n",
+      "caller_service = X-Caller\nsignature = X-Mark\n",
+      "[shutdown]\ngrace = ", vm.grace, "\n");
+}
+
 Fleet::Fleet(int vm_count, int relayed_vm)
     : vm_count(vm_count),
       relayed_vm(relayed_vm),
--- a/Tests/system/fleet.h
+++ b/Tests/system/fleet.h
@@ -26,6 +26,23 @@
 /// \brief Creates an empty directory for the files of a fleet.
 std::string MakeDirectory();
 
+/// \brief Settings of a daemon that reads a registry.
+struct RegistryVm {
+  std::string name;
+  std::string ip;
+  std::string region;
+  std::string failure_domain;
+  std::string local_service = "booking";
+  std::string registry;  ///< Its address and port.
+  /// Differs from the port of the peers where a relay lies before the daemon.
+  int peer_listen_port = kPeerPort;
+  std::string grace = "6s";
+};
+
+/// \brief Returns the text of a settings file. Callers use port 8080, and the
+/// page /ready is at port 8082.
+std::string MakeRegistrySettings(const RegistryVm& vm);
+
 /// \brief Response to a test caller; the status is 0 if the connection failed.
 struct TestResponse {
   int status = 0;
--- a/Tests/system/process.cc
+++ b/Tests/system/process.cc
@@ -15,7 +15,8 @@
 namespace comfrey {
 
 Process::Process(const std::string& program,
-                 const std::vector<std::string>& arguments) {
+                 const std::vector<std::string>& arguments,
+                 const std::string& output) {
   const std::string path = std::string(COMFREY_BUILD_DIR "/") + program;
   std::vector<std::string> command_line = {path};
   command_line.insert(command_line.end(), arguments.begin(), arguments.end());
@@ -33,6 +34,12 @@
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_adddup2(&actions, pipe_fds[0], STDIN_FILENO);
+  if (!output.empty()) {
+    constexpr mode_t kFileMode = 0644;
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, output.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, kFileMode);
+    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  }
   const int error = posix_spawn(&this->pid, path.c_str(), &actions, nullptr,
                                 argv.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
--- a/Tests/system/process.h
+++ b/Tests/system/process.h
@@ -12,9 +12,11 @@
 /// \brief A child process of a test; the destructor kills it if it still runs.
 class Process {
  public:
-  /// \brief Starts `program`, a path relative to the build folder.
+  /// \brief Starts `program`, a path relative to the build folder. Its output
+  /// is appended to the file `output`, unless that is empty.
   Process(const std::string& program,
-          const std::vector<std::string>& arguments);
+          const std::vector<std::string>& arguments,
+          const std::string& output = "");
   ~Process();
 
   Process(Process&& other) noexcept;
--- a/Tests/system/registry_test.cc
+++ b/Tests/system/registry_test.cc
@@ -123,18 +123,15 @@
   }
 
   void WriteSettings(int vm, const std::string& local_service) const {
-    const std::string ip = AddressOf(vm);
-    std::ofstream(this->SettingsFile(vm))
-        << "[daemon]\nname = vm-" << vm << "\naddress = " << ip
-        << "\nregion = r\nfailure_domain = a\nready_listen = " << ip << ":"
-        << kReadyPort
-        << "\nready_path = /ready\nlocal_service = " << local_service
-        << "\n[registry]\naddress = " << AddressOf(250) << ":" << kRegistryPort
-        << "\nregions = a r\n[headers]\n"
-        << "attempt_id = X-Attempt\ntime_left = X-Left\n"
-        << "expected_instance = X-Instance\nnot_executed = X-Not-Run\n"
-        << "caller_service = X-Caller\nsignature = X-Mark\n"
-        << "[shutdown]\ngrace = " << this->grace << "\n";
+    RegistryVm settings;
+    settings.name = absl::StrCat("vm-", vm);
+    settings.ip = AddressOf(vm);
+    settings.region = "r";
+    settings.failure_domain = "a";
+    settings.local_service = local_service;
+    settings.registry = absl::StrCat(AddressOf(250), ":", kRegistryPort);
+    settings.grace = this->grace;
+    std::ofstream(this->SettingsFile(vm)) << MakeRegistrySettings(settings);
   }
 
   std::unique_ptr<Process> StartDaemon(int vm) const {
@@ -309,6 +306,31 @@
   }
 }
 
+// Guards against a healthy backend server that gets nothing while its daemon
+// still takes requests of callers during a planned stop.
+TEST_CASE("a stopping daemon goes on using its backend server") {
+  RegistryFleet fleet;
+  REQUIRE(WaitFor(
+      [] { return RegistryFleet::IsReady(1) && RegistryFleet::IsReady(2); }));
+  std::atomic<bool> done{false};
+  std::atomic<int> failed{0};
+  std::thread callers([&] {
+    while (!done) {
+      const httplib::Result result = RegistryFleet::Send(2, "/a/x");
+      failed += result && result->status == 200 ? 0 : 1;
+    }
+  });
+  fleet.first_daemon->SendSignal(SIGTERM);
+  std::this_thread::sleep_for(milliseconds(1000));
+  const int runs = fleet.backend_one.runs;
+  std::this_thread::sleep_for(milliseconds(1000));
+  CHECK(fleet.backend_one.runs > runs);
+  CHECK(fleet.first_daemon->WaitForExit(std::chrono::seconds(10)) == 0);
+  done = true;
+  callers.join();
+  CHECK(failed == 0);
+}
+
 // Guards against requests that are broken off before the last sixth of grace.
 TEST_CASE("a stop with a short grace period completes what ends within it") {
   RegistryFleet fleet("1200ms");
