--- a/Tests/stand_ins/fault_relay.cc
+++ b/Tests/stand_ins/fault_relay.cc
@@ -1,9 +1,10 @@
-// TCP relay that can drop the bytes of one direction.
+// TCP relay that can drop or delay bytes, and reset connections.
 //
 // Accepts on --address:--port and connects to --target_address:--target_port.
 // A line on standard input sets the mode: "pass", "drop-forward" (drops bytes
-// to the target), "drop-back" (drops bytes to the caller), "drop-both" or
-// "silent-old" (existing connections drop all bytes, new connections work).
+// to the target), "drop-back" (drops bytes to the caller), "drop-both", "delay"
+// (passes bytes late), "silent-old" (existing connections drop all bytes, new
+// connections work) or "reset" (resets the existing connections).
 // Each line is acknowledged on standard output. The process exits at the end of
 // its input.
 
@@ -15,6 +16,7 @@
 
 #include <array>
 #include <atomic>
+#include <chrono>
 #include <iostream>
 #include <memory>
 #include <mutex>
@@ -31,15 +33,20 @@
 
 namespace {
 
+constexpr std::chrono::milliseconds kDelay{100};
+
 struct Mode {
   std::atomic<bool> drop_forward{false};
   std::atomic<bool> drop_back{false};
+  std::atomic<bool> delay{false};
 };
 
 struct Connection {
   int caller = -1;
   int target = -1;
   std::atomic<bool> silent{false};
+  // Guarded by the mutex of the relay.
+  bool closed = false;
 };
 
 struct Relay {
@@ -73,7 +80,8 @@
 void RelayDirection(const std::shared_ptr<Connection>& connection,
                     int from,
                     int to,
-                    const std::atomic<bool>& drop) {
+                    const std::atomic<bool>& drop,
+                    const std::atomic<bool>& delay) {
   std::array<char, 16384> buffer{};
   for (;;) {
     const ssize_t size = recv(from, buffer.data(), buffer.size(), 0);
@@ -83,6 +91,9 @@
     if (drop || connection->silent) {
       continue;
     }
+    if (delay) {
+      std::this_thread::sleep_for(kDelay);
+    }
     if (!WriteAll(to, buffer.data(), static_cast<std::size_t>(size))) {
       break;
     }
@@ -96,11 +107,13 @@
                      const std::shared_ptr<Connection>& connection) {
   std::thread forward([&] {
     RelayDirection(connection, connection->caller, connection->target,
-                   relay.mode.drop_forward);
+                   relay.mode.drop_forward, relay.mode.delay);
   });
   RelayDirection(connection, connection->target, connection->caller,
-                 relay.mode.drop_back);
+                 relay.mode.drop_back, relay.mode.delay);
   forward.join();
+  const std::lock_guard<std::mutex> lock(relay.mutex);
+  connection->closed = true;
   close(connection->caller);
   close(connection->target);
 }
@@ -136,21 +149,42 @@
   }
 }
 
-bool SetMode(Relay& relay, const std::string& line) {
-  if (line == "silent-old") {
-    const std::lock_guard<std::mutex> lock(relay.mutex);
-    for (const std::weak_ptr<Connection>& weak : relay.connections) {
-      if (const std::shared_ptr<Connection> connection = weak.lock()) {
-        connection->silent = true;
-      }
+// Makes both ends of a connection read a reset.
+void Reset(const Connection& connection) {
+  const linger reset{1, 0};
+  for (const int fd : {connection.caller, connection.target}) {
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    shutdown(fd, SHUT_RDWR);
+  }
+}
+
+void ChangeOpenConnections(Relay& relay, bool reset) {
+  const std::lock_guard<std::mutex> lock(relay.mutex);
+  for (const std::weak_ptr<Connection>& weak : relay.connections) {
+    const std::shared_ptr<Connection> connection = weak.lock();
+    if (!connection || connection->closed) {
+      continue;
+    }
+    if (reset) {
+      Reset(*connection);
+    } else {
+      connection->silent = true;
     }
+  }
+}
+
+bool SetMode(Relay& relay, const std::string& line) {
+  if (line == "silent-old" || line == "reset") {
+    ChangeOpenConnections(relay, line == "reset");
     return true;
   }
   const bool is_known = line == "pass" || line == "drop-forward" ||
-                        line == "drop-back" || line == "drop-both";
+                        line == "drop-back" || line == "drop-both" ||
+                        line == "delay";
   if (is_known) {
     relay.mode.drop_forward = line == "drop-forward" || line == "drop-both";
     relay.mode.drop_back = line == "drop-back" || line == "drop-both";
+    relay.mode.delay = line == "delay";
   }
   return is_known;
 }
