Use a response of the configuration service only as a whole

Seen by callers: a change that is missed until the next one, after a response without a length was cut between two entries. Cause: a response that ends with its connection was accepted, and a cut one cannot be told from the whole. Change: a response without a length that is not sent in chunks is an error.

--- a/Source/daemon/config_service_client.cc
+++ b/Source/daemon/config_service_client.cc
@@ -4,6 +4,7 @@
 
 #include <utility>
 
+#include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
@@ -29,6 +30,15 @@
       line.substr(0, 80), "\""));
 }
 
+// Whether a response that was cut is noticed. One that ends with its connection
+// may be cut between two entries, and the entries before it would be used with
+// the revision of the whole response.
+bool HasKnownEnd(const httplib::Response& response) {
+  return response.has_header("Content-Length") ||
+         absl::EqualsIgnoreCase(response.get_header_value("Transfer-Encoding"),
+                                "chunked");
+}
+
 }  // namespace
 
 absl::StatusOr<TreeUpdate> ParseTreeUpdate(absl::string_view body) {
@@ -121,6 +131,12 @@
   if (reply->status != kOk) {
     return absl::UnavailableError(absl::StrCat(step, "status ", reply->status));
   }
+  if (!HasKnownEnd(*reply)) {
+    return absl::DataLossError(absl::StrCat(
+        step,
+        "the response has neither a length nor chunks, so that a part of "
+        "it cannot be told from the whole"));
+  }
   return reply->body;
 }
 
