Take work during a stop only as long as callers are accepted

Change: the owner drains when callers are no longer accepted, and takes only requests for which four service times are left, not three.

--- a/Source/daemon/daemon.cc
+++ b/Source/daemon/daemon.cc
@@ -372,6 +372,8 @@
   this->runner.BeginLeaving();
   this->owner.BeginStop(abort_at);
   std::this_thread::sleep_until(begin + phases.close);
+  this->owner.DrainForShutdown();
+  const TimePoint drained_at = Clock::now();
   const TimerService::SubscriptionId abort =
       this->timers.Subscribe(kTickPeriod, [this, abort_at](TimePoint now) {
         if (now >= abort_at && !this->frontend.IsAborting()) {
@@ -386,8 +388,6 @@
                this->frontend.CountInProgress());
   this->frontend.Stop();
   spdlog::info("stop: all callers are answered");
-  this->owner.DrainForShutdown();
-  const TimePoint drained_at = Clock::now();
   this->timers.Unsubscribe(abort);
   for (HttpFrontend* pages : {&this->status_frontend, &this->ready_frontend}) {
     pages->Abort();
--- a/Source/daemon/owner_service.cc
+++ b/Source/daemon/owner_service.cc
@@ -21,7 +21,7 @@
 // During a planned stop, a request is taken only if this many of its expected
 // service times are left, so that few requests are still running when the stop
 // aborts them.
-constexpr int kServiceTimesBeforeStop = 3;
+constexpr int kServiceTimesBeforeStop = 4;
 // A call that its deadline ended is a failure of the backend server only if it
 // lasted this many of its expected service times.
 constexpr int kServiceTimesBeforeFailure = 2;
