Take an answer that breaks off in a soak for none

Change: a response shorter than its length counts as none; whether a request may stay without one is checked as before (LOST).

--- a/Tests/soak/soak_callers.cc
+++ b/Tests/soak/soak_callers.cc
@@ -34,21 +34,24 @@
   }
 }
 
-// Takes the parts of a complete response.
+// Takes the parts of a response. One that ends before its length says so
+// itself, and is no response to the request.
 void ParseResponse(const std::string& response, SoakRequest& request) {
   const std::size_t head_end = response.find("\r\n\r\n");
-  if (head_end == std::string::npos ||
-      !absl::SimpleAtoi(response.substr(kStatusBegin, kStatusSize),
-                        &request.status)) {
+  if (head_end == std::string::npos) {
     return;
   }
   const std::string head = response.substr(0, head_end);
-  request.signature = HeaderOf(head, "X-Mark");
-  request.response = response.substr(head_end + 4);
-  int length = 0;
+  const std::string body = response.substr(head_end + 4);
+  std::size_t length = 0;
   if (absl::SimpleAtoi(HeaderOf(head, "Content-Length"), &length) &&
-      request.response.size() < static_cast<std::size_t>(length)) {
-    request.status = 0;
+      body.size() < length) {
+    return;
+  }
+  if (absl::SimpleAtoi(head.substr(kStatusBegin, kStatusSize),
+                       &request.status)) {
+    request.signature = HeaderOf(head, "X-Mark");
+    request.response = body;
   }
 }
 
