--- a/Source/daemon/owner_service.cc
+++ b/Source/daemon/owner_service.cc
@@ -23,7 +23,7 @@
 // aborts them.
 constexpr int kServiceTimesBeforeStop = 4;
 // A call that its deadline ended is a failure of the backend server only if it
-// lasted this many of its expected service times.
+// lasted this many of the service times that are assumed for its rank.
 constexpr int kServiceTimesBeforeFailure = 2;
 // A backend server that answers 504 at the deadline does so at most this much
 // before.
