--- a/Tests/daemon/upload_test.cc
+++ b/Tests/daemon/upload_test.cc
@@ -14,6 +14,7 @@
 #include "daemon/backend_client.h"
 #include "daemon/http_frontend.h"
 #include "daemon/raw_socket.h"
+#include "daemon/upload_fixture.h"
 
 namespace comfrey {
 namespace {
@@ -300,53 +301,6 @@
   CHECK(absl::EndsWith(caller->ReceiveResponse(kTestTimeout, closed), "/u"));
 }
 
-// A stream of the given parts; after them, the body ends as `end` says.
-std::shared_ptr<BodyStream> MakeStream(std::vector<std::string> parts,
-                                       std::optional<std::size_t> length,
-                                       BodyPartKind end) {
-  auto stream = std::make_shared<BodyStream>();
-  stream->length = length;
-  auto left = std::make_shared<std::vector<std::string>>(std::move(parts));
-  stream->read = [left, end](Clock::time_point deadline) {
-    if (left->empty()) {
-      if (end == BodyPartKind::kTimedOut) {
-        std::this_thread::sleep_until(deadline);
-      }
-      return BodyPart{end, {}};
-    }
-    BodyPart part{BodyPartKind::kBytes, left->front()};
-    left->erase(left->begin());
-    return part;
-  };
-  return stream;
-}
-
-struct BackendFixture {
-  explicit BackendFixture(RawServer::Handler handler, bool with_ids = true)
-      : server(kIp, std::move(handler)),
-        watchdog(this->timers),
-        client(kIp, this->server.Port(), this->watchdog, Protocol(with_ids)) {}
-
-  static BackendProtocol Protocol(bool with_ids) {
-    BackendProtocol protocol;
-    protocol.headers.attempt_id = with_ids ? "X-Attempt" : "";
-    return protocol;
-  }
-
-  BackendResult Send(std::shared_ptr<BodyStream> stream,
-                     milliseconds time = kTestTimeout) {
-    HttpRequest request{"POST", "/u", {{"X-Attempt", "7"}}, "", nullptr};
-    request.stream = std::move(stream);
-    return this->client.Call(
-        {&request, false, Clock::now() + time, [] { return false; }});
-  }
-
-  RawServer server;
-  TimerService timers;
-  CallWatchdog watchdog;
-  BackendClient client;
-};
-
 const std::string kOwnAnswer =
     "HTTP/1.1 200 OK\r\nX-Attempt: 7\r\nContent-Length: 3\r\n\r\nown";
 
@@ -361,7 +315,7 @@
   for (const bool chunked : {false, true}) {
     const std::string expected = chunked ? MakeChunks(body, 32'768) : body;
     std::promise<std::string> received;
-    BackendFixture fixture([&](RawSocket& socket, int) {
+    BackendFixture fixture(kIp, [&](RawSocket& socket, int) {
       bool closed = false;
       received.set_value(socket.Receive(
           [&](const std::string& bytes) {
@@ -392,7 +346,7 @@
           "[upload]") {
   const std::string body = MakeBody(kLargeBody);
   std::promise<std::string> received;
-  BackendFixture fixture([&](RawSocket& socket, int) {
+  BackendFixture fixture(kIp, [&](RawSocket& socket, int) {
     bool closed = false;
     std::string request = socket.Receive(HasHead, kTestTimeout, closed);
     request += socket.Receive(
@@ -424,6 +378,7 @@
       INFO("ids " << with_ids << ", closes " << closes);
       std::promise<void> done;
       BackendFixture fixture(
+          kIp,
           [&](RawSocket& socket, int) {
             bool closed = false;
             socket.Receive(HasHead, kTestTimeout, closed);
@@ -456,7 +411,7 @@
        {BodyPartKind::kFailed, BodyPartKind::kTimedOut}) {
     for (const bool chunked : {false, true}) {
       std::promise<std::string> received;
-      BackendFixture fixture([&](RawSocket& socket, int) {
+      BackendFixture fixture(kIp, [&](RawSocket& socket, int) {
         bool closed = false;
         received.set_value(socket.Receive(
             [](const std::string&) { return false; }, kTestTimeout, closed));
