Take no part of a reset response for the whole

What callers saw: a backend server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: a socket reports its error once. The send that failed took the reset; the read that followed got the received part and then a regular end of file, which ends a response without a length. The look for an early response (a recv with MSG_PEEK) could take the error in the same way.

Change: the reader of a connection remembers that it was reset, also if a send or an earlier read was told so, and reports each later end as a reset. All that send a request and read its response over the same connection use SendAll, which tells the reader. A failed send is now told from a time-out by its error instead of by the clock.

Evidence: with the daemon of, all 24 uploads of "an upload whose response is reset reaches no caller as a success" came back as 200 with "part" (with a length and in chunks, fast and slow, over one daemon and over two); with this change none does. Responses with a length, whole before a reset, and responses that end with their connection after the body was read are delivered before and after. The test settings of a daemon with a registry lacked close_delimited, which the deployed ones set, so no system test could show this.

--- a/Source/daemon/backend_client.cc
+++ b/Source/daemon/backend_client.cc
@@ -1,10 +1,8 @@
 #include "daemon/backend_client.h"
 
-#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <array>
 #include <atomic>
 #include <utility>
 
@@ -107,17 +105,13 @@
 
 // Whether a response has arrived, or the connection has ended. An interim
 // response (1xx) says nothing about the request.
-bool HasArrivedResponse(int socket) {
+bool HasArrivedResponse(WireReader& reader) {
   constexpr absl::string_view kInterim = "HTTP/1.1 1";
-  if (!WaitForSocket(socket, POLLIN, Clock::now())) {
-    return false;
+  if (reader.FillAvailable(kInterim.size()) != WireError::kNone) {
+    return true;
   }
-  std::array<char, kInterim.size()> start{};
-  const ssize_t count =
-      ::recv(socket, start.data(), start.size(), MSG_PEEK | MSG_DONTWAIT);
-  return count <= 0 ||
-         absl::string_view(start.data(), static_cast<std::size_t>(count)) !=
-             kInterim;
+  return reader.HasBufferedBytes() &&
+         !absl::StartsWith(reader.Buffered(), kInterim);
 }
 
 // How the sending of a request ended.
@@ -132,7 +126,7 @@
 
 // A request that is being sent over a connection.
 struct Sending {
-  int socket = -1;
+  HttpConnection& connection;
   Clock::time_point deadline;
   // Whether a response that arrives before the end of the request can be
   // attributed to it.
@@ -147,17 +141,16 @@
     std::size_t count = 0;
     const Clock::time_point poll = std::min<Clock::time_point>(
         sending.deadline, Clock::now() + kSendPollPeriod);
-    const bool complete = WriteAll(sending.socket, poll, bytes, count);
+    const WireError error = SendAll(sending.connection, poll, bytes, count);
     sending.sent += count;
     bytes.remove_prefix(count);
-    if (complete) {
+    if (error == WireError::kNone) {
       return SendEnd::kSent;
     }
-    if (sending.attributable && HasArrivedResponse(sending.socket)) {
+    if (sending.attributable && HasArrivedResponse(sending.connection.reader)) {
       return SendEnd::kInterrupted;
     }
-    const bool broken = Clock::now() < poll;
-    if (broken || Clock::now() >= sending.deadline) {
+    if (error != WireError::kTimedOut || Clock::now() >= sending.deadline) {
       return SendEnd::kFailed;
     }
   }
@@ -369,7 +362,8 @@
   const HeaderNames& names = this->protocol.headers;
   const std::string request =
       BuildRequest(call, this->peer, names, Clock::now());
-  Sending sending{socket, call.deadline, HasAttemptId(*call.request, names), 0};
+  Sending sending{connection, call.deadline, HasAttemptId(*call.request, names),
+                  0};
   SendEnd send_end = SendBytes(sending, request);
   if (send_end == SendEnd::kSent && call.request->stream) {
     send_end = SendStream(sending, call, stopped);
@@ -438,7 +432,7 @@
     return received;
   }
   std::size_t sent = 0;
-  if (WriteAll(connection->socket, deadline, request, sent)) {
+  if (SendAll(*connection, deadline, request, sent) == WireError::kNone) {
     received = ReadResponse(connection->reader, "GET",
                             {kMaxProbeBody, true, nullptr}, deadline);
   } else {
--- a/Source/daemon/http_connection.cc
+++ b/Source/daemon/http_connection.cc
@@ -79,6 +79,17 @@
          !WaitForSocket(connection.socket, POLLIN, Clock::time_point{});
 }
 
+WireError SendAll(HttpConnection& connection,
+                  Clock::time_point deadline,
+                  absl::string_view bytes,
+                  std::size_t& sent) {
+  const WireError error = WriteAll(connection.socket, deadline, bytes, sent);
+  if (error == WireError::kReset) {
+    connection.reader.MarkReset();
+  }
+  return error;
+}
+
 void EnableKeepalive(const HttpConnection& connection) {
   constexpr int kEnabled = 1;
   constexpr int kIdleSeconds = 1;
--- a/Source/daemon/http_connection.h
+++ b/Source/daemon/http_connection.h
@@ -2,9 +2,11 @@
 #define DAEMON_HTTP_CONNECTION_H_
 
 #include <chrono>
+#include <cstddef>
 #include <memory>
 #include <string>
 
+#include "absl/strings/string_view.h"
 #include "daemon/http_wire.h"
 
 namespace comfrey {
@@ -38,6 +40,13 @@
 /// and an end of file means that the server closed the connection.
 bool IsOpenAndIdle(const HttpConnection& connection);
 
+/// \brief Sends all bytes, as WriteAll does. If sending fails, the response
+/// that is read afterwards does not end regularly with the connection.
+WireError SendAll(HttpConnection& connection,
+                  std::chrono::steady_clock::time_point deadline,
+                  absl::string_view bytes,
+                  std::size_t& sent);
+
 /// \brief Lets the kernel detect within 3 s that an idle connection is broken.
 /// No reset arrives if a device between the two hosts has lost its state.
 void EnableKeepalive(const HttpConnection& connection);
--- a/Source/daemon/http_get_client.cc
+++ b/Source/daemon/http_get_client.cc
@@ -100,8 +100,9 @@
   const std::string request = absl::StrCat(
       "GET ", target, " HTTP/1.1\r\nHost: ", this->peer, "\r\n\r\n");
   std::size_t sent = 0;
-  if (!WriteAll(this->connection->socket, deadline, request, sent)) {
-    return Clock::now() >= deadline
+  const WireError error = SendAll(*this->connection, deadline, request, sent);
+  if (error != WireError::kNone) {
+    return error == WireError::kTimedOut
                ? absl::DeadlineExceededError("send")
                : absl::UnavailableError(
                      "the connection ended before the request was sent");
--- a/Source/daemon/http_wire.cc
+++ b/Source/daemon/http_wire.cc
@@ -179,17 +179,20 @@
       this->buffer.append(bytes.data(), static_cast<std::size_t>(count));
       return WireError::kNone;
     }
-    if (count == 0) {
-      return WireError::kClosed;
-    }
-    if (errno != EINTR && errno != EAGAIN && errno != EWOULDBLOCK) {
-      return WireError::kReset;
+    if (count == 0 ||
+        (errno != EINTR && errno != EAGAIN && errno != EWOULDBLOCK)) {
+      return this->EndOfConnection(count < 0);
     }
     WaitForSocket(this->socket, POLLIN, deadline);
   }
   return WireError::kTimedOut;
 }
 
+WireError WireReader::EndOfConnection(bool failed) {
+  this->reset = this->reset || failed;
+  return this->reset ? WireError::kReset : WireError::kClosed;
+}
+
 WireError WireReader::FillAvailable(std::size_t max_bytes) {
   std::array<char, kReadSize> bytes;
   const bool full = this->Buffered().size() >= max_bytes;
@@ -199,10 +202,10 @@
   if (count < 0) {
     const bool waiting =
         errno == EINTR || errno == EAGAIN || errno == EWOULDBLOCK;
-    return waiting ? WireError::kNone : WireError::kReset;
+    return waiting ? WireError::kNone : this->EndOfConnection(true);
   }
   if (count == 0) {
-    return WireError::kClosed;
+    return this->EndOfConnection(false);
   }
   if (!full) {
     this->buffer.erase(0, this->position);
@@ -481,14 +484,14 @@
   }
 }
 
-bool WriteAll(int socket,
-              WireReader::TimePoint deadline,
-              absl::string_view bytes,
-              std::size_t& sent) {
+WireError WriteAll(int socket,
+                   WireReader::TimePoint deadline,
+                   absl::string_view bytes,
+                   std::size_t& sent) {
   sent = 0;
   while (sent < bytes.size()) {
     if (Clock::now() >= deadline) {
-      return false;
+      return WireError::kTimedOut;
     }
     const ssize_t count =
         ::send(socket, bytes.data() + sent, bytes.size() - sent,
@@ -499,11 +502,11 @@
     }
     if (count < 0 && errno != EINTR && errno != EAGAIN &&
         errno != EWOULDBLOCK) {
-      return false;
+      return WireError::kReset;
     }
     WaitForSocket(socket, POLLOUT, deadline);
   }
-  return true;
+  return WireError::kNone;
 }
 
 }  // namespace comfrey
--- a/Source/daemon/http_wire.h
+++ b/Source/daemon/http_wire.h
@@ -61,6 +61,13 @@
   /// ended.
   WireError FillAvailable(std::size_t max_bytes);
 
+  /// \brief Takes the end of the connection for a reset from now on, because
+  /// sending over it has failed.
+  ///
+  /// A socket reports its error once. After a send that failed, it reads as if
+  /// the peer had closed the connection.
+  void MarkReset() { this->reset = true; }
+
   /// \brief Frees the memory of an empty buffer, for a connection that becomes
   /// idle.
   void ReleaseBuffer();
@@ -84,10 +91,14 @@
 
  private:
   WireError FillBuffer(TimePoint deadline);
+  // Returns why a connection has ended. Once it was reset, no read reports a
+  // regular end.
+  WireError EndOfConnection(bool failed);
 
   int socket = -1;
   std::string buffer;
   std::size_t position = 0;
+  bool reset = false;
 };
 
 /// \brief Start line and headers of a message, as received and not decoded.
@@ -172,12 +183,14 @@
 /// passes; returns whether it is ready.
 bool WaitForSocket(int socket, short events, WireReader::TimePoint deadline);
 
-/// \brief Writes all bytes; returns whether that succeeded by the deadline.
-/// `sent` is the number of bytes that the kernel accepted.
-bool WriteAll(int socket,
-              WireReader::TimePoint deadline,
-              absl::string_view bytes,
-              std::size_t& sent);
+/// \brief Writes all bytes; returns kTimedOut at the deadline and kReset if the
+/// connection failed. `sent` is the number of bytes that the kernel accepted.
+///
+/// Use SendAll where a response is read from the same connection.
+WireError WriteAll(int socket,
+                   WireReader::TimePoint deadline,
+                   absl::string_view bytes,
+                   std::size_t& sent);
 
 }  // namespace comfrey
 
--- a/Source/daemon/reply_stream.cc
+++ b/Source/daemon/reply_stream.cc
@@ -45,7 +45,7 @@
     std::size_t sent = 0;
     const Clock::time_point limit = std::min<Clock::time_point>(
         *this->deadline, Clock::now() + kWriteTimeout);
-    if (!WriteAll(this->connection, limit, piece, sent)) {
+    if (WriteAll(this->connection, limit, piece, sent) != WireError::kNone) {
       this->failed = true;
       return -1;
     }
--- a/Tests/daemon/raw_socket.cc
+++ b/Tests/daemon/raw_socket.cc
@@ -97,6 +97,28 @@
                     timeout, closed);
 }
 
+bool RawSocket::Discard(std::size_t count,
+                        std::chrono::milliseconds timeout) const {
+  std::array<char, 64 << 10> bytes;
+  const Clock::time_point deadline = Clock::now() + timeout;
+  while (count > 0) {
+    const auto left =
+        std::chrono::ceil<std::chrono::milliseconds>(deadline - Clock::now());
+    pollfd entry{this->socket, POLLIN, 0};
+    if (left.count() <= 0 ||
+        ::poll(&entry, 1, static_cast<int>(left.count())) <= 0) {
+      return false;
+    }
+    const ssize_t received =
+        ::recv(this->socket, bytes.data(), std::min(count, bytes.size()), 0);
+    if (received <= 0) {
+      return false;
+    }
+    count -= static_cast<std::size_t>(received);
+  }
+  return true;
+}
+
 void RawSocket::ResetOnClose() const {
   const linger reset{1, 0};
   ::setsockopt(this->socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
--- a/Tests/daemon/raw_socket.h
+++ b/Tests/daemon/raw_socket.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -38,6 +39,10 @@
   std::string ReceiveResponse(std::chrono::milliseconds timeout,
                               bool& closed) const;
 
+  /// \brief Receives `count` bytes and discards them. Returns whether all of
+  /// them arrived in time.
+  bool Discard(std::size_t count, std::chrono::milliseconds timeout) const;
+
   /// \brief Makes the destructor reset the connection.
   void ResetOnClose() const;
 
--- a/Tests/system/broken_response_test.cc
+++ b/Tests/system/broken_response_test.cc
@@ -80,6 +80,172 @@
         2 * static_cast<int>((whole.size() + kStep - 1) / kStep));
 }
 
+// A long upload.
+struct Upload {
+  int vm = 1;  // The VM of its caller.
+  bool chunked = false;
+  bool slow = false;
+};
+
+// Sends an upload and returns the response, or the part of it that arrived.
+std::string SendUpload(const Upload& upload) {
+  constexpr int kPartBytes = 32 << 10;
+  constexpr int kParts = 30;  // Less than the limit of 1 MiB.
+  constexpr milliseconds kSlowInterval{10};
+  const std::string part(kPartBytes, 'x');
+  const auto caller = RawSocket::Connect(AddressOf(upload.vm), kCallerPort);
+  bool sent = caller->Send(absl::StrCat(
+      "POST /a/upload HTTP/1.1\r\nHost: shop.example\r\nX-Attempt: 7\r\n"
+      "X-Left: 8000\r\nConnection: close\r\n",
+      upload.chunked ? "Transfer-Encoding: chunked"
+                     : absl::StrCat("Content-Length: ", kParts * kPartBytes),
+      "\r\n\r\n"));
+  for (int i = 0; i < kParts && sent; ++i) {
+    sent = caller->Send(upload.chunked ? "8000\r\n" + part + "\r\n" : part);
+    std::this_thread::sleep_for(upload.slow ? kSlowInterval : milliseconds(0));
+  }
+  if (sent && upload.chunked) {
+    caller->Send("0\r\n\r\n");
+  }
+  bool closed = false;
+  return caller->Receive([](const std::string&) { return false; }, kTestTimeout,
+                         closed);
+}
+
+// Runs requests with the body "body", and answers uploads with a part of a
+// response without a length, then resets the connection.
+class ResettingBackend {
+ public:
+  explicit ResettingBackend(int vm)
+      : address(AddressOf(vm)),
+        instance(absl::StrCat("i-", vm)),
+        server(
+            this->address,
+            [this](RawSocket& socket, int) { this->Serve(socket); },
+            4) {}
+
+  std::string Registration() const {
+    return MakeRegistration(
+        "booking", absl::StrCat(this->address, ":", this->server.Port()), "a",
+        false);
+  }
+
+  std::atomic<int> uploads{0};
+  std::atomic<int> runs{0};
+
+ private:
+  void Serve(RawSocket& socket) {
+    bool closed = false;
+    const std::string head = socket.Receive(HasHead, kTestTimeout, closed);
+    const std::string answer = absl::StrCat(
+        "HTTP/1.1 200 OK\r\nX-Mark: ", this->instance, "\r\nX-Attempt: 7\r\n");
+    const bool upload = absl::StrContains(head, "/a/upload");
+    if (closed || !socket.Discard(upload ? 1 : 4, kTestTimeout)) {
+      return;
+    }
+    if (upload) {
+      ++this->uploads;
+      socket.Send(answer + "\r\npart");
+      socket.ResetOnClose();
+    } else {
+      ++this->runs;
+      socket.Send(answer + "Connection: close\r\nContent-Length: 3\r\n\r\nown");
+    }
+  }
+
+  std::string address;
+  std::string instance;
+  RawServer server;
+};
+
+// Guards against a part of a response that a caller gets as a whole one: it has
+// no length, and the backend server resets the connection while the upload is
+// being written.
+TEST_CASE("an upload whose response is reset reaches no caller as a success") {
+  RegistryFleet fleet;
+  ResettingBackend backend(1);
+  REQUIRE(WaitFor(RegistryFleet::AreReady));
+  fleet.registry.Put(MakeRegistrationKey("i-2"), RegistrationOf(2, true));
+  fleet.registry.Put(MakeRegistrationKey("i-1"), backend.Registration());
+  REQUIRE(WaitFor([&] {
+    const httplib::Result result = RegistryFleet::Send(2, "/a/x");
+    return backend.runs > 0 && result && result->body == "own";
+  }));
+  int refusals = 0;
+  int sent = 0;
+  for (const Upload& upload : std::vector<Upload>{{1, false, false},
+                                                  {1, false, true},
+                                                  {1, true, false},
+                                                  {1, true, true},
+                                                  {2, false, false},
+                                                  {2, false, true},
+                                                  {2, true, false},
+                                                  {2, true, true}}) {
+    constexpr int kRepeats = 3;
+    for (int i = 0; i < kRepeats; ++i) {
+      INFO("VM " << upload.vm << ", chunked " << upload.chunked << ", slow "
+                 << upload.slow);
+      const std::string response = SendUpload(upload);
+      const bool refused = absl::StartsWith(response, "HTTP/1.1 503 ");
+      refusals += refused ? 1 : 0;
+      ++sent;
+      INFO(response);
+      CHECK((response.empty() || refused ||
+             absl::StartsWith(response, "HTTP/1.1 502 ")));
+      CHECK_FALSE(absl::StrContains(response, "\r\n\r\npart"));
+    }
+  }
+  CHECK(backend.uploads > 0);
+  // A promise that the request did not run holds only for requests that the
+  // backend server did not receive.
+  CHECK(backend.uploads + refusals == sent);
+}
+
+// Guards against requests of others that fail, and daemons that count as
+// unreachable, because the responses to uploads are reset.
+TEST_CASE("uploads whose response is reset leave other requests alone") {
+  constexpr int kUploads = 12;
+  RegistryFleet fleet;
+  ResettingBackend backend(1);
+  REQUIRE(WaitFor(RegistryFleet::AreReady));
+  fleet.registry.Put(MakeRegistrationKey("i-1"), backend.Registration());
+  REQUIRE(WaitFor([&] {
+    RegistryFleet::Send(2, "/a/x");
+    return backend.runs > 0;
+  }));
+  std::atomic<bool> done{false};
+  std::atomic<int> served{0};
+  std::atomic<int> failed{0};
+  std::vector<std::thread> callers;
+  for (const int vm : {1, 2}) {
+    callers.emplace_back([&, vm] {
+      while (!done) {
+        std::this_thread::sleep_for(milliseconds(5));
+        const httplib::Result result = RegistryFleet::Send(vm, "/a/x");
+        const bool ok = result && result->status == 200;
+        ++(ok ? served : failed);
+      }
+    });
+  }
+  for (int i = 0; i < kUploads; ++i) {
+    SendUpload({1 + i % 2, i % 4 >= 2, true});
+  }
+  done = true;
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  CHECK(backend.uploads > 0);
+  CHECK(served > 0);
+  CHECK(failed == 0);
+  for (const int vm : {1, 2}) {
+    httplib::Client client(AddressOf(vm), kCallerPort);
+    const httplib::Result metrics = client.Get("/comfrey/metrics");
+    REQUIRE(metrics);
+    CHECK_THAT(metrics->body,
+               Catch::Contains("comfrey_ingress_path_failures_total 0\n"));
+  }
+}
+
 // Returns the peak of the resident memory of a process in KiB.
 long ReadPeakMemoryKib(pid_t pid) {
   constexpr char kField[] = "VmHWM:";
--- a/Tests/system/fleet.cc
+++ b/Tests/system/fleet.cc
@@ -85,7 +85,8 @@
       "attempt_id = X-Attempt\ntime_left = X-Left\n",
       "expected_instance = X-Instance\nnot_executed = X-Not-Run\n",
       "caller_service = X-Caller\nsignature = X-Mark\n",
-      "[shutdown]\ngrace = ", vm.grace, "\n");
+      "[backend]\nclose_delimited = true\n[shutdown]\ngrace = ", vm.grace,
+      "\n");
 }
 
 Fleet::Fleet(int vm_count, int relayed_vm)
