Deliver no malformed response of an owner

What callers would see: a daemon that passes on a response with a status that is none (0 if the response is left out of the message, 103, 600), or with a header name that holds a blank or a control byte, or a value that holds a line end. The ingress delivered it as the response to the request. No daemon of this release sends one, since the owner reads responses strictly; the messages between daemons had no check of their own.

Change: a response in a message is used only if it is one in HTTP, in results, fences, keys and recovered journals alike. Otherwise the outcome is unknown, counted in comfrey_ingress_unreadable_messages_total and named in the event of the request. It is no path failure.

--- a/Source/daemon/ingress_attempt.cc
+++ b/Source/daemon/ingress_attempt.cc
@@ -332,6 +332,14 @@
 
 // Sets the outcome of an attempt to a response of its backend server.
 void AttemptSender::SetResponse(rpc::Answer& answer, IngressAttempt& attempt) {
+  if (!HoldsResponse(answer)) {
+    this->unreadable.Add();
+    attempt.SetOutcome(CallerOutcome::kUnknown, rpc::REFUSAL_BACKEND_FAILED,
+                       absl::StrCat("the owner passed on a malformed response "
+                                    "with status ",
+                                    answer.status()));
+    return;
+  }
   const int status = answer.status();
   attempt.response =
       TakeResponse(answer, RefusalMeaningOf(this->dependencies.headers));
--- a/Source/daemon/message_conversion.cc
+++ b/Source/daemon/message_conversion.cc
@@ -1,8 +1,11 @@
 #include "daemon/message_conversion.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
+#include "daemon/http_wire.h"
+
 namespace comfrey {
 namespace {
 
@@ -55,9 +58,23 @@
   message.set_body(response->body);
 }
 
-// A daemon of an earlier release may send a response that must not be
-// delivered.
+bool HoldsResponse(const rpc::Answer& message) {
+  constexpr int kFirstFinalStatus = 200;
+  constexpr int kLastStatus = 599;
+  return message.status() >= kFirstFinalStatus &&
+         message.status() <= kLastStatus &&
+         std::all_of(message.headers().begin(), message.headers().end(),
+                     [](const rpc::Header& header) {
+                       return IsValidHeader({header.name(), header.value()});
+                     });
+}
+
+// A daemon of another release may send a response that must not be delivered,
+// or none at all.
 DeliverableResponse TakeResponse(rpc::Answer& message, RefusalMeaning meaning) {
+  if (!HoldsResponse(message)) {
+    return nullptr;
+  }
   return MakeDeliverable({message.status(), HeadersFromProto(message.headers()),
                           std::move(*message.mutable_body())},
                          meaning);
--- a/Source/daemon/message_conversion.h
+++ b/Source/daemon/message_conversion.h
@@ -20,8 +20,12 @@
 
 void ToProto(const DeliverableResponse& response, rpc::Answer& message);
 
+/// \brief Whether a message holds a response that HTTP can express: a final
+/// status (200 to 599) and valid headers. An empty message holds none.
+bool HoldsResponse(const rpc::Answer& message);
+
 /// \brief Returns the response in a message for delivery, or none if it must
-/// not be delivered. Empties the message.
+/// not be delivered or the message holds none. Empties the message.
 DeliverableResponse TakeResponse(rpc::Answer& message, RefusalMeaning meaning);
 
 /// \brief Conversions of summaries; the ages in the message are relative to
--- a/Tests/daemon/ingress_test.cc
+++ b/Tests/daemon/ingress_test.cc
@@ -7,8 +7,10 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "config/config_store.h"
 #include "daemon/raw_socket.h"
@@ -114,10 +116,9 @@
   bool answers_fences = false;
   // The backend server received the request and closed the connection.
   bool reports_lost_response = false;
-  // If not 0, replies to Forward calls and fences hold a response with this
-  // status.
-  int result_status = 0;
-  int fence_status = 0;
+  // If set, replies to Forward calls and fences hold this response.
+  std::optional<rpc::Answer> result = std::nullopt;
+  std::optional<rpc::Answer> fenced_result = std::nullopt;
   // An owner that cannot read the forwarded message.
   bool cannot_read = false;
 };
@@ -175,10 +176,10 @@
       writer->Write(reply);
       return grpc::Status::OK;
     }
-    if (this->behaviour.result_status != 0) {
+    if (this->behaviour.result) {
       rpc::Result& result = *reply.mutable_result();
       result.set_outcome(rpc::OUTCOME_ANSWERED);
-      result.mutable_answer()->set_status(this->behaviour.result_status);
+      *result.mutable_answer() = *this->behaviour.result;
       writer->Write(reply);
       return grpc::Status::OK;
     }
@@ -194,9 +195,9 @@
     }
     reply->set_state(this->behaviour.cannot_read ? rpc::FENCE_FENCED
                                                  : rpc::FENCE_RUNNING);
-    if (this->behaviour.fence_status != 0) {
+    if (this->behaviour.fenced_result) {
       reply->set_state(rpc::FENCE_DONE);
-      reply->mutable_answer()->set_status(this->behaviour.fence_status);
+      *reply->mutable_answer() = *this->behaviour.fenced_result;
     }
     return grpc::Status::OK;
   }
@@ -263,6 +264,15 @@
   CHECK(owner.forwards <= kRequests + kRequests / 10);
 }
 
+// Owners that pass on a response, first-hand and from a fence.
+std::vector<OwnerBehaviour> OwnersOf(const rpc::Answer& answer) {
+  OwnerBehaviour first_hand{"first-hand", true, true};
+  first_hand.result = answer;
+  OwnerBehaviour fenced{"fence", true, true};
+  fenced.fenced_result = answer;
+  return {first_hand, fenced};
+}
+
 // Guards against a status of a backend server that reaches a caller as the
 // promise that the request did not run, first-hand or from a fence, also from
 // an owner of an earlier release.
@@ -271,11 +281,9 @@
   HeaderNames marked;
   marked.not_executed = "X-Not-Run";
   for (const int status : {408, 421, 429, 503}) {
-    OwnerBehaviour first_hand{"first-hand", true, true};
-    first_hand.result_status = status;
-    OwnerBehaviour fenced{"fence", true, true};
-    fenced.fence_status = status;
-    for (const OwnerBehaviour& behaviour : {first_hand, fenced}) {
+    rpc::Answer answer;
+    answer.set_status(status);
+    for (const OwnerBehaviour& behaviour : OwnersOf(answer)) {
       INFO(behaviour.name << " " << status);
       FakeOwner owner(behaviour);
       TestIngress ingress(owner.port, 1, marked);
@@ -287,6 +295,50 @@
   }
 }
 
+// Guards against a response that is none and reaches a caller: an owner passes
+// it on, or leaves the response out of its reply.
+TEST_CASE("a malformed response of an owner reaches no caller", "[ingress]") {
+  const auto make_answer = [](int status, const std::string& name,
+                              const std::string& value) {
+    rpc::Answer answer;
+    answer.set_status(status);
+    rpc::Header& header = *answer.add_headers();
+    header.set_name(name);
+    header.set_value(value);
+    answer.set_body("body");
+    return answer;
+  };
+  const std::vector<rpc::Answer> answers = {
+      rpc::Answer(),
+      make_answer(-1, "X-A", "1"),
+      make_answer(99, "X-A", "1"),
+      make_answer(103, "X-A", "1"),
+      make_answer(600, "X-A", "1"),
+      make_answer(2000, "X-A", "1"),
+      make_answer(200, "", "1"),
+      make_answer(200, "X A", "1"),
+      make_answer(200, "X-A ", "1"),
+      make_answer(200, "X\x01", "1"),
+      make_answer(200, "X-A", "1\r\nX-B: 2"),
+      make_answer(200, "X-A", std::string("\0", 1))};
+  for (const rpc::Answer& answer : answers) {
+    for (const OwnerBehaviour& behaviour : OwnersOf(answer)) {
+      INFO(behaviour.name << " " << answer.ShortDebugString());
+      FakeOwner owner(behaviour);
+      TestIngress ingress(owner.port);
+      const IngressReply reply =
+          ingress.Send("/team/unsafe", [] { return false; });
+      CHECK(reply.outcome == CallerOutcome::kUnknown);
+      CHECK(reply.response.status == 502);
+      CHECK(ingress.counters.Counter("comfrey_ingress_path_failures_total")
+                .Value() == 0);
+      CHECK(
+          ingress.counters.Counter("comfrey_ingress_unreadable_messages_total")
+              .Value() == 1);
+    }
+  }
+}
+
 // Guards against requests that are refused because an owner could not read the
 // message of another request and counts as unreachable.
 TEST_CASE("a message that an owner cannot read is no path failure",
