Test each reader with each form of a broken response

One list of broken responses, sent as bytes over a socket: a status that is not three digits from 100 to 599 (000 among them), a field name with a blank or a control byte, ambiguous framing, each of these in an interim response and in a trailer, and cuts by a close and by a reset.

--- a/Tests/daemon/endpoint_prober_test.cc
+++ b/Tests/daemon/endpoint_prober_test.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <thread>
 
+#include "daemon/broken_responses.h"
 #include "daemon/raw_socket.h"
 
 namespace comfrey {
@@ -88,6 +89,24 @@
   CHECK(fixture.Drains());
 }
 
+// Guards against a backend server that counts as healthy, or as leaving, by a
+// health response that is not HTTP or not whole.
+TEST_CASE("a broken health response fails its probe", "[endpoint_prober]") {
+  for (const bool draining : {false, true}) {
+    for (const BrokenResponse& broken : MakeBrokenResponses(
+             draining ? "Draining: true\r\n" : "", "draining")) {
+      INFO(broken.name << ", draining " << draining);
+      ProberFixture fixture(
+          [&](RawSocket& socket, int) { SendBroken(socket, broken); });
+      fixture.prober.ProbeAll();
+      CHECK(fixture.FailedProbes() == 1);
+      CHECK_FALSE(fixture.Drains());
+      CHECK(fixture.counters.Counter("comfrey_owner_failed_probes_total")
+                .Value() == 1);
+    }
+  }
+}
+
 // Guards against probes that never end and take memory without bound, since a
 // backend server sends its health response without end or byte by byte.
 TEST_CASE("a health response without end fails its probe",
--- a/Tests/platform/registry_client_test.cc
+++ b/Tests/platform/registry_client_test.cc
@@ -9,6 +9,7 @@
 
 #include "absl/strings/escaping.h"
 #include "catch2/catch.hpp"
+#include "daemon/broken_responses.h"
 #include "daemon/raw_socket.h"
 #include "nlohmann/json.hpp"
 
@@ -318,6 +319,32 @@
   }
 }
 
+// Guards against a listing, a watch, a configuration or a revision that is
+// taken from a response which is not HTTP, or which is not whole.
+TEST_CASE("a broken response of the registry is an error") {
+  const json body = {
+      {"items", json::array({MakeRegistrationItem("servers/i-1", 5)})},
+      {"events", json::array({MakeRegistrationItem("servers/i-1", 5)})},
+      {"has_more", false},
+      {"store_revision", 8}};
+  std::vector<BrokenResponse> responses = MakeBrokenResponses("", body.dump());
+  // The end of a document shows the end of a response without a length.
+  const std::string no_length = "HTTP/1.1 200 OK\r\n\r\n" + body.dump();
+  for (const bool reset : {false, true}) {
+    responses.push_back({"cut without a length",
+                         no_length.substr(0, no_length.size() - 1), reset});
+  }
+  for (const BrokenResponse& broken : responses) {
+    INFO(broken.name);
+    const RawServer server(
+        kIp, [&](RawSocket& socket, int) { SendBroken(socket, broken); });
+    RegistryClient client(kIp, server.Port());
+    CHECK_FALSE(client.ReadAll().ok());
+    CHECK_FALSE(client.Watch(1, kWatchWait).ok());
+    CHECK_FALSE(client.ReadRevision().ok());
+  }
+}
+
 // Guards against changes that are never seen, because the registry withheld
 // them from the watch that ended while they were made.
 TEST_CASE("an empty response does not advance the watch") {
