Use no broken response of the configuration service

What operators would see: a response of the configuration service, or of its VM list, whose head has a field name with a blank or a control byte, a folded line, two lengths, or both a length and chunks was used. Values after such a head may be others than the service published, and a VM in such a list was reported as leaving.

Cause: these two reads were the only ones of the daemon that used the lenient parser of cpp-httplib, which skips lines that it cannot parse.

Change: they use the reader of all other responses, through HttpGetClient. With it, the whole response has a deadline and a limit of 16 MiB, where each read had a time limit of its own and the size had none. Failed reads of the VM list are counted and logged when the first one fails, as those of the configuration are.

"a VM list that is not whole notifies no daemon" is new with its counter.

--- a/Source/daemon/backend_response.cc
+++ b/Source/daemon/backend_response.cc
@@ -58,7 +58,7 @@
     case WireError::kHeadTooLarge:
       return "the headers of the response are too large";
     case WireError::kBodyTooLarge:
-      return absl::StrCat("the body of the response exceeds ",
+      return absl::StrCat("the response is too large: its body exceeds ",
                           limits.body_bytes, " bytes");
     case WireError::kOverBudget:
       return "the daemon receives too many large responses at the same time";
@@ -71,6 +71,8 @@
                       const ResponseLimits& limits) {
   received.error = DescribeError(error, limits);
   received.timed_out = error == WireError::kTimedOut;
+  received.ended_early =
+      error == WireError::kClosed || error == WireError::kReset;
   received.over_budget = error == WireError::kOverBudget;
   return received;
 }
--- a/Source/daemon/backend_response.h
+++ b/Source/daemon/backend_response.h
@@ -25,6 +25,8 @@
 struct ReceivedResponse {
   std::string error;  ///< Empty if the response is complete.
   bool timed_out = false;
+  /// Whether the connection ended before the response did.
+  bool ended_early = false;
   bool received_bytes = false;
   /// Whether the response, or the bytes that are none, may follow the response
   /// to an earlier request.
--- a/Source/daemon/config_service_client.cc
+++ b/Source/daemon/config_service_client.cc
@@ -1,21 +1,23 @@
 #include "daemon/config_service_client.h"
 
-#include <httplib.h>
-
 #include <utility>
 
-#include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
+#include "daemon/http_get_client.h"
 
 namespace comfrey {
 namespace {
 
-constexpr std::chrono::milliseconds kConnectTimeout{1000};
-// Time that the service has to respond, in addition to the wait time of a
-// watch.
-constexpr std::chrono::milliseconds kReadTimeoutMargin{2000};
+// Time for the connection and the whole response, in addition to the wait time
+// of a watch.
+constexpr std::chrono::milliseconds kResponseTime{3000};
+// Values have at most 1 MB each. A limit is needed because a faulty server may
+// send bytes without end. A response must not end with its connection: it may
+// be cut between two entries, and the entries before the cut would be used with
+// the revision of the whole response.
+const ResponseLimits kResponseLimits{16 << 20, false, nullptr};
 
 absl::string_view TakeLine(absl::string_view& text) {
   const std::size_t end = text.find('\n');
@@ -30,15 +32,6 @@
       line.substr(0, 80), "\""));
 }
 
-// Whether a response that was cut is noticed. One that ends with its connection
-// may be cut between two entries, and the entries before it would be used with
-// the revision of the whole response.
-bool HasKnownEnd(const httplib::Response& response) {
-  return response.has_header("Content-Length") ||
-         absl::EqualsIgnoreCase(response.get_header_value("Transfer-Encoding"),
-                                "chunked");
-}
-
 }  // namespace
 
 absl::StatusOr<TreeUpdate> ParseTreeUpdate(absl::string_view body) {
@@ -116,28 +109,21 @@
 absl::StatusOr<std::string> ConfigServiceClient::Get(
     const std::string& target,
     std::chrono::milliseconds wait) const {
-  httplib::Client client(this->ip, this->port);
-  client.set_connection_timeout(kConnectTimeout);
-  client.set_read_timeout(wait + kReadTimeoutMargin);
-  const httplib::Result reply = client.Get(target);
-  const std::string step =
-      absl::StrCat("read ", target, " from configuration service ", this->ip,
-                   ":", this->port, ": ");
-  if (!reply) {
-    return absl::UnavailableError(
-        absl::StrCat(step, httplib::to_string(reply.error())));
+  // Each call has its own connection. An idle one would occupy a thread of the
+  // service, which many daemons read.
+  HttpGetClient client(this->ip, this->port, kResponseLimits);
+  absl::StatusOr<HttpResponse> reply = client.Get(
+      target, std::chrono::steady_clock::now() + wait + kResponseTime);
+  const std::string step = absl::StrCat(
+      "read ", target, " from configuration service ", client.Peer(), ": ");
+  if (!reply.ok()) {
+    return absl::UnavailableError(absl::StrCat(step, reply.status().message()));
   }
   constexpr int kOk = 200;
   if (reply->status != kOk) {
     return absl::UnavailableError(absl::StrCat(step, "status ", reply->status));
   }
-  if (!HasKnownEnd(*reply)) {
-    return absl::DataLossError(absl::StrCat(
-        step,
-        "the response has neither a length nor chunks, so that a part of "
-        "it cannot be told from the whole"));
-  }
-  return reply->body;
+  return std::move(reply->body);
 }
 
 }  // namespace comfrey
--- a/Source/daemon/http_connection.cc
+++ b/Source/daemon/http_connection.cc
@@ -15,6 +15,17 @@
 
 using Clock = std::chrono::steady_clock;
 
+std::string DescribeConnectError(int code) {
+  switch (code) {
+    case ECONNREFUSED:
+      return "the connection was refused";
+    case ETIMEDOUT:
+      return "the connection was not accepted in time";
+    default:
+      return std::strerror(code);
+  }
+}
+
 // Returns a connected socket, or -1 with the cause in `error`.
 int Connect(const std::string& ip,
             int port,
@@ -53,7 +64,7 @@
     }
   }
   if (code != 0) {
-    error = std::strerror(code);
+    error = DescribeConnectError(code);
     ::close(socket);
     return -1;
   }
--- a/Source/daemon/http_get_client.cc
+++ b/Source/daemon/http_get_client.cc
@@ -6,7 +6,6 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "daemon/backend_response.h"
 
 namespace comfrey {
 namespace {
@@ -24,11 +23,11 @@
 
 HttpGetClient::HttpGetClient(std::string ip,
                              int port,
-                             std::size_t max_body_bytes)
+                             const ResponseLimits& limits)
     : ip(std::move(ip)),
       port(port),
       peer(absl::StrCat(this->ip, ":", port)),
-      max_body_bytes(max_body_bytes) {}
+      limits(limits) {}
 
 absl::StatusOr<HttpResponse> HttpGetClient::Get(const std::string& target,
                                                 TimePoint deadline) {
@@ -83,7 +82,7 @@
       OpenConnection(this->ip, this->port,
                      std::min(deadline, Clock::now() + kConnectTimeout), error);
   if (!opened) {
-    return absl::UnavailableError(absl::StrCat("connect: ", error));
+    return absl::UnavailableError(error);
   }
   EnableKeepalive(*opened);
   const std::lock_guard<std::mutex> lock(this->mutex);
@@ -108,11 +107,13 @@
                      "the connection ended before the request was sent");
   }
   ReceivedResponse received =
-      ReadResponse(this->connection->reader, "GET",
-                   {this->max_body_bytes, true, nullptr}, deadline);
+      ReadResponse(this->connection->reader, "GET", this->limits, deadline);
+  if (received.timed_out) {
+    return absl::DeadlineExceededError(received.error);
+  }
   if (!received.error.empty()) {
-    return received.timed_out ? absl::DeadlineExceededError(received.error)
-                              : absl::UnavailableError(received.error);
+    return received.ended_early ? absl::UnavailableError(received.error)
+                                : absl::DataLossError(received.error);
   }
   reusable = received.reusable;
   return std::move(received.response);
--- a/Source/daemon/http_get_client.h
+++ b/Source/daemon/http_get_client.h
@@ -2,13 +2,13 @@
 #define DAEMON_HTTP_GET_CLIENT_H_
 
 #include <chrono>
-#include <cstddef>
 #include <memory>
 #include <mutex>
 #include <string>
 
 #include "absl/status/statusor.h"
 #include "core/http_message.h"
+#include "daemon/backend_response.h"
 #include "daemon/http_connection.h"
 
 namespace comfrey {
@@ -21,8 +21,9 @@
  public:
   using TimePoint = std::chrono::steady_clock::time_point;
 
-  /// \brief A response with a body of more than `max_body_bytes` is an error.
-  HttpGetClient(std::string ip, int port, std::size_t max_body_bytes);
+  /// \brief A response that exceeds the limits, or whose end they do not allow,
+  /// is an error.
+  HttpGetClient(std::string ip, int port, const ResponseLimits& limits);
 
   HttpGetClient(const HttpGetClient&) = delete;
   HttpGetClient& operator=(const HttpGetClient&) = delete;
@@ -31,7 +32,8 @@
   /// it at a time.
   ///
   /// Errors: DeadlineExceeded if no complete response arrived by the deadline,
-  /// Cancelled after Stop(), otherwise Unavailable.
+  /// Cancelled after Stop(), DataLoss if the response is not valid or exceeds
+  /// the limits, otherwise Unavailable.
   absl::StatusOr<HttpResponse> Get(const std::string& target,
                                    TimePoint deadline);
 
@@ -56,7 +58,7 @@
   std::string ip;
   int port;
   std::string peer;
-  std::size_t max_body_bytes;
+  ResponseLimits limits;
   /// Guards `stopped`, and `connection` against a change while another thread
   /// ends its call.
   std::mutex mutex;
--- a/Source/daemon/vm_list_reader.cc
+++ b/Source/daemon/vm_list_reader.cc
@@ -1,6 +1,7 @@
 #include "daemon/vm_list_reader.h"
 
 #include <grpcpp/grpcpp.h>
+#include <spdlog/spdlog.h>
 
 #include <memory>
 #include <utility>
@@ -29,7 +30,8 @@
       channels(channels),
       peer_port(peer_port),
       is_reader(std::move(is_reader)),
-      reads(counters.Counter("comfrey_vm_list_reads_total")) {}
+      reads(counters.Counter("comfrey_vm_list_reads_total")),
+      failed_reads(counters.Counter("comfrey_vm_list_failed_reads_total")) {}
 
 void VmListReader::ReadOnce() {
   if (!this->is_reader()) {
@@ -37,7 +39,14 @@
   }
   this->reads.Add();
   const absl::StatusOr<std::vector<VmEntry>> vms = this->client.ReadVmList();
+  if (vms.ok() != this->available) {
+    this->available = vms.ok();
+    spdlog::warn("VM list: {}", this->available
+                                    ? "available again"
+                                    : std::string(vms.status().message()));
+  }
   if (!vms.ok()) {
+    this->failed_reads.Add();
     return;
   }
   for (const VmEntry& vm : *vms) {
--- a/Source/daemon/vm_list_reader.h
+++ b/Source/daemon/vm_list_reader.h
@@ -37,6 +37,9 @@
   int peer_port;
   std::function<bool()> is_reader;
   Metric& reads;
+  Metric& failed_reads;
+  /// Whether the last read succeeded.
+  bool available = true;
   /// For each leaving VM by address, the time when its daemon was last
   /// notified.
   std::map<std::string, std::chrono::steady_clock::time_point> notified_at;
--- a/Source/platform/registry_client.cc
+++ b/Source/platform/registry_client.cc
@@ -19,8 +19,9 @@
 constexpr milliseconds kReadTimeout{1500};
 constexpr milliseconds kRevisionReadTimeout{600};
 // A page has about 1 MB. A limit is needed because a faulty server may send
-// bytes without end.
-constexpr std::size_t kMaxResponseBytes = 16 << 20;
+// bytes without end. A response may end with its connection, since a part of a
+// JSON document is none.
+const ResponseLimits kResponseLimits{16 << 20, true, nullptr};
 
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
@@ -80,8 +81,8 @@
 };
 
 RegistryClient::RegistryClient(const std::string& ip, int port)
-    : client(ip, port, kMaxResponseBytes),
-      revision_client(ip, port, kMaxResponseBytes) {}
+    : client(ip, port, kResponseLimits),
+      revision_client(ip, port, kResponseLimits) {}
 
 void RegistryClient::AbandonWatch() {
   this->client.Abandon();
@@ -104,7 +105,10 @@
   const absl::StatusOr<HttpResponse> received =
       via.Get(target, Clock::now() + timeout);
   if (!received.ok()) {
-    return make_error(received.status().code(), received.status().message());
+    const absl::Status& error = received.status();
+    return make_error(
+        absl::IsDataLoss(error) ? absl::StatusCode::kUnavailable : error.code(),
+        error.message());
   }
   Response response;
   if (received->status == kNotFound) {
--- a/Tests/daemon/config_service_client_test.cc
+++ b/Tests/daemon/config_service_client_test.cc
@@ -1,11 +1,14 @@
 #include "daemon/config_service_client.h"
 
+#include <atomic>
 #include <chrono>
 #include <string>
 
 #include "absl/strings/str_cat.h"
 #include "catch2/catch.hpp"
+#include "daemon/broken_responses.h"
 #include "daemon/raw_socket.h"
+#include "daemon/vm_list_reader.h"
 
 namespace comfrey {
 namespace {
@@ -60,5 +63,49 @@
   }
 }
 
+// Guards against a value or a VM that is taken from a response which is not
+// HTTP, or which is not whole.
+TEST_CASE("a broken response of the configuration service is an error",
+          "[config_service_client]") {
+  const std::string vm_line = "vm-1 127.0.1.1 r a leaving\n";
+  for (const std::string& body : {kFirstEntry, vm_line}) {
+    for (const BrokenResponse& broken : MakeBrokenResponses("", body)) {
+      INFO(broken.name);
+      const RawServer server(
+          kIp, [&](RawSocket& socket, int) { SendBroken(socket, broken); });
+      const ConfigServiceClient client(kIp, server.Port());
+      const absl::Status status =
+          body == vm_line
+              ? client.ReadVmList().status()
+              : client.ReadTree("/", 1, std::chrono::milliseconds(0)).status();
+      CHECK_FALSE(status.ok());
+      CHECK_THAT(std::string(status.message()),
+                 Catch::Contains(absl::StrCat("configuration service ", kIp)));
+    }
+  }
+}
+
+// Guards against a VM list that cannot be read and is neither counted nor left
+// alone: here it says that a VM is leaving.
+TEST_CASE("a VM list that is not whole notifies no daemon",
+          "[config_service_client]") {
+  std::atomic<int> notifications{0};
+  const RawServer daemon(kIp, [&](RawSocket&, int) { ++notifications; });
+  const std::string line =
+      absl::StrCat("vm-1 ", kIp, " region domain leaving\n");
+  for (const BrokenResponse& broken : MakeBrokenResponses("", line)) {
+    INFO(broken.name);
+    const RawServer service(
+        kIp, [&](RawSocket& socket, int) { SendBroken(socket, broken); });
+    ChannelPool channels(4);
+    CounterRegistry counters;
+    VmListReader reader(ConfigServiceClient(kIp, service.Port()), channels,
+                        daemon.Port(), counters, [] { return true; });
+    reader.ReadOnce();
+    CHECK(counters.Counter("comfrey_vm_list_failed_reads_total").Value() == 1);
+  }
+  CHECK(notifications == 0);
+}
+
 }  // namespace
 }  // namespace comfrey
