Show no broken reply of a daemon in comfreyctl

What operators would see: comfreyctl showed a page whose head had a field name with a blank or a control byte, or two lengths, and a page of counters that was cut, if the reply had no length.

Cause: the lenient parser of cpp-httplib, as for the configuration service, and an end of the connection that was taken for the end of a page.

Change: pages are read by HttpGetClient, which limits the time of a whole reply by itself. A reply must have a length or chunks; daemons always send one.

--- a/Source/ctl/daemon_client.cc
+++ b/Source/ctl/daemon_client.cc
@@ -6,12 +6,14 @@
 #include <atomic>
 #include <set>
 #include <thread>
+#include <utility>
 
 #include "absl/status/status.h"
 #include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "base/duration_text.h"
+#include "daemon/http_get_client.h"
 
 namespace comfrey {
 namespace {
@@ -80,17 +82,9 @@
       "port"));
 }
 
-absl::string_view CauseOf(httplib::Error error) {
-  switch (error) {
-    case httplib::Error::Connection:
-      return "the connection was refused";
-    case httplib::Error::ConnectionTimeout:
-      return "the connection was not accepted in time";
-    case httplib::Error::Read:
-      return "no complete response arrived";
-    default:
-      return "the connection failed";
-  }
+absl::string_view CauseOf(const absl::Status& error) {
+  return absl::IsDeadlineExceeded(error) ? "no complete response arrived"
+                                         : error.message();
 }
 
 }  // namespace
@@ -131,10 +125,6 @@
 absl::StatusOr<std::string> FetchPage(const SocketAddress& daemon,
                                       const PageRequest& request,
                                       std::chrono::microseconds timeout) {
-  httplib::Client client(daemon.ip, daemon.port);
-  client.set_connection_timeout(timeout);
-  client.set_read_timeout(timeout);
-  client.set_write_timeout(timeout);
   httplib::Params parameters;
   for (const auto& [name, value] : request.parameters) {
     parameters.emplace(name, value);
@@ -143,40 +133,24 @@
                                                 : httplib::append_query_params(
                                                       request.path, parameters);
 
-  // The timeouts of the HTTP client apply to each single read. This deadline
-  // limits the whole response, for example of a daemon that sends byte by byte.
-  const Clock::time_point deadline = Clock::now() + timeout;
-  bool past_deadline = false;
-  std::string body;
-  const httplib::Result result =
-      client.Get(target, [&](const char* data, std::size_t size) {
-        past_deadline = Clock::now() > deadline;
-        if (past_deadline || size > kMaxReplyBytes - body.size()) {
-          return false;
-        }
-        body.append(data, size);
-        return true;
-      });
-  if (!result) {
-    if (result.error() != httplib::Error::Canceled) {
-      return UnreachableError(daemon, request.operation,
-                              CauseOf(result.error()));
-    }
-    if (past_deadline) {
-      return UnreachableError(daemon, request.operation,
-                              CauseOf(httplib::Error::Read));
-    }
-    return UnusableReplyError(
-        daemon, request.operation,
-        absl::OutOfRangeError("the response is too large"));
+  // A part of a page could be shown as the whole, so its end must be known.
+  HttpGetClient client(daemon.ip, daemon.port,
+                       {kMaxReplyBytes, false, nullptr});
+  absl::StatusOr<HttpResponse> reply =
+      client.Get(target, Clock::now() + timeout);
+  if (absl::IsDataLoss(reply.status())) {
+    return UnusableReplyError(daemon, request.operation, reply.status());
+  }
+  if (!reply.ok()) {
+    return UnreachableError(daemon, request.operation, CauseOf(reply.status()));
   }
-  if (result->status != kHttpOk) {
+  if (reply->status != kHttpOk) {
     return UnusableReplyError(
         daemon, request.operation,
         absl::UnknownError(
-            absl::StrCat(request.path, " has HTTP status ", result->status)));
+            absl::StrCat(request.path, " has HTTP status ", reply->status)));
   }
-  return body;
+  return std::move(reply->body);
 }
 
 std::vector<absl::StatusOr<std::string>> FetchPages(
--- a/Tests/ctl/command_test.cc
+++ b/Tests/ctl/command_test.cc
@@ -11,6 +11,8 @@
 #include "ctl/command_line.h"
 #include "ctl/daemon_client.h"
 #include "ctl/explain_command.h"
+#include "daemon/broken_responses.h"
+#include "daemon/raw_socket.h"
 #include "fake_daemon.h"
 #include "nlohmann/json.hpp"
 #include "sample_reports.h"
@@ -207,6 +209,27 @@
   }
 }
 
+// Guards against a page that is shown although its response is not HTTP, or is
+// a part of one.
+TEST_CASE("a broken reply is not shown") {
+  constexpr char kIp[] = "127.3.1.9";
+  std::vector<BrokenResponse> replies =
+      MakeBrokenResponses("", SampleCounters());
+  replies.push_back(
+      {"cut without a length", "HTTP/1.1 200 OK\r\n\r\nrequests_total 1\n"});
+  for (const BrokenResponse& broken : replies) {
+    INFO(broken.name);
+    const RawServer server(
+        kIp, [&](RawSocket& socket, int) { SendBroken(socket, broken); });
+    const std::string address = absl::StrCat(kIp, ":", server.Port());
+    const Result result = Run({"counters", "--daemon", address});
+    CHECK(result.code != ExitCode::kOk);
+    CHECK(result.out.empty());
+    CHECK_THAT(result.err,
+               Catch::Contains("read the counters from " + address));
+  }
+}
+
 // Guards against output without the reports of the other daemons if one daemon
 // does not respond, and against output without its error.
 TEST_CASE("status compares daemons and reports those that fail") {
