See an early response that stands behind an interim one

What callers saw: a backend server that answers a long upload with 100 Continue, then with a whole response, and reads no further. The caller got a time-out at its deadline, or 502 if the connection was reset, in place of the response.

Cause: the look for an early response compared the first bytes only, and those of an interim response say nothing.

Change: interim responses are skipped, also if only a part of one has arrived; at most 16 KiB are received before the request is sent.

--- a/Source/daemon/backend_client.cc
+++ b/Source/daemon/backend_client.cc
@@ -32,6 +32,8 @@
 // How often a request that cannot be sent on at once checks whether the backend
 // server has answered it already.
 constexpr std::chrono::milliseconds kSendPollPeriod{50};
+// Largest part of a response that is received before its request is sent.
+constexpr std::size_t kMaxEarlyBytes = 16 << 10;
 // Largest number of responses to other attempts that are skipped before the
 // response to the current request.
 constexpr int kMaxSkippedResponses = 3;
@@ -103,15 +105,26 @@
   return chunk;
 }
 
-// Whether a response has arrived, or the connection has ended. An interim
-// response (1xx) says nothing about the request.
-bool HasArrivedResponse(WireReader& reader) {
+// Returns what was received after the interim responses (1xx), which say
+// nothing about the request.
+absl::string_view SkipInterimResponses(absl::string_view received) {
   constexpr absl::string_view kInterim = "HTTP/1.1 1";
-  if (reader.FillAvailable(kInterim.size()) != WireError::kNone) {
-    return true;
+  constexpr absl::string_view kHeadEnd = "\r\n\r\n";
+  while (absl::StartsWith(received, kInterim)) {
+    const std::size_t end = received.find(kHeadEnd);
+    if (end == absl::string_view::npos) {
+      return "";
+    }
+    received.remove_prefix(end + kHeadEnd.size());
   }
-  return reader.HasBufferedBytes() &&
-         !absl::StartsWith(reader.Buffered(), kInterim);
+  return absl::StartsWith(kInterim, received) ? "" : received;
+}
+
+// Whether a response has arrived, or the connection has ended.
+bool HasArrivedResponse(WireReader& reader) {
+  return reader.FillAvailable(kMaxEarlyBytes) != WireError::kNone ||
+         reader.Buffered().size() >= kMaxEarlyBytes ||
+         !SkipInterimResponses(reader.Buffered()).empty();
 }
 
 // How the sending of a request ended.
--- a/Tests/daemon/early_response_test.cc
+++ b/Tests/daemon/early_response_test.cc
@@ -1,4 +1,5 @@
 #include <chrono>
+#include <future>
 #include <optional>
 #include <string>
 #include <thread>
@@ -41,14 +42,18 @@
   return {{false, false}, {false, true}, {true, false}, {true, true}};
 }
 
-BackendResult SendUpload(BackendFixture& fixture, const Upload& upload) {
+BackendResult SendUpload(BackendFixture& fixture,
+                         const Upload& upload,
+                         bool idempotent = false) {
   const std::vector<std::string> parts(upload.slow ? kSlowParts : kFastParts,
                                        std::string(kPartBytes, 'x'));
-  return fixture.Send(MakeStream(
-      parts,
-      upload.chunked ? std::nullopt
-                     : std::make_optional(parts.size() * kPartBytes),
-      BodyPartKind::kEnd, upload.slow ? kSlowInterval : milliseconds(0)));
+  return fixture.Send(
+      MakeStream(parts,
+                 upload.chunked ? std::nullopt
+                                : std::make_optional(parts.size() * kPartBytes),
+                 BodyPartKind::kEnd,
+                 upload.slow ? kSlowInterval : milliseconds(0)),
+      kTestTimeout, idempotent);
 }
 
 // Receives the head and the first byte of the body.
@@ -126,6 +131,34 @@
   }
 }
 
+// Guards against the same over a connection that was used before.
+TEST_CASE("a reset early response on a kept connection is not complete",
+          "[early_response]") {
+  const std::string sound =
+      MakeHead("HTTP/1.1", "Content-Length: 3\r\n") + "own";
+  for (const Upload& upload : AllUploads()) {
+    for (const Ending ending :
+         {Ending::kReset, Ending::kLateReset, Ending::kCloseUnread}) {
+      INFO(Describe(upload, ending));
+      const RawServer::Handler answer_and_end =
+          AnswerAndEnd(MakeHead("HTTP/1.1", "") + "part", ending);
+      int connections = 0;
+      BackendFixture fixture(kIp, [&](RawSocket& socket, int connection) {
+        ++connections;
+        bool closed = false;
+        socket.Receive(HasHead, kTestTimeout, closed);
+        socket.Send(sound);
+        answer_and_end(socket, connection);
+      });
+      REQUIRE(fixture.Send(nullptr).response.body == "own");
+      const BackendResult result = SendUpload(fixture, upload, true);
+      CHECK(connections == 1);
+      CHECK(result.outcome == BackendOutcome::kFailed);
+      CHECK(result.response.body.empty());
+    }
+  }
+}
+
 // Guards against a whole response that is lost because the backend server does
 // not read the rest of the request.
 TEST_CASE("an early response with a length is whole before a reset",
@@ -149,6 +182,38 @@
   }
 }
 
+// Guards against a whole response that is not seen until the deadline, because
+// it stands behind an interim response and the rest of the request is not read.
+TEST_CASE("an early response behind an interim one is delivered",
+          "[early_response]") {
+  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  const std::string whole =
+      MakeHead("HTTP/1.1", "Content-Length: 5\r\n") + "whole";
+  for (const bool reset : {false, true}) {
+    for (const bool chunked : {false, true}) {
+      INFO("reset " << reset << ", chunked " << chunked);
+      std::promise<void> done;
+      BackendFixture fixture(kIp, [&](RawSocket& socket, int) {
+        ReceiveStart(socket);
+        socket.Send(interim);
+        std::this_thread::sleep_for(kResetDelay);
+        socket.Send(interim + whole);
+        if (reset) {
+          std::this_thread::sleep_for(kResetDelay);
+          socket.ResetOnClose();
+        } else {
+          done.get_future().wait();
+        }
+      });
+      const BackendResult result = SendUpload(fixture, {chunked, false});
+      done.set_value();
+      CHECK(result.outcome == BackendOutcome::kAnswered);
+      CHECK(result.response.body == "whole");
+      CHECK(result.latency < std::chrono::seconds(5));
+    }
+  }
+}
+
 // Guards against a sound response without a length that is taken for a part,
 // because it began before the backend server had read the request.
 TEST_CASE("an early response may end with its connection after the body",
--- a/Tests/daemon/upload_fixture.cc
+++ b/Tests/daemon/upload_fixture.cc
@@ -47,11 +47,12 @@
       client(ip, this->server.Port(), this->watchdog, MakeProtocol(with_ids)) {}
 
 BackendResult BackendFixture::Send(std::shared_ptr<BodyStream> stream,
-                                   std::chrono::milliseconds time) {
+                                   std::chrono::milliseconds time,
+                                   bool idempotent) {
   HttpRequest request{"POST", "/u", {{"X-Attempt", "7"}}, "", nullptr};
   request.stream = std::move(stream);
   return this->client.Call(
-      {&request, false, Clock::now() + time, [] { return false; }});
+      {&request, idempotent, Clock::now() + time, [] { return false; }});
 }
 
 }  // namespace comfrey
--- a/Tests/daemon/upload_fixture.h
+++ b/Tests/daemon/upload_fixture.h
@@ -29,9 +29,11 @@
                  RawServer::Handler handler,
                  bool with_ids = true);
 
-  /// \brief Sends a non-idempotent request with the body.
+  /// \brief Sends a request with the body, if any. Only an idempotent one may
+  /// use a connection that was used before.
   BackendResult Send(std::shared_ptr<BodyStream> stream,
-                     std::chrono::milliseconds time = std::chrono::seconds(20));
+                     std::chrono::milliseconds time = std::chrono::seconds(20),
+                     bool idempotent = false);
 
   RawServer server;
   TimerService timers;
