Test broken responses with two real daemons

Each form of a broken response is sent by a backend server to a request through its own daemon and through another one. Callers get 502, or 503 for a request that the backend server did not receive.

--- a/Tests/system/broken_response_test.cc
+++ b/Tests/system/broken_response_test.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <fstream>
 #include <future>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -11,6 +12,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "catch2/catch.hpp"
+#include "daemon/broken_responses.h"
 #include "daemon/raw_socket.h"
 #include "published_documents.h"
 #include "system/registry_fleet.h"
@@ -80,6 +82,69 @@
         2 * static_cast<int>((whole.size() + kStep - 1) / kStep));
 }
 
+// Guards against a response with a status or a header that is none, or a part
+// of a response, that a caller gets as the response to its request.
+TEST_CASE("a broken response reaches no caller") {
+  const std::string fields = "X-Mark: i-1\r\nX-Attempt: 7\r\n";
+  BrokenResponse current{"sound", MakeSoundResponse(fields, "hello")};
+  std::mutex mutex;
+  std::atomic<int> requests{0};
+  RegistryFleet fleet;
+  const RawServer server(
+      AddressOf(1),
+      [&](RawSocket& socket, int) {
+        bool closed = false;
+        const auto has_body = [](const std::string& bytes) {
+          return absl::EndsWith(bytes, "\r\n\r\nbody");
+        };
+        if (!has_body(
+                socket.Receive(has_body, std::chrono::seconds(1), closed))) {
+          return;
+        }
+        ++requests;
+        const std::lock_guard<std::mutex> lock(mutex);
+        socket.Send(current.bytes);
+        if (current.reset) {
+          socket.ResetOnClose();
+        }
+      },
+      4);
+  REQUIRE(WaitFor(RegistryFleet::AreReady));
+  fleet.registry.Put(MakeRegistrationKey("i-2"), RegistrationOf(2, true));
+  fleet.registry.Put(
+      MakeRegistrationKey("i-1"),
+      MakeRegistration("booking",
+                       absl::StrCat(AddressOf(1), ":", server.Port()), "a",
+                       false));
+  REQUIRE(WaitFor([&] {
+    const httplib::Result result = RegistryFleet::Send(2, "/a/x");
+    return requests > 0 && result && result->body == "hello";
+  }));
+  requests = 0;
+  int refusals = 0;
+  int sent = 0;
+  for (const BrokenResponse& broken : MakeBrokenResponses(fields, "hello")) {
+    {
+      const std::lock_guard<std::mutex> lock(mutex);
+      current = broken;
+    }
+    for (const int vm : {1, 2}) {
+      INFO(broken.name << ", VM " << vm);
+      const httplib::Result result = RegistryFleet::Send(vm, "/a/x");
+      const bool refused = result && result->status == 503;
+      refusals += refused ? 1 : 0;
+      ++sent;
+      REQUIRE(result);
+      CHECK((refused || result->status == 502));
+      CHECK_FALSE(absl::StrContains(result->body, "hello"));
+    }
+  }
+  CHECK(requests > 0);
+  // A promise that the request did not run holds only for requests that the
+  // backend server did not receive.
+  CHECK(requests + refusals == sent);
+}
+
 // A long upload.
 struct Upload {
   int vm = 1;  // The VM of its caller.
