Log why a health response cannot be used

A probe without a usable response was counted as failed, and nothing said why. The prober now writes one line when the responses of a backend server become unusable, with the error, and one when they are usable again.

--- a/Source/daemon/endpoint_prober.cc
+++ b/Source/daemon/endpoint_prober.cc
@@ -51,6 +51,12 @@
   const std::lock_guard<std::mutex> lock(endpoint.mutex);
   RecordProbe(endpoint.health,
               passed ? ProbeResult::kPassed : ProbeResult::kFailed, now);
+  if (replied != endpoint.probe_answered) {
+    endpoint.probe_answered = replied;
+    spdlog::warn("probe of backend server {}: {}",
+                 endpoint.identity.endpoint.address,
+                 replied ? "answered again" : reply.error);
+  }
   // Without a reply, the drain state stays as it is: a backend server that was
   // draining may have stopped by now.
   if (!replied) {
--- a/Source/daemon/owned_endpoint.h
+++ b/Source/daemon/owned_endpoint.h
@@ -80,6 +80,8 @@
   std::uint64_t next_item_id = 1;
   std::map<std::uint64_t, QueueState> queue_states;
   DrainReasons drain;
+  /// Whether the last probe got a valid and complete response.
+  bool probe_answered = true;
   /// Whether the queue has been told that the endpoint leaves.
   bool leaving = false;
   EndpointHealth health;
