--- a/Source/ctl/daemon_client.cc
+++ b/Source/ctl/daemon_client.cc
@@ -134,8 +134,8 @@
                                                       request.path, parameters);
 
   // A part of a page could be shown as the whole, so its end must be known.
-  HttpGetClient client(daemon.ip, daemon.port,
-                       {kMaxReplyBytes, false, nullptr});
+  HttpGetClient client(daemon.ip, daemon.port, {kMaxReplyBytes, false, nullptr},
+                       timeout);
   absl::StatusOr<HttpResponse> reply =
       client.Get(target, Clock::now() + timeout);
   if (absl::IsDataLoss(reply.status())) {
--- a/Source/daemon/config_service_client.cc
+++ b/Source/daemon/config_service_client.cc
@@ -10,6 +10,7 @@
 namespace comfrey {
 namespace {
 
+constexpr std::chrono::milliseconds kConnectTimeout{1000};
 // Time for the connection and the whole response, in addition to the wait time
 // of a watch.
 constexpr std::chrono::milliseconds kResponseTime{3000};
@@ -111,7 +112,7 @@
     std::chrono::milliseconds wait) const {
   // Each call has its own connection. An idle one would occupy a thread of the
   // service, which many daemons read.
-  HttpGetClient client(this->ip, this->port, kResponseLimits);
+  HttpGetClient client(this->ip, this->port, kResponseLimits, kConnectTimeout);
   absl::StatusOr<HttpResponse> reply = client.Get(
       target, std::chrono::steady_clock::now() + wait + kResponseTime);
   const std::string step = absl::StrCat(
--- a/Source/daemon/http_get_client.cc
+++ b/Source/daemon/http_get_client.cc
@@ -13,8 +13,6 @@
 using Clock = std::chrono::steady_clock;
 using std::chrono::milliseconds;
 
-constexpr milliseconds kConnectTimeout{500};
-
 absl::Status StoppedError() {
   return absl::CancelledError("the client was stopped");
 }
@@ -23,11 +21,13 @@
 
 HttpGetClient::HttpGetClient(std::string ip,
                              int port,
-                             const ResponseLimits& limits)
+                             const ResponseLimits& limits,
+                             std::chrono::microseconds connect_timeout)
     : ip(std::move(ip)),
       port(port),
       peer(absl::StrCat(this->ip, ":", port)),
-      limits(limits) {}
+      limits(limits),
+      connect_timeout(connect_timeout) {}
 
 absl::StatusOr<HttpResponse> HttpGetClient::Get(const std::string& target,
                                                 TimePoint deadline) {
@@ -78,9 +78,9 @@
   }
   this->CloseConnection();
   std::string error;
-  std::unique_ptr<HttpConnection> opened =
-      OpenConnection(this->ip, this->port,
-                     std::min(deadline, Clock::now() + kConnectTimeout), error);
+  std::unique_ptr<HttpConnection> opened = OpenConnection(
+      this->ip, this->port,
+      std::min(deadline, Clock::now() + this->connect_timeout), error);
   if (!opened) {
     return absl::UnavailableError(error);
   }
--- a/Source/daemon/http_get_client.h
+++ b/Source/daemon/http_get_client.h
@@ -22,8 +22,11 @@
   using TimePoint = std::chrono::steady_clock::time_point;
 
   /// \brief A response that exceeds the limits, or whose end they do not allow,
-  /// is an error.
-  HttpGetClient(std::string ip, int port, const ResponseLimits& limits);
+  /// is an error. A connection is given up after `connect_timeout`.
+  HttpGetClient(std::string ip,
+                int port,
+                const ResponseLimits& limits,
+                std::chrono::microseconds connect_timeout);
 
   HttpGetClient(const HttpGetClient&) = delete;
   HttpGetClient& operator=(const HttpGetClient&) = delete;
@@ -59,6 +62,7 @@
   int port;
   std::string peer;
   ResponseLimits limits;
+  std::chrono::microseconds connect_timeout;
   /// Guards `stopped`, and `connection` against a change while another thread
   /// ends its call.
   std::mutex mutex;
--- a/Source/platform/registry_client.cc
+++ b/Source/platform/registry_client.cc
@@ -16,6 +16,7 @@
 
 // The registry usually responds within a few milliseconds, and within a few
 // hundred when it is slow.
+constexpr milliseconds kConnectTimeout{500};
 constexpr milliseconds kReadTimeout{1500};
 constexpr milliseconds kRevisionReadTimeout{600};
 // A page has about 1 MB. A limit is needed because a faulty server may send
@@ -81,8 +82,8 @@
 };
 
 RegistryClient::RegistryClient(const std::string& ip, int port)
-    : client(ip, port, kResponseLimits),
-      revision_client(ip, port, kResponseLimits) {}
+    : client(ip, port, kResponseLimits, kConnectTimeout),
+      revision_client(ip, port, kResponseLimits, kConnectTimeout) {}
 
 void RegistryClient::AbandonWatch() {
   this->client.Abandon();
