--- a/review/stand_ins_3/http.h
+++ b/review/stand_ins_3/http.h
@@ -103,6 +103,29 @@
         value == std::string::npos ? "" : line.substr(value);
   }
   buffer.erase(0, end + 4);
+  if (message.Header("transfer-encoding") == "chunked") {
+    for (;;) {
+      std::size_t line_end = 0;
+      while ((line_end = buffer.find("\r\n")) == std::string::npos) {
+        if (!fill()) {
+          return false;
+        }
+      }
+      const std::size_t size =
+          std::strtoul(buffer.substr(0, line_end).c_str(), nullptr, 16);
+      buffer.erase(0, line_end + 2);
+      while (buffer.size() < size + 2) {
+        if (!fill()) {
+          return false;
+        }
+      }
+      message.body += buffer.substr(0, size);
+      buffer.erase(0, size + 2);
+      if (size == 0) {
+        return true;
+      }
+    }
+  }
   const std::size_t length = static_cast<std::size_t>(
       std::atoll(message.Header("content-length").c_str()));
   while (buffer.size() < length) {
--- a/review/stand_ins_3/store_drill.cc
+++ b/review/stand_ins_3/store_drill.cc
@@ -6,7 +6,8 @@
 //           on and exits. Rule DRAIN: no request reaches it later than `drain`
 //           after the acknowledgement.
 //   config  the operator publishes a version just before the drill, and writes
-//           it again after it. Rule CONFIG: `config_apply` after the
+//           it again after it. The version adds a route and moves another one
+//           to another service. Rule CONFIG: `config_apply` after the
 //           acknowledgement, no request is refused with 404 or run by the old
 //           service as only an older version allows.
 //
@@ -34,6 +35,7 @@
 constexpr milliseconds kSkewMax{5000};
 constexpr milliseconds kContact{4000};
 
+// Machines with an endpoint of `atelier`. One more has one of `stockroom`.
 constexpr int kMachines = 3;
 
 void Sleep(milliseconds time) {
@@ -70,6 +72,8 @@
     RouteEntry("r-proof", "/proof/", "safe", "atelier");
 const std::string kOrderRoute =
     RouteEntry("r-order", "/order/", "unsafe", "atelier");
+const std::string kMovedOrderRoute =
+    RouteEntry("r-order", "/order/", "unsafe", "stockroom");
 const std::string kAddedRoute =
     RouteEntry("r-added", "/added/", "safe", "atelier");
 
@@ -155,31 +159,24 @@
       : network(ChooseNetwork()),
         record(record),
         store(this->network + "250", kStorePort, record) {
-    const Fields zones = {{"piedmont-a", "piedmont"}};
     for (int i = 1; i <= kMachines; ++i) {
-      const std::string number = std::to_string(i);
-      const std::string ip = this->network + number;
-      this->endpoints.push_back(std::make_unique<Endpoint>(
-          Endpoint::Options{"i-" + number, "atelier", ip, kAppPort,
-                            "piedmont-a"},
-          record));
-      this->daemons.push_back(std::make_unique<Daemon>(
-          repository, this->folder.path,
-          MakeFields("sidecar-piedmont-a-" + number, ip, "piedmont-a",
-                     "piedmont", "atelier",
-                     this->network + "250:" + std::to_string(kStorePort)),
-          zones));
+      this->AddMachine(repository, i, "atelier");
     }
+    this->AddMachine(repository, kMachines + 1, "stockroom");
   }
 
-  // Starts all but the third endpoint, which joins later.
+  // The endpoint that joins later.
+  Endpoint& Joining() { return *this->endpoints[kMachines - 1]; }
+
+  // Starts all but that endpoint.
   bool Start() {
     this->store.Start();
     this->store.Put("op/config", Config("r7", kProofRoute + kOrderRoute));
-    for (int i = 0; i + 1 < kMachines; ++i) {
-      this->endpoints[i]->Start();
-      this->store.Put(this->endpoints[i]->Key(),
-                      this->endpoints[i]->Entry("0ms"));
+    for (const auto& endpoint : this->endpoints) {
+      if (endpoint.get() != &this->Joining()) {
+        endpoint->Start();
+        this->store.Put(endpoint->Key(), endpoint->Entry("0ms"));
+      }
     }
     for (const auto& daemon : this->daemons) {
       daemon->Start();
@@ -206,6 +203,23 @@
   Store store;
   std::vector<std::unique_ptr<Endpoint>> endpoints;
   std::vector<std::unique_ptr<Daemon>> daemons;
+
+ private:
+  void AddMachine(const std::string& repository,
+                  int number,
+                  const std::string& service) {
+    const std::string text = std::to_string(number);
+    const std::string ip = this->network + text;
+    this->endpoints.push_back(std::make_unique<Endpoint>(
+        Endpoint::Options{"i-" + text, service, ip, kAppPort, "piedmont-a"},
+        this->record));
+    this->daemons.push_back(std::make_unique<Daemon>(
+        repository, this->folder.path,
+        MakeFields("sidecar-piedmont-a-" + text, ip, "piedmont-a", "piedmont",
+                   service,
+                   this->network + "250:" + std::to_string(kStorePort)),
+        Fields{{"piedmont-a", "piedmont"}}));
+  }
 };
 
 std::string CountsText(const std::string& name, const Counts& counts) {
@@ -218,7 +232,7 @@
 
 int PlayDrain(Deployment& deployment, Record& record, bool trouble) {
   Store& store = deployment.store;
-  Endpoint& leaving = *deployment.endpoints.back();
+  Endpoint& leaving = deployment.Joining();
   std::atomic<bool> acknowledged{false};
   Clock::time_point acknowledged_at;
   std::atomic<int> late{0};
@@ -289,11 +303,23 @@
 
 int PlayConfig(Deployment& deployment, Record& record, bool trouble) {
   Store& store = deployment.store;
-  Endpoint& joining = *deployment.endpoints.back();
+  Endpoint& joining = deployment.Joining();
+  std::atomic<bool> in_force{false};
+  std::atomic<int> run_by_old_service{0};
+  const auto on_run = [&](const Endpoint& endpoint, const Message& request) {
+    const std::string id = request.Header("comfreywood-attempt-id");
+    if (in_force && id.rfind("order", 0) == 0) {
+      ++run_by_old_service;
+      record.Write("OLD SERVICE: " + id + " is run by " + endpoint.Id());
+    }
+  };
+  for (int i = 0; i < kMachines; ++i) {
+    deployment.endpoints[i]->on_run = on_run;
+  }
   Clients proofs(deployment.network, "/proof/", record);
   proofs.Start(milliseconds(120));
   const std::string next =
-      Config("r9", kProofRoute + kOrderRoute + kAddedRoute);
+      Config("r9", kProofRoute + kMovedOrderRoute + kAddedRoute);
 
   store.TakeCopy();
   Sleep(milliseconds(2500));
@@ -316,17 +342,24 @@
   std::this_thread::sleep_until(acknowledged_at +
                                 std::max(kContact, kConfigApply + kSkewMax) +
                                 seconds(1));
+  in_force = true;
   Clients added(deployment.network, "/added/", record);
-  added.Start(milliseconds(120));
+  Clients orders(deployment.network, "/order/", record);
+  added.Start(milliseconds(200));
+  orders.Start(milliseconds(400));
   Sleep(seconds(8));
   added.Stop();
+  orders.Stop();
   proofs.Stop();
   record.Write(CountsText("proofs", proofs.counts));
   record.Write(CountsText("requests on the added route", added.counts));
+  record.Write(CountsText("orders on the moved route", orders.counts));
+  record.Write("orders run by the old service: " +
+               std::to_string(run_by_old_service));
   if (!deployment.AllRun()) {
     return 2;
   }
-  return added.counts.not_found > 0 ? 1 : 0;
+  return added.counts.not_found > 0 || run_by_old_service > 0 ? 1 : 0;
 }
 
 int Play(const std::string& scenario,
