Show that no daemon starts if the internal ports begin at 8080

Cause: peer_port is compared with http_port, whose default of 8080 is unused where caller_listen is set.

--- a/review/stand_ins_3/deployment.h
+++ b/review/stand_ins_3/deployment.h
@@ -28,15 +28,18 @@
 constexpr int kInternalPort = 7660;
 constexpr int kLastInternalPort = 7675;
 
-// Chooses a part of the loopback network that no other process uses.
-inline std::string ChooseNetwork() {
+// Chooses a part of the loopback network in which no other process uses the
+// ports of the deployment.
+inline std::string ChooseNetwork(const std::vector<int>& more_ports = {}) {
+  std::vector<int> ports = {kReadyPort, kOutboundPort, kStorePort,
+                            kAppPort,   kInternalPort, kLastInternalPort};
+  ports.insert(ports.end(), more_ports.begin(), more_ports.end());
   for (int i = 0; i < 200; ++i) {
     const int number = (::getpid() + i * 7919) % 20000;
     const std::string network = "127." + std::to_string(120 + number / 250) +
                                 "." + std::to_string(1 + number % 250) + ".";
     bool is_free = true;
-    for (const int port : {kReadyPort, kOutboundPort, kStorePort, kAppPort,
-                           kInternalPort, kLastInternalPort}) {
+    for (const int port : ports) {
       for (const char* host : {"1", "2", "3", "4", "5", "6", "250"}) {
         const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         const sockaddr_in address = MakeAddress(network + host, port);
