--- a/review/stand_ins_3/store_drill.cc
+++ b/review/stand_ins_3/store_drill.cc
@@ -5,14 +5,16 @@
 //   serves
 //           on and exits. Rule DRAIN: no request reaches it later than `drain`
 //           after the acknowledgement.
+//   removed the same, but the endpoint never reports `draining`: its entry is
+//           removed, and it serves on.
 //   config  the operator publishes a version just before the drill, and writes
 //           it again after it. The version adds a route and moves another one
 //           to another service. Rule CONFIG: `config_apply` after the
 //           acknowledgement, no request is refused with 404 or run by the old
 //           service as only an older version allows.
 //
-// usage: store_drill drain|config REPOSITORY RECORD. Exit status: 1 if the rule
-// was broken, 0 if it held, 2 if the case could not run.
+// usage: store_drill drain|removed|config REPOSITORY RECORD. Exit status: 1 if
+// the rule was broken, 0 if it held, 2 if the case could not run.
 
 #include <cstdio>
 #include <cstring>
@@ -230,7 +232,10 @@
          std::to_string(counts.unknown);
 }
 
-int PlayDrain(Deployment& deployment, Record& record, bool trouble) {
+int PlayDrain(Deployment& deployment,
+              Record& record,
+              bool reports,
+              bool trouble) {
   Store& store = deployment.store;
   Endpoint& leaving = deployment.Joining();
   std::atomic<bool> acknowledged{false};
@@ -279,15 +284,21 @@
   }
   // The store is stable again after `contact`; twice that is waited.
   Sleep(2 * kContact);
-  leaving.SetDraining();
-  store.Put(leaving.Key(), leaving.Entry("0ms"));
+  if (reports) {
+    leaving.SetDraining();
+    store.Put(leaving.Key(), leaving.Entry("0ms"));
+  } else {
+    store.Remove(leaving.Key());
+  }
   acknowledged_at = Clock::now();
   acknowledged = true;
   // It serves for `drain` and some seconds longer, and exits.
   Sleep(kDrain + seconds(6));
   record.Write("endpoint " + leaving.Id() + " exits");
   leaving.Stop();
-  store.Remove(leaving.Key());
+  if (reports) {
+    store.Remove(leaving.Key());
+  }
   Sleep(milliseconds(1500));
   proofs.Stop();
   orders.Stop();
@@ -374,9 +385,10 @@
   if (!deployment.Start()) {
     return 2;
   }
-  const int result = scenario == "drain"
-                         ? PlayDrain(deployment, record, trouble)
-                         : PlayConfig(deployment, record, trouble);
+  const int result =
+      scenario == "config"
+          ? PlayConfig(deployment, record, trouble)
+          : PlayDrain(deployment, record, scenario == "drain", trouble);
   record.Write(result == 1   ? "RESULT: the rule was broken"
                : result == 0 ? "RESULT: the rule held"
                              : "RESULT: the case could not run");
@@ -388,7 +400,7 @@
 
 int main(int argc, char** argv) {
   if (argc != 4) {
-    std::cerr << "usage: store_drill drain|config REPOSITORY RECORD\n";
+    std::cerr << "usage: store_drill drain|removed|config REPOSITORY RECORD\n";
     return 2;
   }
   try {
