--- a/review/stand_ins_3/endpoint.h
+++ b/review/stand_ins_3/endpoint.h
@@ -11,6 +11,8 @@
 
 namespace review {
 
+constexpr milliseconds kHeartbeat{1500};
+
 class Endpoint {
  public:
   struct Options {
@@ -27,16 +29,19 @@
   Endpoint(Options options, Record& record)
       : options(std::move(options)),
         record(record),
-        born(std::chrono::duration_cast<milliseconds>(
-                 std::chrono::system_clock::now().time_since_epoch())
-                 .count()),
         server(this->options.ip,
                this->options.port,
                [this](const Message& request, int socket) {
                  return this->Handle(request, socket);
                }) {}
 
-  void Start() { this->server.Start(); }
+  void Start() {
+    this->started_at = Clock::now();
+    this->born = std::chrono::duration_cast<milliseconds>(
+                     std::chrono::system_clock::now().time_since_epoch())
+                     .count();
+    this->server.Start();
+  }
 
   // Ends as a process that exits: what runs gets no answer.
   void Stop() {
@@ -47,8 +52,13 @@
 
   void SetDraining() { this->draining = true; }
 
-  // The entry in the store. `cold` is the rest of the cold start.
-  std::string Entry(const std::string& cold) const {
+  // The entry as it is written to the store now. `cold` is the rest of the
+  // cold start. The sequence counts the heartbeats since the start, and grows
+  // with each write.
+  std::string Entry(const std::string& cold) {
+    const auto heartbeats =
+        static_cast<int>((Clock::now() - this->started_at) / kHeartbeat);
+    this->sequence = std::max(this->sequence + 1, heartbeats + 1);
     return "{\"service\":\"" + this->options.service + "\",\"address\":\"" +
            this->options.ip + ":" + std::to_string(this->options.port) +
            "\",\"zone\":\"" + this->options.zone +
@@ -56,7 +66,8 @@
            std::to_string(this->options.slots) + ",\"state\":\"" +
            (this->draining ? "draining" : "ready") +
            "\",\"cold_remaining\":\"" + cold +
-           "\",\"sequence\":1,\"born\":" + std::to_string(this->born) + "}";
+           "\",\"sequence\":" + std::to_string(this->sequence) +
+           ",\"born\":" + std::to_string(this->born) + "}";
   }
 
   std::string Key() const { return "servers/" + this->options.id; }
@@ -134,7 +145,9 @@
 
   const Options options;
   Record& record;
-  const long long born;
+  Clock::time_point started_at;
+  long long born = 0;
+  int sequence = 0;
   std::atomic<bool> draining{false};
   std::atomic<bool> ended{false};
   std::mutex mutex;
