Log which registry changes are ignored, and what each request was based on

- Each change that is dropped or held back is one event, registry_change_ignored, with its reason and both positions, and is counted in comfrey_registry_ignored_changes_total{action,reason}.
- A position in the history of the registry is one type, RegistryRevision: the era of the header Store-Era and the revision.
The header is only recorded here.
An unreadable one is logged once and counted; a listing whose responses name two eras is read again.
- request_offered, attempt_finished, endpoint_use and endpoint_draining say from which era and revision the state of the endpoint was read; request_offered and attempt_finished also how long ago the registry confirmed it (registry_age).

No decision changes but the listing of two eras.

--- a/Source/config/registry.h
+++ b/Source/config/registry.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "config/ini_fields.h"
+#include "config/registry_revision.h"
 #include "config/team_config.h"
 
 namespace comfrey {
@@ -80,8 +81,8 @@
   std::string instance;
   /// Absent if the registration was removed or is not usable.
   std::optional<RegisteredEndpoint> endpoint;
-  /// Revision of the change.
-  std::uint64_t revision = 0;
+  /// Position of the change in the history of the registry.
+  RegistryRevision revision;
   /// Revision in which the registration was created.
   std::uint64_t created_revision = 0;
   /// Reason why the registration is not usable; empty if it is usable.
@@ -93,9 +94,12 @@
   /// Whether `registrations` lists all registrations that exist, and not only
   /// changes.
   bool complete = false;
-  /// Revision up to which changes are included. Later changes have a greater
-  /// revision.
-  std::uint64_t revision = 0;
+  /// Position up to which changes are included. Later changes of the same era
+  /// have a greater revision.
+  RegistryRevision revision;
+  /// Why the era that a response names cannot be read; empty if it can, or if
+  /// it names none.
+  std::string era_problem;
   /// Absent if the configuration did not change or is not usable.
   std::optional<PublishedConfig> config;
   /// Reason why the published configuration is not usable; empty otherwise.
--- a/Source/config/registry_view.cc
+++ b/Source/config/registry_view.cc
@@ -41,6 +41,7 @@
 // registry. Returns whether it was removed.
 bool RemoveRegistration(RegistryView& view,
                         const std::string& instance,
+                        const RegistryRevision& removed,
                         TimePoint now) {
   const auto known = view.registrations.find(instance);
   if (known == view.registrations.end()) {
@@ -49,6 +50,9 @@
   if (MayReregister(view, now)) {
     if (!known->second.missing_since) {
       known->second.missing_since = now;
+      view.ignored.push_back({instance, IgnoredAction::kHeldBack,
+                              "may_register_again", known->second.revision,
+                              removed});
     }
     return false;
   }
@@ -69,11 +73,14 @@
                        TimePoint now) {
   const auto known = view.registrations.find(change.instance);
   if (known != view.registrations.end() &&
-      change.revision < known->second.revision) {
+      change.revision.revision < known->second.revision.revision) {
+    view.ignored.push_back({change.instance, IgnoredAction::kDropped,
+                            "older_revision", known->second.revision,
+                            change.revision});
     return false;
   }
   if (!change.endpoint) {
-    return RemoveRegistration(view, change.instance, now);
+    return RemoveRegistration(view, change.instance, change.revision, now);
   }
   const bool changed =
       known == view.registrations.end() ||
@@ -100,7 +107,7 @@
   }
   bool changed = false;
   for (const std::string& instance : unlisted) {
-    changed |= RemoveRegistration(view, instance, now);
+    changed |= RemoveRegistration(view, instance, update.revision, now);
   }
   return changed;
 }
@@ -180,6 +187,7 @@
   const auto region = settings.regions.find(registered.failure_domain);
   endpoint.region = region == settings.regions.end() ? "" : region->second;
   endpoint.draining = registered.draining;
+  endpoint.registration = registration.second.revision;
   endpoint.slots = registered.slots;
   return endpoint;
 }
@@ -231,6 +239,12 @@
     view.config = update.config;
     view.config->limits = limits.value_or(CallerLimits());
     changed = true;
+  } else if (update.config && update.config->version < view.config->version) {
+    view.ignored.push_back({"configuration",
+                            IgnoredAction::kDropped,
+                            "older_version",
+                            {view.revision.era, view.config->version},
+                            {update.revision.era, update.config->version}});
   }
   if (update.config || !update.config_problem.empty()) {
     changed |= view.config_problem != update.config_problem;
@@ -255,6 +269,7 @@
     view.outage = false;
     view.reconnected_at = now;
   }
+  view.ignored.clear();
   bool changed = ApplyConfig(view, update);
   for (const RegistrationChange& change : update.registrations) {
     changed |= ApplyRegistration(view, change, now);
--- a/Source/config/registry_view.h
+++ b/Source/config/registry_view.h
@@ -6,8 +6,11 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
+#include "absl/strings/string_view.h"
 #include "config/registry.h"
+#include "config/registry_revision.h"
 #include "config/team_config.h"
 
 namespace comfrey {
@@ -15,13 +18,32 @@
 /// \brief A registration whose endpoint is in use.
 struct KnownRegistration {
   RegisteredEndpoint endpoint;
-  std::uint64_t revision = 0;
+  /// The write that the endpoint was read from.
+  RegistryRevision revision;
+  /// Revision of the era of `revision` in which it was created.
   std::uint64_t created_revision = 0;
   /// Time since which the registration is missing from the registry while its
   /// endpoint is still in use.
   std::optional<std::chrono::steady_clock::time_point> missing_since;
 };
 
+/// \brief What became of a change of the registry that is not in force.
+enum class IgnoredAction {
+  kDropped,
+  kHeldBack,  ///< It takes effect later, unless it is reversed.
+};
+
+/// \brief A change that was read from the registry and is not in force.
+struct IgnoredChange {
+  /// Identity of a backend server, or "configuration".
+  std::string subject;
+  IgnoredAction action = IgnoredAction::kDropped;
+  /// A name such as "older_revision".
+  absl::string_view reason;
+  RegistryRevision known;
+  RegistryRevision change;
+};
+
 /// \brief The state of the registry as known to this daemon.
 ///
 /// While the registry cannot be read, the last known state stays in use.
@@ -34,8 +56,10 @@
   std::string config_problem;
   /// By instance.
   std::map<std::string, KnownRegistration> registrations;
-  /// Revision of the last applied update.
-  std::uint64_t revision = 0;
+  /// Position of the last applied update.
+  RegistryRevision revision;
+  /// The changes of the last update that are not in force because of it.
+  std::vector<IgnoredChange> ignored;
   /// Whether the registry is in an outage, as far as known.
   bool outage = false;
   /// Time of the first successful read after the last outage.
--- a/Source/config/team_config.h
+++ b/Source/config/team_config.h
@@ -10,6 +10,7 @@
 
 #include "absl/strings/string_view.h"
 #include "config/ini_document.h"
+#include "config/registry_revision.h"
 #include "core/outlier_verdict.h"
 
 namespace comfrey {
@@ -43,6 +44,8 @@
   bool draining = false;
   /// Maximum number of concurrent requests; 0 for the `slots` of the service.
   int slots = 0;
+  /// Write of the registry that the endpoint was read from, for the log.
+  RegistryRevision registration;
 };
 
 /// \brief Whether both name the same process of a backend server.
--- a/Source/core/watch_supervision.cc
+++ b/Source/core/watch_supervision.cc
@@ -18,7 +18,7 @@
 }  // namespace
 
 void BeginWatch(WatchSupervision& watch,
-                std::uint64_t revision,
+                const RegistryRevision& revision,
                 WatchSupervision::TimePoint now) {
   watch.revision = revision;
   watch.started_at = now;
@@ -37,12 +37,12 @@
 }
 
 WatchVerdict RecordRevision(WatchSupervision& watch,
-                            std::uint64_t revision,
+                            const RegistryRevision& revision,
                             WatchSupervision::TimePoint now) {
   if (watch.has_failed_read) {
     return WatchVerdict::kAbandonAfterSilence;
   }
-  if (revision <= watch.revision) {
+  if (revision.revision <= watch.revision.revision) {
     watch.behind_since.reset();
     return WatchVerdict::kKeep;
   }
--- a/Source/core/watch_supervision.h
+++ b/Source/core/watch_supervision.h
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <optional>
 
+#include "config/registry_revision.h"
+
 namespace comfrey {
 
 /// \brief What is known of a watch that waits for changes, from small reads
@@ -12,8 +14,8 @@
 struct WatchSupervision {
   using TimePoint = std::chrono::steady_clock::time_point;
 
-  /// Revision after which the watch waits.
-  std::uint64_t revision = 0;
+  /// Position after which the watch waits.
+  RegistryRevision revision;
   TimePoint started_at;
   /// Number of reads that have failed, other than by a limit of their rate.
   int reads_without_service = 0;
@@ -37,7 +39,7 @@
 
 /// \brief Starts the supervision of a watch.
 void BeginWatch(WatchSupervision& watch,
-                std::uint64_t revision,
+                const RegistryRevision& revision,
                 WatchSupervision::TimePoint now);
 
 /// \brief Whether a read of the revision is due for the watch.
@@ -47,10 +49,10 @@
 /// whether the registry only refused so many calls of this daemon.
 void RecordFailedRead(WatchSupervision& watch, bool rate_limited);
 
-/// \brief Records the revision that a read has returned, which may be out of
+/// \brief Records the position that a read has returned, which may be out of
 /// date.
 WatchVerdict RecordRevision(WatchSupervision& watch,
-                            std::uint64_t revision,
+                            const RegistryRevision& revision,
                             WatchSupervision::TimePoint now);
 
 /// \brief Whether so many reads have failed since the start of the watch that
--- a/Source/daemon/daemon.h
+++ b/Source/daemon/daemon.h
@@ -31,6 +31,7 @@
 #include "daemon/peer_runner.h"
 #include "daemon/peer_server.h"
 #include "daemon/periodic_thread.h"
+#include "daemon/registry_confirmation.h"
 #include "daemon/registry_watcher.h"
 #include "daemon/service_levels.h"
 #include "daemon/vm_list_reader.h"
@@ -107,6 +108,7 @@
   KeyJournal journal;
   ServiceLevels levels;
   OwnerClient owner_client;
+  RegistryConfirmation confirmation;
   OwnerService owner;
   ConfigKeeper keeper;
   std::mutex agreement_mutex;
--- a/Source/daemon/endpoint_directory.cc
+++ b/Source/daemon/endpoint_directory.cc
@@ -141,6 +141,7 @@
   endpoint.ip = config.ip;
   endpoint.instance = config.instance;
   endpoint.started_at = config.started_at;
+  endpoint.registration = config.registration;
   endpoint.view.endpoint_id =
       XXH64(endpoint.address.data(), endpoint.address.size(), 0);
   if (endpoint.configured_draining != config.draining) {
@@ -339,7 +340,11 @@
         .Add("instance", endpoint.instance)
         .Add("use", UseName(uses[i]))
         .Add("was", UseName(endpoint.use))
-        .AddBool("configured_draining", endpoint.configured_draining);
+        .AddBool("configured_draining", endpoint.configured_draining)
+        .Add("registration_era",
+             static_cast<std::int64_t>(endpoint.registration.era))
+        .Add("registration_revision",
+             static_cast<std::int64_t>(endpoint.registration.revision));
     if (endpoint.replied_at != TimePoint{}) {
       event.AddDuration("knowledge_age", now - endpoint.replied_at);
     }
@@ -409,6 +414,7 @@
   chosen.address = endpoint.address;
   chosen.ip = endpoint.ip;
   chosen.instance = endpoint.instance;
+  chosen.registration = endpoint.registration;
   chosen.mode = placement->mode;
   if (placement->mode == PlacementMode::kSpareSlot) {
     chosen.max_wait = policy.remote_wait_limit;
--- a/Source/daemon/endpoint_directory.h
+++ b/Source/daemon/endpoint_directory.h
@@ -68,6 +68,10 @@
   std::chrono::microseconds expected_wait{0};
   /// Age of the last reply of the owner, for the log; 0 if there was none.
   std::chrono::steady_clock::duration status_age{0};
+  /// Write of the registry that it was read from, and the time since the
+  /// registry last confirmed that there is no later one, for the log.
+  RegistryRevision registration;
+  std::optional<std::chrono::steady_clock::duration> registry_age;
 };
 
 /// \brief Results of one request at the endpoints that were tried, by address.
@@ -179,6 +183,7 @@
     std::string ip;
     std::string instance;
     std::chrono::system_clock::time_point started_at;
+    RegistryRevision registration;
     /// Whether the configuration says that the backend server is draining.
     bool configured_draining = false;
     EndpointView view;
--- a/Source/daemon/ingress.cc
+++ b/Source/daemon/ingress.cc
@@ -287,6 +287,14 @@
       .Add("outcome", OutcomeName(attempt.outcome))
       .AddBool("sent", attempt.sent)
       .AddDuration("took", Clock::now() - attempt.started_at);
+  if (chosen.registry_age) {
+    event
+        .Add("registration_era",
+             static_cast<std::int64_t>(chosen.registration.era))
+        .Add("registration_revision",
+             static_cast<std::int64_t>(chosen.registration.revision))
+        .AddDuration("registry_age", *chosen.registry_age);
+  }
   if (attempt.fence) {
     event.Add("fence", rpc::FenceState_Name(*attempt.fence));
   }
@@ -332,6 +340,10 @@
     attempt.endpoint = chosen->address;
     attempt.ip = chosen->ip;
     attempt.chosen = *chosen;
+    if (this->dependencies.confirmation != nullptr) {
+      attempt.chosen.registry_age =
+          this->dependencies.confirmation->Age(Clock::now());
+    }
     this->TryEndpoint(context, progress, attempt);
     this->dependencies.directory.Finish(context.service, chosen->address);
     const bool answered = attempt.outcome == CallerOutcome::kAnswered &&
--- a/Source/daemon/ingress_attempt.h
+++ b/Source/daemon/ingress_attempt.h
@@ -45,6 +45,8 @@
   /// Returns the name of the service whose backend server runs on this VM; may
   /// be empty.
   std::function<std::string()> local_service = [] { return std::string(); };
+  /// Null without a registry.
+  const RegistryConfirmation* confirmation = nullptr;
 };
 
 /// \brief One request of a caller.
--- a/Source/daemon/main.cc
+++ b/Source/daemon/main.cc
@@ -112,7 +112,8 @@
   const auto client = std::make_shared<comfrey::platform::RegistryClient>(
       settings.registry->ip, settings.registry->port);
   return {[client] { return client->ReadAll(); },
-          [client](std::uint64_t revision, std::chrono::milliseconds wait) {
+          [client](const comfrey::RegistryRevision& revision,
+                   std::chrono::milliseconds wait) {
             return client->Watch(revision, wait);
           },
           [client] { return client->ReadRevision(); },
--- a/Source/daemon/owned_endpoint.cc
+++ b/Source/daemon/owned_endpoint.cc
@@ -222,6 +222,12 @@
   WriteEvent(
       MakeEvent(leaving ? "endpoint_draining" : "endpoint_undrained", endpoint)
           .AddBool("configured", endpoint.configured)
+          .Add("registration_era",
+               static_cast<std::int64_t>(
+                   endpoint.identity.endpoint.registration.era))
+          .Add("registration_revision",
+               static_cast<std::int64_t>(
+                   endpoint.identity.endpoint.registration.revision))
           .Add("queued",
                static_cast<std::int64_t>(endpoint.queue.queued.size()))
           .Add("running",
--- a/Source/daemon/owner_service.cc
+++ b/Source/daemon/owner_service.cc
@@ -75,6 +75,9 @@
   Clock::time_point received;
   Clock::time_point started;
   std::chrono::microseconds service_time{0};
+  /// What was known of the endpoint when the request was sent to it.
+  RegistryRevision registration;
+  std::optional<Clock::duration> registry_age;
 };
 
 OwnerService::OwnerService(OwnerIdentity identity,
@@ -82,12 +85,14 @@
                            CounterRegistry& counters,
                            RequestLog& log,
                            FenceKeyFunction fence_key,
-                           BackendProtocol protocol)
+                           BackendProtocol protocol,
+                           const RegistryConfirmation* confirmation)
     : identity(std::move(identity)),
       watchdog(watchdog),
       log(log),
       fence_key(std::move(fence_key)),
       protocol(std::move(protocol)),
+      confirmation(confirmation),
       attempts(counters.Counter("comfrey_owner_attempts_total")),
       refusals(counters.Counter("comfrey_owner_not_run_total")),
       backend_calls(counters.Counter("comfrey_owner_backend_calls_total")),
@@ -152,7 +157,7 @@
     Call call{
         request, callbacks, *endpoint, deadline,     RequestFromProto(request),
         {},      0,         {},        Clock::now(), {},
-        {}};
+        {},      {},        {}};
     call.request.stream = callbacks.body;
     result = this->Run(call);
     FillStatus(*endpoint, result);
@@ -428,6 +433,10 @@
     return;
   }
   const EndpointConfig called = endpoint.identity.endpoint;
+  call.registration = called.registration;
+  if (this->confirmation != nullptr) {
+    call.registry_age = this->confirmation->Age(Clock::now());
+  }
   lock.unlock();
   BackendCall backend_call;
   backend_call.request = &call.request;
@@ -532,6 +541,14 @@
     event.AddDuration("queued", call.started - call.received)
         .AddDuration("service", call.service_time);
   }
+  if (call.registry_age) {
+    event
+        .Add("registration_era",
+             static_cast<std::int64_t>(call.registration.era))
+        .Add("registration_revision",
+             static_cast<std::int64_t>(call.registration.revision))
+        .AddDuration("registry_age", *call.registry_age);
+  }
   if (result.outcome() == rpc::OUTCOME_ANSWERED) {
     event.Add("status", result.answer().status());
   } else {
--- a/Source/daemon/owner_service.h
+++ b/Source/daemon/owner_service.h
@@ -18,6 +18,7 @@
 #include "daemon/call_watchdog.h"
 #include "daemon/owned_endpoint.h"
 #include "daemon/owner_result.h"
+#include "daemon/registry_confirmation.h"
 #include "daemon/request_log.h"
 #include "peer.pb.h"
 
@@ -66,7 +67,8 @@
                CounterRegistry& counters,
                RequestLog& log,
                FenceKeyFunction fence_key,
-               BackendProtocol protocol = {});
+               BackendProtocol protocol = {},
+               const RegistryConfirmation* confirmation = nullptr);
   ~OwnerService();
 
   OwnerService(const OwnerService&) = delete;
@@ -145,6 +147,8 @@
   RequestLog& log;
   FenceKeyFunction fence_key;
   BackendProtocol protocol;
+  /// Null without a registry.
+  const RegistryConfirmation* confirmation;
   SuspicionPolicy suspicion;
   /// When requests in flight are aborted by a planned stop.
   std::atomic<Clock::time_point> stop_end{Clock::time_point::max()};
--- a/Source/daemon/registry_watcher.cc
+++ b/Source/daemon/registry_watcher.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/log_event.h"
+
 namespace comfrey {
 namespace {
 
@@ -30,6 +32,10 @@
       .count();
 }
 
+const char* ActionName(IgnoredAction action) {
+  return action == IgnoredAction::kDropped ? "dropped" : "held_back";
+}
+
 // A watch ends when missing registrations must be removed.
 milliseconds ComputeWatchWait(const RegistryView& view,
                               std::chrono::steady_clock::time_point now) {
@@ -42,6 +48,7 @@
 
 RegistryWatcher::RegistryWatcher(RegistrySource source,
                                  CounterRegistry& counters,
+                                 RegistryConfirmation& confirmation,
                                  ChangeFunction on_change)
     : source(std::move(source)),
       counters(counters),
@@ -55,10 +62,14 @@
                            {{"cause", "behind"}})),
       unusable_entries(
           counters.Counter("comfrey_registry_unusable_entries_total")),
+      unreadable_eras(
+          counters.Counter("comfrey_registry_unreadable_eras_total")),
+      era(counters.Gauge("comfrey_registry_era")),
       revision(counters.Gauge("comfrey_registry_revision")),
       config_version(counters.Gauge("comfrey_registry_config_version")),
       confirmed_at_unix_ms(
           counters.Gauge("comfrey_registry_confirmed_unix_ms")),
+      confirmation(confirmation),
       on_change(std::move(on_change)),
       confirmed_at(Clock::now()),
       retry_delay(kMinRetryDelay),
@@ -188,7 +199,7 @@
     started_at = this->supervision->started_at;
   }
   this->revision_reads.Add();
-  const absl::StatusOr<std::uint64_t> read = this->source.read_revision();
+  const absl::StatusOr<RegistryRevision> read = this->source.read_revision();
   const std::lock_guard<std::mutex> lock(this->mutex);
   if (!this->supervision || this->supervision->started_at != started_at) {
     return kSupervisionPeriod;
@@ -198,6 +209,9 @@
                      absl::IsResourceExhausted(read.status()));
     return kSupervisionPeriodInDoubt;
   }
+  if (*read == this->supervision->revision) {
+    this->confirmation.Confirm(Clock::now());
+  }
   const WatchVerdict verdict =
       RecordRevision(*this->supervision, *read, Clock::now());
   if (verdict != WatchVerdict::kKeep) {
@@ -208,29 +222,31 @@
 }
 
 // The caller must hold the mutex, so that no later read is ended.
-void RegistryWatcher::Abandon(WatchVerdict verdict, std::uint64_t revision) {
+void RegistryWatcher::Abandon(WatchVerdict verdict,
+                              const RegistryRevision& revision) {
   const bool behind = verdict == WatchVerdict::kAbandonBehind;
   (behind ? this->abandoned_behind : this->abandoned_after_silence).Add();
   spdlog::warn(
-      "registry: the watch after revision {} is given up after {} ms: {}, the "
-      "registry has revision {}",
-      this->supervision->revision,
+      "registry: the watch after revision {} of era {} is given up after {} "
+      "ms: {}, the registry has revision {} of era {}",
+      this->supervision->revision.revision, this->supervision->revision.era,
       std::chrono::duration_cast<milliseconds>(Clock::now() -
                                                this->supervision->started_at)
           .count(),
       behind ? "it has not returned a change"
              : "the registry did not respond meanwhile",
-      revision);
+      revision.revision, revision.era);
   this->source.abandon_watch();
 }
 
 void RegistryWatcher::HandleUpdate(const RegistryUpdate& update) {
   const Clock::time_point now = Clock::now();
-  if (this->failures > 0 || this->view.revision == 0) {
+  if (this->failures > 0 || this->view.revision.revision == 0) {
     spdlog::info(
-        "registry: read revision {} after {}, {} ms after the last success, {} "
-        "failures",
-        update.revision, this->view.revision,
+        "registry: read revision {} of era {} after revision {} of era {}, {} "
+        "ms after the last success, {} failures",
+        update.revision.revision, update.revision.era,
+        this->view.revision.revision, this->view.revision.era,
         std::chrono::duration_cast<milliseconds>(now - this->confirmed_at)
             .count(),
         this->failures);
@@ -239,6 +255,25 @@
   this->retry_delay = kMinRetryDelay;
   this->confirmed_at = now;
   this->confirmed_at_unix_ms.Set(UnixMilliseconds());
+  this->confirmation.Confirm(now);
+  this->ReportProblems(update);
+  const bool applied = ApplyRegistryUpdate(this->view, update, now);
+  for (const IgnoredChange& ignored : this->view.ignored) {
+    this->ReportIgnored(ignored);
+  }
+  const bool dropped = RemoveMissingRegistrations(this->view, now);
+  this->era.Set(static_cast<std::int64_t>(this->view.revision.era));
+  this->revision.Set(static_cast<std::int64_t>(this->view.revision.revision));
+  if (this->view.config) {
+    this->config_version.Set(
+        static_cast<std::int64_t>(this->view.config->version));
+  }
+  if (applied || dropped) {
+    this->on_change(this->view);
+  }
+}
+
+void RegistryWatcher::ReportProblems(const RegistryUpdate& update) {
   for (const RegistrationChange& change : update.registrations) {
     if (!change.problem.empty()) {
       this->unusable_entries.Add();
@@ -251,16 +286,36 @@
     spdlog::warn("registry: the published configuration is not usable: {}",
                  update.config_problem);
   }
-  const bool applied = ApplyRegistryUpdate(this->view, update, now);
-  const bool dropped = RemoveMissingRegistrations(this->view, now);
-  this->revision.Set(static_cast<std::int64_t>(this->view.revision));
-  if (this->view.config) {
-    this->config_version.Set(
-        static_cast<std::int64_t>(this->view.config->version));
+  std::string problem = update.era_problem;
+  if (problem.empty() && update.revision.era == 0 &&
+      this->view.revision.era != 0) {
+    problem = "a response does not name the era";
   }
-  if (applied || dropped) {
-    this->on_change(this->view);
+  if (!problem.empty()) {
+    this->unreadable_eras.Add();
   }
+  if (!problem.empty() && problem != this->era_problem) {
+    spdlog::warn("registry: {}; the era {} is taken to be unchanged", problem,
+                 this->view.revision.era);
+  }
+  this->era_problem = std::move(problem);
+}
+
+void RegistryWatcher::ReportIgnored(const IgnoredChange& ignored) {
+  this->counters
+      .Counter("comfrey_registry_ignored_changes_total",
+               {{"action", ActionName(ignored.action)},
+                {"reason", std::string(ignored.reason)}})
+      .Add();
+  LogEvent event("registry_change_ignored");
+  event.Add("subject", ignored.subject)
+      .Add("action", ActionName(ignored.action))
+      .Add("reason", ignored.reason)
+      .Add("known_era", static_cast<std::int64_t>(ignored.known.era))
+      .Add("known_revision", static_cast<std::int64_t>(ignored.known.revision))
+      .Add("era", static_cast<std::int64_t>(ignored.change.era))
+      .Add("revision", static_cast<std::int64_t>(ignored.change.revision));
+  WriteEvent(event);
 }
 
 // In a long outage, only the first failures are logged; all are counted.
@@ -273,11 +328,14 @@
       .Add();
   ++this->failures;
   if (this->failures <= kLoggedFailures) {
-    spdlog::warn("registry: {}; revision {}, {} ms after the last success",
-                 std::string(status.message()), this->view.revision,
-                 std::chrono::duration_cast<milliseconds>(Clock::now() -
-                                                          this->confirmed_at)
-                     .count());
+    spdlog::warn(
+        "registry: {}; revision {} of era {}, {} ms after the last "
+        "success",
+        std::string(status.message()), this->view.revision.revision,
+        this->view.revision.era,
+        std::chrono::duration_cast<milliseconds>(Clock::now() -
+                                                 this->confirmed_at)
+            .count());
   }
 }
 
--- a/Source/daemon/registry_watcher.h
+++ b/Source/daemon/registry_watcher.h
@@ -15,6 +15,7 @@
 #include "base/counters.h"
 #include "config/registry_view.h"
 #include "core/watch_supervision.h"
+#include "daemon/registry_confirmation.h"
 
 namespace comfrey {
 
@@ -22,12 +23,12 @@
 /// RegistryClient.
 struct RegistrySource {
   std::function<absl::StatusOr<RegistryUpdate>()> read_all;
-  std::function<absl::StatusOr<RegistryUpdate>(std::uint64_t revision,
+  std::function<absl::StatusOr<RegistryUpdate>(const RegistryRevision& revision,
                                                std::chrono::milliseconds wait)>
       watch;
-  /// Returns a revision of the registry that may be out of date. Called from
+  /// Returns a position of the registry that may be out of date. Called from
   /// another thread than the others.
-  std::function<absl::StatusOr<std::uint64_t>()> read_revision;
+  std::function<absl::StatusOr<RegistryRevision>()> read_revision;
   /// Ends a watch in progress with an error; called from another thread.
   std::function<void()> abandon_watch;
   /// Cancels a read in progress; called from another thread.
@@ -43,6 +44,7 @@
 
   RegistryWatcher(RegistrySource source,
                   CounterRegistry& counters,
+                  RegistryConfirmation& confirmation,
                   ChangeFunction on_change);
   ~RegistryWatcher();
 
@@ -72,7 +74,10 @@
   // Reads the revision if the watch has waited for long, and ends the watch if
   // it cannot be relied on. Returns the delay until the next read.
   std::chrono::milliseconds SuperviseOnce();
-  void Abandon(WatchVerdict verdict, std::uint64_t revision);
+  void Abandon(WatchVerdict verdict, const RegistryRevision& revision);
+  // These write what became of an update to the log and the metrics.
+  void ReportProblems(const RegistryUpdate& update);
+  void ReportIgnored(const IgnoredChange& ignored);
 
   RegistrySource source;
   CounterRegistry& counters;
@@ -81,11 +86,16 @@
   Metric& abandoned_after_silence;
   Metric& abandoned_behind;
   Metric& unusable_entries;
+  Metric& unreadable_eras;
+  Metric& era;
   Metric& revision;
   Metric& config_version;
   Metric& confirmed_at_unix_ms;
+  RegistryConfirmation& confirmation;
   ChangeFunction on_change;
   RegistryView view;
+  /// The last problem of the era that was logged.
+  std::string era_problem;
   /// Whether the view contains a listing after which no read has failed.
   bool listed = false;
   /// Number of listings and watches that have failed since one succeeded.
--- a/Source/platform/registry_client.cc
+++ b/Source/platform/registry_client.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 
 #include "absl/strings/ascii.h"
+#include "absl/strings/escaping.h"
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "nlohmann/json.hpp"
 #include "platform/registry_decoder.h"
@@ -29,6 +31,11 @@
 constexpr int kGone = 410;
 constexpr int kTooManyRequests = 429;
 
+// Number of times that the registry was restored from a copy, plus one.
+constexpr char kEraHeader[] = "Store-Era";
+// An unreadable value is quoted in the log up to this length.
+constexpr std::size_t kMaxQuotedEra = 40;
+
 // Encodes a value of a query (RFC 3986, section 2.1).
 std::string EncodeQueryValue(const std::string& value) {
   std::string encoded;
@@ -61,6 +68,19 @@
   return more != page.end() && more->is_boolean() && more->get<bool>();
 }
 
+// Returns the era that a response names, or 0. If its value cannot be read,
+// sets `problem`.
+std::uint64_t ReadEra(const HttpResponse& response, std::string& problem) {
+  const absl::string_view text = FindHeader(response.headers, kEraHeader);
+  std::uint64_t era = 0;
+  if (text.empty() || (absl::SimpleAtoi(text, &era) && era > 0)) {
+    return era;
+  }
+  problem = absl::StrCat("the header ", kEraHeader, " is \"",
+                         absl::CEscape(text.substr(0, kMaxQuotedEra)), "\"");
+  return 0;
+}
+
 absl::StatusCode CodeOfResponse(int status) {
   switch (status) {
     case kGone:
@@ -78,7 +98,8 @@
 /// exist.
 struct RegistryClient::Response {
   json body;
-  std::uint64_t revision = 0;
+  RegistryRevision revision;
+  std::string era_problem;
 };
 
 RegistryClient::RegistryClient(const std::string& ip, int port)
@@ -112,6 +133,7 @@
         error.message());
   }
   Response response;
+  response.revision.era = ReadEra(*received, response.era_problem);
   if (received->status == kNotFound) {
     return response;
   }
@@ -125,7 +147,7 @@
   }
   const auto revision = response.body.find("store_revision");
   if (revision != response.body.end() && revision->is_number_unsigned()) {
-    response.revision = revision->get<std::uint64_t>();
+    response.revision.revision = revision->get<std::uint64_t>();
   }
   return response;
 }
@@ -162,9 +184,13 @@
     // The pages of a listing are not a snapshot. The revision of the first one
     // is kept, so that a watch from it returns the changes made during the
     // listing.
-    if (update.revision == 0) {
+    if (last_key.empty()) {
       update.revision = response->revision;
     }
+    const absl::Status same_era = this->CheckEra(*response, update);
+    if (!same_era.ok()) {
+      return same_era;
+    }
     const auto items = response->body.find("items");
     if (items == response->body.end() || !items->is_array()) {
       return absl::UnavailableError(
@@ -189,17 +215,40 @@
   if (!config.ok()) {
     return config.status();
   }
+  const absl::Status same_era = this->CheckEra(*config, update);
+  if (!same_era.ok()) {
+    return same_era;
+  }
   if (!config->body.is_null()) {
     AddItem(config->body, update);
   }
   return absl::OkStatus();
 }
 
-absl::StatusOr<RegistryUpdate> RegistryClient::Watch(std::uint64_t revision,
-                                                     milliseconds max_wait) {
+// A listing whose responses come from two eras is none of either.
+absl::Status RegistryClient::CheckEra(const Response& response,
+                                      RegistryUpdate& update) const {
+  if (update.era_problem.empty()) {
+    update.era_problem = response.era_problem;
+  }
+  std::uint64_t& era = update.revision.era;
+  if (era == 0) {
+    era = response.revision.era;
+  }
+  if (response.revision.era == 0 || response.revision.era == era) {
+    return absl::OkStatus();
+  }
+  return absl::AbortedError(absl::StrCat(
+      "list the registry ", this->client.Peer(), ": the era changed from ", era,
+      " to ", response.revision.era, " meanwhile"));
+}
+
+absl::StatusOr<RegistryUpdate> RegistryClient::Watch(
+    const RegistryRevision& revision,
+    milliseconds max_wait) {
   const absl::StatusOr<Response> response =
       Get(this->client, "watch",
-          absl::StrCat("/kv-watch?prefix=&after=", revision,
+          absl::StrCat("/kv-watch?prefix=&after=", revision.revision,
                        "&wait_ms=", max_wait.count()),
           max_wait + kReadTimeout);
   if (!response.ok()) {
@@ -214,15 +263,19 @@
   RegistryUpdate update;
   // The revision of a response without changes is not taken: the registry may
   // withhold the changes of the last moment from a watch that ends then.
-  update.revision =
-      events->empty() ? revision : std::max(response->revision, revision);
+  update.revision.era = response->revision.era;
+  update.revision.revision =
+      events->empty()
+          ? revision.revision
+          : std::max(response->revision.revision, revision.revision);
+  update.era_problem = response->era_problem;
   for (const json& event : *events) {
     AddItem(event, update);
   }
   return update;
 }
 
-absl::StatusOr<std::uint64_t> RegistryClient::ReadRevision() {
+absl::StatusOr<RegistryRevision> RegistryClient::ReadRevision() {
   // No key has this prefix, so the response is short.
   const absl::StatusOr<Response> response = Get(
       this->revision_client, "read the revision",
--- a/Source/platform/registry_client.h
+++ b/Source/platform/registry_client.h
@@ -15,10 +15,10 @@
 /// HTTP.
 ///
 /// Errors: OutOfRange if the registry no longer has the history that a watch
-/// requests, ResourceExhausted if it limits the rate of calls, DeadlineExceeded
-/// if it gives no complete response in time, Cancelled after Stop(), otherwise
-/// Unavailable. Messages name the failed operation and the address of the
-/// registry.
+/// requests, ResourceExhausted if it limits the rate of calls, Aborted if its
+/// era changed during a listing, DeadlineExceeded if it gives no complete
+/// response in time, Cancelled after Stop(), otherwise Unavailable. Messages
+/// name the failed operation and the address of the registry.
 class RegistryClient {
  public:
   RegistryClient(const std::string& ip, int port);
@@ -30,13 +30,14 @@
   absl::StatusOr<RegistryUpdate> ReadAll();
 
   /// \brief Waits at most `max_wait` for changes after `revision` and returns
-  /// them.
-  absl::StatusOr<RegistryUpdate> Watch(std::uint64_t revision,
+  /// them. The registry may have another era by then, see
+  /// RegistryUpdate::revision.
+  absl::StatusOr<RegistryUpdate> Watch(const RegistryRevision& revision,
                                        std::chrono::milliseconds max_wait);
 
-  /// \brief Reads the revision of the registry, which may be seconds out of
+  /// \brief Reads the position of the registry, which may be seconds out of
   /// date. May be called while another thread reads.
-  absl::StatusOr<std::uint64_t> ReadRevision();
+  absl::StatusOr<RegistryRevision> ReadRevision();
 
   /// \brief Ends a watch in progress on another thread with an error.
   void AbandonWatch();
@@ -58,6 +59,7 @@
   /// \brief Lists all registrations, from the revision of the first page.
   absl::Status ListRegistrations(RegistryUpdate& update);
   absl::Status ReadConfig(RegistryUpdate& update);
+  absl::Status CheckEra(const Response& response, RegistryUpdate& update) const;
 
   HttpGetClient client;
   HttpGetClient revision_client;
--- a/Source/platform/registry_decoder.cc
+++ b/Source/platform/registry_decoder.cc
@@ -380,7 +380,7 @@
                      RegistryUpdate& update) {
   RegistrationChange change;
   change.instance = std::move(instance);
-  change.revision = ReadRevision(item, "rev");
+  change.revision = {update.revision.era, ReadRevision(item, "rev")};
   change.created_revision = ReadRevision(item, "create_revision");
   if (!item.contains("deleted")) {
     const absl::StatusOr<std::string> value = ReadValue(item);
--- a/Tests/config/registry_view_test.cc
+++ b/Tests/config/registry_view_test.cc
@@ -28,7 +28,7 @@
   RegistrationChange change;
   change.instance = instance;
   change.endpoint = MakeEndpoint(ip);
-  change.revision = revision;
+  change.revision = {0, revision};
   change.created_revision = revision;
   return change;
 }
@@ -37,7 +37,7 @@
                                std::uint64_t revision) {
   RegistrationChange change;
   change.instance = instance;
-  change.revision = revision;
+  change.revision = {0, revision};
   return change;
 }
 
@@ -61,7 +61,7 @@
 RegistryUpdate MakeListing(std::vector<RegistrationChange> registrations) {
   RegistryUpdate update;
   update.complete = true;
-  update.revision = 10;
+  update.revision = {0, 10};
   update.config = MakeConfig(4);
   update.registrations = std::move(registrations);
   return update;
--- a/Tests/daemon/registry_watcher_test.cc
+++ b/Tests/daemon/registry_watcher_test.cc
@@ -21,7 +21,7 @@
 RegistryUpdate MakeListing(std::uint64_t version) {
   RegistryUpdate update;
   update.complete = true;
-  update.revision = 5;
+  update.revision = {0, 5};
   update.config.emplace();
   update.config->version = version;
   return update;
@@ -30,15 +30,15 @@
 RegistrationChange MakeRegistration(const std::string& instance) {
   RegistrationChange change;
   change.instance = instance;
-  change.revision = 3;
+  change.revision = {0, 3};
   change.endpoint.emplace();
   return change;
 }
 
 RegistryUpdate MakeRemoval(const std::string& instance) {
   RegistryUpdate update;
-  update.revision = 9;
-  update.registrations.push_back({instance, std::nullopt, 9, 9, ""});
+  update.revision = {0, 9};
+  update.registrations.push_back({instance, std::nullopt, {0, 9}, 9, ""});
   return update;
 }
 
@@ -48,10 +48,10 @@
  public:
   RegistrySource Source() {
     return {[this] { return this->Read("list"); },
-            [this](std::uint64_t revision, milliseconds) {
-              return this->Read("watch " + std::to_string(revision));
+            [this](const RegistryRevision& revision, milliseconds) {
+              return this->Read("watch " + std::to_string(revision.revision));
             },
-            [this]() -> absl::StatusOr<std::uint64_t> {
+            [this]() -> absl::StatusOr<RegistryRevision> {
               const std::lock_guard<std::mutex> lock(this->mutex);
               return this->revision;
             },
@@ -63,7 +63,7 @@
             }};
   }
 
-  void SetRevision(absl::StatusOr<std::uint64_t> result) {
+  void SetRevision(absl::StatusOr<RegistryRevision> result) {
     const std::lock_guard<std::mutex> lock(this->mutex);
     this->revision = std::move(result);
   }
@@ -104,7 +104,7 @@
   std::condition_variable changed;
   std::vector<absl::StatusOr<RegistryUpdate>> results;
   std::vector<std::string> calls;
-  absl::StatusOr<std::uint64_t> revision = 0;
+  absl::StatusOr<RegistryRevision> revision = RegistryRevision();
   bool abandoned = false;
   bool stopped = false;
 };
@@ -113,6 +113,7 @@
   Fixture()
       : watcher(this->registry.Source(),
                 this->counters,
+                this->confirmation,
                 [this](const RegistryView& view) {
                   const std::lock_guard<std::mutex> lock(this->mutex);
                   this->versions.push_back(view.config->version);
@@ -133,6 +134,7 @@
 
   FakeRegistry registry;
   CounterRegistry counters;
+  RegistryConfirmation confirmation{Clock::now()};
   std::mutex mutex;
   std::vector<std::uint64_t> versions;
   std::size_t registrations = 0;
@@ -146,7 +148,7 @@
   Fixture fixture;
   fixture.registry.QueueResult(MakeListing(4));
   RegistryUpdate change;
-  change.revision = 9;
+  change.revision = {0, 9};
   change.config.emplace();
   change.config->version = 6;
   fixture.registry.QueueResult(change);
@@ -205,7 +207,7 @@
   Fixture fixture;
   fixture.registry.QueueResult(MakeListing(4));
   fixture.registry.WaitForCalls(2);
-  fixture.registry.SetRevision(6);
+  fixture.registry.SetRevision(RegistryRevision{0, 6});
   CHECK(fixture.registry.WaitForCalls(3) ==
         std::vector<std::string>{"list", "watch 5", "list"});
 }
@@ -220,7 +222,7 @@
   fixture.registry.SetRevision(absl::DeadlineExceededError("silent"));
   std::this_thread::sleep_for(milliseconds(2500));
   CHECK(fixture.registry.WaitForCalls(2).size() == 2);
-  fixture.registry.SetRevision(5);
+  fixture.registry.SetRevision(RegistryRevision{0, 5});
   CHECK(fixture.registry.WaitForCalls(3).back() == "list");
 }
 
@@ -260,7 +262,7 @@
   fixture.registry.WaitForCalls(2);
   fixture.registry.SetRevision(absl::DeadlineExceededError("silent"));
   std::this_thread::sleep_for(milliseconds(2500));
-  fixture.registry.SetRevision(5);
+  fixture.registry.SetRevision(RegistryRevision{0, 5});
   fixture.registry.WaitForCalls(3);
   fixture.registry.QueueResult(MakeListing(5));
   fixture.registry.WaitForCalls(4);
--- a/Tests/platform/registry_client_test.cc
+++ b/Tests/platform/registry_client_test.cc
@@ -100,7 +100,7 @@
   const auto update = client.ReadAll();
   REQUIRE(update.ok());
   CHECK(update->complete);
-  CHECK(update->revision == 8);
+  CHECK(update->revision == RegistryRevision{0, 8});
   CHECK_FALSE(update->config);
   REQUIRE(update->registrations.size() == 2);
   CHECK(update->registrations[0].instance == "i 1&x");
@@ -136,7 +136,7 @@
   REQUIRE(update.ok());
   REQUIRE(update->config);
   CHECK(update->config->version == 4);
-  CHECK(update->revision == 8);
+  CHECK(update->revision == RegistryRevision{0, 8});
 }
 
 // Guards against an endless listing if the registry always reports more items.
@@ -200,10 +200,10 @@
          {"store_revision", 43}});
   };
   RegistryClient client(kIp, store.port);
-  const auto update = client.Watch(41, kWatchWait);
+  const auto update = client.Watch({0, 41}, kWatchWait);
   REQUIRE(update.ok());
   CHECK_FALSE(update->complete);
-  CHECK(update->revision == 43);
+  CHECK(update->revision == RegistryRevision{0, 43});
   REQUIRE(update->registrations.size() == 2);
   CHECK(update->registrations[0].endpoint);
   CHECK_FALSE(update->registrations[1].endpoint);
@@ -239,7 +239,7 @@
         response.status = 404;
       }
     };
-    CHECK(client.Watch(1, kWatchWait).status().code() == c.code);
+    CHECK(client.Watch({0, 1}, kWatchWait).status().code() == c.code);
     CHECK_FALSE(client.ReadAll().ok());
   }
 }
@@ -256,14 +256,14 @@
   };
   RegistryClient client(kIp, store.port);
   const Clock::time_point begin = Clock::now();
-  CHECK_FALSE(client.Watch(1, kWatchWait).ok());
+  CHECK_FALSE(client.Watch({0, 1}, kWatchWait).ok());
   CHECK(Clock::now() - begin < std::chrono::seconds(4));
   std::thread stopper([&] {
     std::this_thread::sleep_for(milliseconds(100));
     client.Stop();
   });
   const Clock::time_point second = Clock::now();
-  CHECK_FALSE(client.Watch(1, std::chrono::seconds(20)).ok());
+  CHECK_FALSE(client.Watch({0, 1}, std::chrono::seconds(20)).ok());
   CHECK(Clock::now() - second < std::chrono::seconds(5));
   stopper.join();
   release = true;
@@ -314,7 +314,7 @@
                            SendWithoutEnd(c.start, c.repeated, c.interval));
     RegistryClient client(kIp, server.Port());
     const Clock::time_point begin = Clock::now();
-    CHECK(client.Watch(1, kWatchWait).status().code() == c.code);
+    CHECK(client.Watch({0, 1}, kWatchWait).status().code() == c.code);
     CHECK(Clock::now() - begin < std::chrono::seconds(3));
   }
 }
@@ -340,7 +340,7 @@
         kIp, [&](RawSocket& socket, int) { SendBroken(socket, broken); });
     RegistryClient client(kIp, server.Port());
     CHECK_FALSE(client.ReadAll().ok());
-    CHECK_FALSE(client.Watch(1, kWatchWait).ok());
+    CHECK_FALSE(client.Watch({0, 1}, kWatchWait).ok());
     CHECK_FALSE(client.ReadRevision().ok());
   }
 }
@@ -353,9 +353,9 @@
     SetJsonBody(response, {{"events", json::array()}, {"store_revision", 50}});
   };
   RegistryClient client(kIp, store.port);
-  const auto update = client.Watch(41, kWatchWait);
+  const auto update = client.Watch({0, 41}, kWatchWait);
   REQUIRE(update.ok());
-  CHECK(update->revision == 41);
+  CHECK(update->revision == RegistryRevision{0, 41});
 }
 
 // Guards against an error without the address of the registry.
--- a/Tests/platform/registry_decoder_test.cc
+++ b/Tests/platform/registry_decoder_test.cc
@@ -325,7 +325,7 @@
   REQUIRE(update.registrations.size() == 4);
   CHECK(update.registrations[0].instance == "i-1");
   CHECK(update.registrations[0].endpoint);
-  CHECK(update.registrations[0].revision == 40);
+  CHECK(update.registrations[0].revision == RegistryRevision{0, 40});
   CHECK(update.registrations[0].created_revision == 30);
   CHECK_FALSE(update.registrations[1].endpoint);
   CHECK_FALSE(update.registrations[1].problem.empty());
--- a/Utilities/measure_registry_change.cc
+++ b/Utilities/measure_registry_change.cc
@@ -46,7 +46,7 @@
                                     std::uint64_t revision) {
   RegistrationChange change;
   change.instance = absl::StrCat("instance-", endpoint);
-  change.revision = revision;
+  change.revision = {1, revision};
   change.created_revision = 1;
   RegisteredEndpoint registered;
   registered.service = absl::StrCat("service-", endpoint % size.services);
@@ -63,7 +63,7 @@
 RegistryUpdate MakeListing(const FleetSize& size) {
   RegistryUpdate listing;
   listing.complete = true;
-  listing.revision = 1;
+  listing.revision = {1, 1};
   listing.config.emplace();
   listing.config->version = 1;
   for (int i = 0; i < size.services; ++i) {
@@ -150,10 +150,10 @@
 
   StepTimes ApplyChange(int number) {
     RegistryUpdate change;
-    change.revision = static_cast<std::uint64_t>(number) + 2;
+    change.revision = {1, static_cast<std::uint64_t>(number) + 2};
     change.registrations.push_back(MakeRegistration(
         this->size, number % this->size.endpoints,
-        number / this->size.endpoints % 2 == 0, change.revision));
+        number / this->size.endpoints % 2 == 0, change.revision.revision));
     this->Apply(change);
     return this->times;
   }
