--- a/Tests/platform/fake_registry.cc
+++ b/Tests/platform/fake_registry.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr int kNotFound = 404;
+constexpr int kGone = 410;
 constexpr int kUnavailable = 503;
 
 void SetJsonBody(httplib::Response& response, const std::string& body) {
@@ -24,12 +25,15 @@
   };
   this->server.Get("/kv-key", [this](const auto& request, auto& response) {
     this->Read(request, response);
+    this->AddEra(response);
   });
   this->server.Get("/kv-range", [this](const auto& request, auto& response) {
     this->List(request, response);
+    this->AddEra(response);
   });
   this->server.Get("/kv-watch", [this](const auto& request, auto& response) {
     this->Watch(request, response);
+    this->AddEra(response);
   });
   this->server.bind_to_port(ip, port);
   this->thread = std::thread([this] { this->server.listen_after_bind(); });
@@ -47,13 +51,13 @@
 
 void FakeRegistry::Put(const std::string& key, const std::string& value) {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  this->items[key] = {value, ++this->revision, false};
+  this->state.items[key] = {value, ++this->state.revision, false};
   this->changed.notify_all();
 }
 
 void FakeRegistry::Remove(const std::string& key) {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  this->items[key] = {"", ++this->revision, true};
+  this->state.items[key] = {"", ++this->state.revision, true};
   this->changed.notify_all();
 }
 
@@ -68,6 +72,32 @@
   this->silent = enabled;
 }
 
+void FakeRegistry::TakeCopy() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->copy = this->state;
+}
+
+void FakeRegistry::Restore() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->state = this->copy;
+  ++this->era;
+  ++this->cuts;
+  this->changed.notify_all();
+}
+
+void FakeRegistry::AddEra(httplib::Response& response) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  response.set_header("Store-Era", std::to_string(this->era));
+}
+
+// A body that ends before its stated length makes the server close the
+// connection.
+void FakeRegistry::CloseUnanswered(httplib::Response& response) {
+  response.set_content_provider(
+      1, "application/json",
+      [](std::size_t, std::size_t, httplib::DataSink&) { return false; });
+}
+
 void FakeRegistry::CutWatches() {
   const std::lock_guard<std::mutex> lock(this->mutex);
   ++this->cuts;
@@ -104,14 +134,14 @@
     return;
   }
   const std::string key = request.get_param_value("key");
-  const auto found = this->items.find(key);
-  if (found == this->items.end() || found->second.removed) {
+  const auto found = this->state.items.find(key);
+  if (found == this->state.items.end() || found->second.removed) {
     response.status = kNotFound;
     return;
   }
   SetJsonBody(response,
               absl::StrCat(this->Render(key, found->second),
-                           ",\"store_revision\":", this->revision, "}"));
+                           ",\"store_revision\":", this->state.revision, "}"));
 }
 
 void FakeRegistry::List(const httplib::Request& request,
@@ -121,7 +151,7 @@
     return;
   }
   std::string rendered;
-  for (const auto& [key, item] : this->items) {
+  for (const auto& [key, item] : this->state.items) {
     if (!item.removed &&
         absl::StartsWith(key, request.get_param_value("prefix"))) {
       absl::StrAppend(&rendered, rendered.empty() ? "" : ",",
@@ -130,7 +160,7 @@
   }
   SetJsonBody(response, absl::StrCat("{\"items\":[", rendered,
                                      "],\"has_more\":false,\"store_revision\":",
-                                     this->revision, "}"));
+                                     this->state.revision, "}"));
 }
 
 void FakeRegistry::Watch(const httplib::Request& request,
@@ -142,17 +172,17 @@
   if (this->Reject(lock, response)) {
     return;
   }
+  if (after > this->state.revision) {
+    response.status = kGone;
+    return;
+  }
   const int cuts_before = this->cuts;
   this->changed.wait_for(lock, wait, [&] {
-    return this->stopping || this->unavailable || this->revision > after ||
-           this->cuts != cuts_before;
+    return this->stopping || this->unavailable ||
+           this->state.revision > after || this->cuts != cuts_before;
   });
   if (this->cuts != cuts_before) {
-    // A body that ends before its stated length makes the server close the
-    // connection.
-    response.set_content_provider(
-        1, "application/json",
-        [](std::size_t, std::size_t, httplib::DataSink&) { return false; });
+    CloseUnanswered(response);
     return;
   }
   if (this->unavailable) {
@@ -160,7 +190,7 @@
     return;
   }
   std::string rendered;
-  for (const auto& [key, item] : this->items) {
+  for (const auto& [key, item] : this->state.items) {
     if (item.revision > after) {
       absl::StrAppend(&rendered, rendered.empty() ? "" : ",",
                       this->Render(key, item), "}");
@@ -168,7 +198,7 @@
   }
   SetJsonBody(response,
               absl::StrCat("{\"events\":[", rendered,
-                           "],\"store_revision\":", this->revision, "}"));
+                           "],\"store_revision\":", this->state.revision, "}"));
 }
 
 }  // namespace comfrey
--- a/Tests/platform/fake_registry.h
+++ b/Tests/platform/fake_registry.h
@@ -38,6 +38,13 @@
   /// response.
   void SetSilent(bool enabled);
 
+  /// \brief Keeps a copy of all items, for Restore.
+  void TakeCopy();
+
+  /// \brief Goes back to the copy, in the next era. What was written since is
+  /// lost, and the revisions are given out again. Waiting watches are cut.
+  void Restore();
+
   /// \brief Closes the connections of the waiting watches without a response.
   void CutWatches();
 
@@ -47,6 +54,10 @@
     std::uint64_t revision = 0;
     bool removed = false;
   };
+  struct State {
+    std::map<std::string, Item> items;
+    std::uint64_t revision = 1;
+  };
 
   /// \brief Returns the JSON object of an item without the closing brace.
   std::string Render(const std::string& key, const Item& item) const;
@@ -56,11 +67,15 @@
   /// \brief Sets status 503 and returns true if the registry is unavailable. If
   /// it is silent, waits for its end first. The caller must hold the mutex.
   bool Reject(std::unique_lock<std::mutex>& lock, httplib::Response& response);
+  /// \brief Makes the server close the connection without a response.
+  static void CloseUnanswered(httplib::Response& response);
+  void AddEra(httplib::Response& response);
 
   std::mutex mutex;
   std::condition_variable changed;
-  std::map<std::string, Item> items;
-  std::uint64_t revision = 1;
+  State state;
+  State copy;
+  std::uint64_t era = 1;
   bool unavailable = false;
   bool silent = false;
   int cuts = 0;
--- a/Tests/platform/published_documents.cc
+++ b/Tests/platform/published_documents.cc
@@ -11,12 +11,14 @@
 std::string MakeRegistration(const std::string& service,
                              const std::string& address,
                              const std::string& failure_domain,
-                             bool draining) {
+                             bool draining,
+                             int sequence) {
   return absl::StrCat(R"({"service":")", service, R"(","address":")", address,
                       R"(","zone":")", failure_domain,
                       R"(","version":"v1","slots":4,"state":")",
                       draining ? "draining" : "ready",
-                      R"(","cold_remaining":"0ms","sequence":1})");
+                      R"(","cold_remaining":"0ms","born":1765000000000,)",
+                      R"("sequence":)", sequence, "}");
 }
 
 std::string MakeConfiguration(int version,
--- a/Tests/platform/published_documents.h
+++ b/Tests/platform/published_documents.h
@@ -12,11 +12,12 @@
 std::string MakeRegistrationKey(const std::string& instance);
 
 /// \brief Returns the registration of a backend server with 4 slots; `address`
-/// is "ip:port".
+/// is "ip:port", and `sequence` counts what the backend server has written.
 std::string MakeRegistration(const std::string& service,
                              const std::string& address,
                              const std::string& failure_domain,
-                             bool draining);
+                             bool draining,
+                             int sequence = 1);
 
 /// \brief A route from the host shop.example to the service booking.
 struct TestRoute {
--- a/Tests/system/registry_fleet.cc
+++ b/Tests/system/registry_fleet.cc
@@ -72,9 +72,10 @@
       "text/plain");
 }
 
-std::string RegistrationOf(int vm, bool draining) {
-  return MakeRegistration(
-      "booking", absl::StrCat(AddressOf(vm), ":", kBackendPort), "a", draining);
+std::string RegistrationOf(int vm, bool draining, int sequence) {
+  return MakeRegistration("booking",
+                          absl::StrCat(AddressOf(vm), ":", kBackendPort), "a",
+                          draining, sequence);
 }
 
 RegistryFleet::RegistryFleet(std::string grace_period)
--- a/Tests/system/registry_fleet.h
+++ b/Tests/system/registry_fleet.h
@@ -49,7 +49,7 @@
 
 /// \brief Returns the entry of the backend server that a RegistryFleet starts
 /// on a VM.
-std::string RegistrationOf(int vm, bool draining);
+std::string RegistrationOf(int vm, bool draining, int sequence = 1);
 
 /// \brief A registry, and two VMs with one backend server and one daemon each.
 struct RegistryFleet {
