Give the readers of the registry a folder of their own

The types, the view, the supervision of the watch and the watcher were spread over config, core and daemon. They move to Source/registry, with their tests; no code changes but the paths. config/registry.h is registry_update.h now.

--- a/Source/config/team_config.h
+++ b/Source/config/team_config.h
@@ -10,8 +10,8 @@
 
 #include "absl/strings/string_view.h"
 #include "config/ini_document.h"
-#include "config/registry_revision.h"
 #include "core/outlier_verdict.h"
+#include "registry/registry_revision.h"
 
 namespace comfrey {
 
--- a/Source/daemon/daemon.h
+++ b/Source/daemon/daemon.h
@@ -31,10 +31,10 @@
 #include "daemon/peer_runner.h"
 #include "daemon/peer_server.h"
 #include "daemon/periodic_thread.h"
-#include "daemon/registry_confirmation.h"
-#include "daemon/registry_watcher.h"
 #include "daemon/service_levels.h"
 #include "daemon/vm_list_reader.h"
+#include "registry/registry_confirmation.h"
+#include "registry/registry_watcher.h"
 
 namespace comfrey {
 
--- a/Source/daemon/owner_service.h
+++ b/Source/daemon/owner_service.h
@@ -18,9 +18,9 @@
 #include "daemon/call_watchdog.h"
 #include "daemon/owned_endpoint.h"
 #include "daemon/owner_result.h"
-#include "daemon/registry_confirmation.h"
 #include "daemon/request_log.h"
 #include "peer.pb.h"
+#include "registry/registry_confirmation.h"
 
 namespace comfrey {
 
--- a/Source/platform/registry_client.h
+++ b/Source/platform/registry_client.h
@@ -6,8 +6,8 @@
 #include <string>
 
 #include "absl/status/statusor.h"
-#include "config/registry.h"
 #include "daemon/http_get_client.h"
+#include "registry/registry_update.h"
 
 namespace comfrey::platform {
 
--- a/Source/platform/registry_decoder.h
+++ b/Source/platform/registry_decoder.h
@@ -5,8 +5,8 @@
 
 #include "absl/status/statusor.h"
 #include "absl/strings/string_view.h"
-#include "config/registry.h"
 #include "nlohmann/json.hpp"
+#include "registry/registry_update.h"
 
 namespace comfrey::platform {
 
--- a/Source/daemon/registry_confirmation.h
+++ b/Source/registry/registry_confirmation.h
@@ -1,5 +1,5 @@
-#ifndef DAEMON_REGISTRY_CONFIRMATION_H_
-#define DAEMON_REGISTRY_CONFIRMATION_H_
+#ifndef REGISTRY_REGISTRY_CONFIRMATION_H_
+#define REGISTRY_REGISTRY_CONFIRMATION_H_
 
 #include <atomic>
 #include <chrono>
@@ -27,4 +27,4 @@
 
 }  // namespace comfrey
 
-#endif  // DAEMON_REGISTRY_CONFIRMATION_H_
+#endif  // REGISTRY_REGISTRY_CONFIRMATION_H_
--- a/Source/config/registry_revision.h
+++ b/Source/registry/registry_revision.h
@@ -1,5 +1,5 @@
-#ifndef CONFIG_REGISTRY_REVISION_H_
-#define CONFIG_REGISTRY_REVISION_H_
+#ifndef REGISTRY_REGISTRY_REVISION_H_
+#define REGISTRY_REGISTRY_REVISION_H_
 
 #include <cstdint>
 
@@ -22,4 +22,4 @@
 
 }  // namespace comfrey
 
-#endif  // CONFIG_REGISTRY_REVISION_H_
+#endif  // REGISTRY_REGISTRY_REVISION_H_
--- a/Source/config/registry.h
+++ b/Source/registry/registry_update.h
@@ -1,5 +1,5 @@
-#ifndef CONFIG_REGISTRY_H_
-#define CONFIG_REGISTRY_H_
+#ifndef REGISTRY_REGISTRY_UPDATE_H_
+#define REGISTRY_REGISTRY_UPDATE_H_
 
 #include <chrono>
 #include <cstdint>
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "config/ini_fields.h"
-#include "config/registry_revision.h"
 #include "config/team_config.h"
+#include "registry/registry_revision.h"
 
 namespace comfrey {
 
@@ -109,4 +109,4 @@
 
 }  // namespace comfrey
 
-#endif  // CONFIG_REGISTRY_H_
+#endif  // REGISTRY_REGISTRY_UPDATE_H_
--- a/Source/config/registry_view.cc
+++ b/Source/registry/registry_view.cc
@@ -1,4 +1,4 @@
-#include "config/registry_view.h"
+#include "registry/registry_view.h"
 
 #include <algorithm>
 #include <set>
--- a/Source/config/registry_view.h
+++ b/Source/registry/registry_view.h
@@ -1,5 +1,5 @@
-#ifndef CONFIG_REGISTRY_VIEW_H_
-#define CONFIG_REGISTRY_VIEW_H_
+#ifndef REGISTRY_REGISTRY_VIEW_H_
+#define REGISTRY_REGISTRY_VIEW_H_
 
 #include <chrono>
 #include <cstdint>
@@ -9,9 +9,9 @@
 #include <vector>
 
 #include "absl/strings/string_view.h"
-#include "config/registry.h"
-#include "config/registry_revision.h"
 #include "config/team_config.h"
+#include "registry/registry_revision.h"
+#include "registry/registry_update.h"
 
 namespace comfrey {
 
@@ -112,4 +112,4 @@
 
 }  // namespace comfrey
 
-#endif  // CONFIG_REGISTRY_VIEW_H_
+#endif  // REGISTRY_REGISTRY_VIEW_H_
--- a/Source/daemon/registry_watcher.h
+++ b/Source/registry/registry_watcher.h
@@ -1,5 +1,5 @@
-#ifndef DAEMON_REGISTRY_WATCHER_H_
-#define DAEMON_REGISTRY_WATCHER_H_
+#ifndef REGISTRY_REGISTRY_WATCHER_H_
+#define REGISTRY_REGISTRY_WATCHER_H_
 
 #include <chrono>
 #include <condition_variable>
@@ -13,9 +13,9 @@
 
 #include "absl/status/statusor.h"
 #include "base/counters.h"
-#include "config/registry_view.h"
-#include "core/watch_supervision.h"
-#include "daemon/registry_confirmation.h"
+#include "registry/registry_confirmation.h"
+#include "registry/registry_view.h"
+#include "registry/watch_supervision.h"
 
 namespace comfrey {
 
@@ -117,4 +117,4 @@
 
 }  // namespace comfrey
 
-#endif  // DAEMON_REGISTRY_WATCHER_H_
+#endif  // REGISTRY_REGISTRY_WATCHER_H_
--- a/Source/core/watch_supervision.cc
+++ b/Source/registry/watch_supervision.cc
@@ -1,4 +1,4 @@
-#include "core/watch_supervision.h"
+#include "registry/watch_supervision.h"
 
 // A watch that gets no response looks like one without changes. It happens if
 // the registry receives the watch while it is down or discards its history, if
--- a/Source/core/watch_supervision.h
+++ b/Source/registry/watch_supervision.h
@@ -1,11 +1,11 @@
-#ifndef CORE_WATCH_SUPERVISION_H_
-#define CORE_WATCH_SUPERVISION_H_
+#ifndef REGISTRY_WATCH_SUPERVISION_H_
+#define REGISTRY_WATCH_SUPERVISION_H_
 
 #include <chrono>
 #include <cstdint>
 #include <optional>
 
-#include "config/registry_revision.h"
+#include "registry/registry_revision.h"
 
 namespace comfrey {
 
@@ -61,4 +61,4 @@
 
 }  // namespace comfrey
 
-#endif  // CORE_WATCH_SUPERVISION_H_
+#endif  // REGISTRY_WATCH_SUPERVISION_H_
--- a/Tests/daemon/registry_watcher_test.cc
+++ b/Tests/registry/registry_watcher_test.cc
@@ -1,4 +1,4 @@
-#include "daemon/registry_watcher.h"
+#include "registry/registry_watcher.h"
 
 #include <chrono>
 #include <condition_variable>
--- a/Utilities/measure_registry_change.cc
+++ b/Utilities/measure_registry_change.cc
@@ -11,12 +11,12 @@
 #include <string>
 
 #include "absl/strings/str_cat.h"
-#include "config/registry_view.h"
 #include "daemon/config_keeper.h"
 #include "daemon/endpoint_directory.h"
 #include "daemon/key_journal.h"
 #include "daemon/owner_service.h"
 #include "daemon/service_levels.h"
+#include "registry/registry_view.h"
 
 namespace comfrey {
 namespace {
