Order what the registry says by its era, and by what backend servers say

After a drill of the registry its revisions are given out again, but a change was dropped if its revision was below a known one, a watch went on from a revision that meant something else, and a removed entry was used again because the copy listed it.

One module, registration_order, now decides which of two is newer. Within an era the revision does. Across eras it is the start of the backend server and its count of statements, and within a start draining is final. Removed registrations are remembered for 60 s, so that a copy does not bring them back. Each response names its era: one of another era is not applied but followed by a listing, a read beside the watch ends a watch of an earlier era, and a listing of two eras is read again. Registrations that are missing from the copy are kept for 2 s, as after an outage.

--- a/Source/platform/registry_client.cc
+++ b/Source/platform/registry_client.cc
@@ -187,7 +187,7 @@
     if (last_key.empty()) {
       update.revision = response->revision;
     }
-    const absl::Status same_era = this->CheckEra(*response, update);
+    absl::Status same_era = this->CheckEra(*response, update);
     if (!same_era.ok()) {
       return same_era;
     }
@@ -215,7 +215,7 @@
   if (!config.ok()) {
     return config.status();
   }
-  const absl::Status same_era = this->CheckEra(*config, update);
+  absl::Status same_era = this->CheckEra(*config, update);
   if (!same_era.ok()) {
     return same_era;
   }
--- a/Source/platform/registry_decoder.cc
+++ b/Source/platform/registry_decoder.cc
@@ -447,6 +447,7 @@
     return FieldError("state", "\"ready\" or \"draining\"");
   }
   endpoint.draining = state == "draining";
+  endpoint.sequence = static_cast<std::uint64_t>(sequence);
   if (ReadSocketAddress(address, endpoint.address)) {
     return FieldError("address", "an IP address with a port");
   }
--- a/Source/registry/registry_update.h
+++ b/Source/registry/registry_update.h
@@ -21,6 +21,8 @@
   /// Maximum number of concurrent requests; at least 1.
   int slots = 1;
   bool draining = false;
+  /// Counts what the backend server has written since its start.
+  std::uint64_t sequence = 0;
   /// Start time of the backend server; the epoch if not known.
   std::chrono::system_clock::time_point started_at;
 };
--- a/Source/registry/registry_view.cc
+++ b/Source/registry/registry_view.cc
@@ -37,6 +37,62 @@
          now - *view.reconnected_at < kReregistrationTime;
 }
 
+RegistrationStatement StatementOf(const KnownRegistration& known) {
+  RegistrationStatement statement;
+  statement.written = known.revision;
+  if (known.missing_since) {
+    statement.removed = known.removed;
+  }
+  statement.started_at = known.endpoint.started_at;
+  statement.sequence = known.endpoint.sequence;
+  statement.draining = known.endpoint.draining;
+  return statement;
+}
+
+// Returns what is known of a registration, in use or not.
+std::optional<RegistrationStatement> FindStatement(
+    const RegistryView& view,
+    const std::string& instance) {
+  const auto known = view.registrations.find(instance);
+  if (known != view.registrations.end()) {
+    return StatementOf(known->second);
+  }
+  const auto removed = view.removed.find(instance);
+  if (removed != view.removed.end()) {
+    return removed->second.statement;
+  }
+  return std::nullopt;
+}
+
+using KnownIterator = std::map<std::string, KnownRegistration>::iterator;
+
+// Takes a registration out of use; returns the next one.
+KnownIterator EraseRegistration(RegistryView& view,
+                                KnownIterator known,
+                                TimePoint now) {
+  RegistrationStatement statement = StatementOf(known->second);
+  statement.removed = known->second.removed;
+  view.removed[known->first] = {statement, now};
+  return view.registrations.erase(known);
+}
+
+void ForgetRemovals(RegistryView& view, TimePoint now) {
+  for (auto it = view.removed.begin(); it != view.removed.end();) {
+    it = now - it->second.at > kRemovalMemory ? view.removed.erase(it)
+                                              : std::next(it);
+  }
+}
+
+// Makes the known registrations comparable with a registry that went back
+// without naming a later era. Whatever it lists is used.
+void ForgetRevisions(RegistryView& view) {
+  for (auto& [instance, known] : view.registrations) {
+    known.revision.revision = 0;
+    known.removed.revision = 0;
+  }
+  view.removed.clear();
+}
+
 // Removes a registration, or marks it as missing shortly after an outage of the
 // registry. Returns whether it was removed.
 bool RemoveRegistration(RegistryView& view,
@@ -47,6 +103,7 @@
   if (known == view.registrations.end()) {
     return false;
   }
+  known->second.removed = removed;
   if (MayReregister(view, now)) {
     if (!known->second.missing_since) {
       known->second.missing_since = now;
@@ -56,7 +113,7 @@
     }
     return false;
   }
-  view.registrations.erase(known);
+  EraseRegistration(view, known, now);
   return true;
 }
 
@@ -71,22 +128,27 @@
 bool ApplyRegistration(RegistryView& view,
                        const RegistrationChange& change,
                        TimePoint now) {
-  const auto known = view.registrations.find(change.instance);
-  if (known != view.registrations.end() &&
-      change.revision.revision < known->second.revision.revision) {
-    view.ignored.push_back({change.instance, IgnoredAction::kDropped,
-                            "older_revision", known->second.revision,
-                            change.revision});
+  const std::optional<RegistrationStatement> statement =
+      FindStatement(view, change.instance);
+  const ChangeOrder order =
+      statement ? CompareChange(*statement, change) : ChangeOrder::kNewer;
+  if (order != ChangeOrder::kNewer) {
+    view.ignored.push_back(
+        {change.instance, IgnoredAction::kDropped, ChangeOrderName(order),
+         statement->removed.value_or(statement->written), change.revision});
     return false;
   }
   if (!change.endpoint) {
     return RemoveRegistration(view, change.instance, change.revision, now);
   }
+  const auto known = view.registrations.find(change.instance);
   const bool changed =
       known == view.registrations.end() ||
       !EqualEndpoints(known->second.endpoint, *change.endpoint);
   view.registrations[change.instance] = {*change.endpoint, change.revision,
-                                         change.created_revision, std::nullopt};
+                                         change.created_revision, std::nullopt,
+                                         RegistryRevision()};
+  view.removed.erase(change.instance);
   return changed;
 }
 
@@ -163,7 +225,7 @@
         latest[FormatSocketAddress(entry.second.endpoint.address)];
     const auto start_order = [](const RegistrationEntry& e) {
       return std::make_tuple(e.second.endpoint.started_at,
-                             e.second.created_revision);
+                             e.second.revision.era, e.second.created_revision);
     };
     if (registration == nullptr ||
         start_order(*registration) < start_order(entry)) {
@@ -253,6 +315,16 @@
   return changed;
 }
 
+// A response that does not name the era counts as one of the known era.
+void AdoptEra(const RegistryView& view, RegistryUpdate& update) {
+  if (update.revision.era == 0) {
+    update.revision.era = view.revision.era;
+  }
+  for (RegistrationChange& change : update.registrations) {
+    change.revision.era = update.revision.era;
+  }
+}
+
 }  // namespace
 
 // Outages are told from failed reads by the caller: a watch may be cut at any
@@ -262,14 +334,46 @@
   view.outage = true;
 }
 
+bool NeedsListing(const RegistryView& view, const RegistryUpdate& update) {
+  switch (CompareHistory(view.revision, update.revision)) {
+    case HistoryOrder::kSame:
+      return false;
+    case HistoryOrder::kEarlierEra:
+      return true;
+    case HistoryOrder::kRestored:
+      break;
+  }
+  return !update.complete;
+}
+
+bool IsRestored(const RegistryView& view, const RegistryUpdate& update) {
+  const bool first = view.revision.revision == 0;
+  const bool went_back =
+      update.complete && update.revision.revision < view.revision.revision;
+  return !first &&
+         (went_back || CompareHistory(view.revision, update.revision) ==
+                           HistoryOrder::kRestored);
+}
+
 bool ApplyRegistryUpdate(RegistryView& view,
-                         const RegistryUpdate& update,
+                         RegistryUpdate update,
                          TimePoint now) {
-  if (view.outage) {
+  view.ignored.clear();
+  if (NeedsListing(view, update)) {
+    view.ignored.push_back({"update", IgnoredAction::kDropped, "other_era",
+                            view.revision, update.revision});
+    return false;
+  }
+  AdoptEra(view, update);
+  const bool restored = IsRestored(view, update);
+  if (restored && update.revision.era == view.revision.era) {
+    ForgetRevisions(view);
+  }
+  if (view.outage || restored) {
     view.outage = false;
     view.reconnected_at = now;
   }
-  view.ignored.clear();
+  ForgetRemovals(view, now);
   bool changed = ApplyConfig(view, update);
   for (const RegistrationChange& change : update.registrations) {
     changed |= ApplyRegistration(view, change, now);
@@ -301,7 +405,7 @@
   }
   for (auto it = view.registrations.begin(); it != view.registrations.end();) {
     if (it->second.missing_since && !MayReregister(view, now)) {
-      it = view.registrations.erase(it);
+      it = EraseRegistration(view, it, now);
       dropped = true;
     } else {
       ++it;
--- a/Source/registry/registry_view.h
+++ b/Source/registry/registry_view.h
@@ -10,6 +10,7 @@
 
 #include "absl/strings/string_view.h"
 #include "config/team_config.h"
+#include "registry/registration_order.h"
 #include "registry/registry_revision.h"
 #include "registry/registry_update.h"
 
@@ -25,6 +26,15 @@
   /// Time since which the registration is missing from the registry while its
   /// endpoint is still in use.
   std::optional<std::chrono::steady_clock::time_point> missing_since;
+  /// Where it was found missing, if it is.
+  RegistryRevision removed;
+};
+
+/// \brief A registration that is no longer in use. It is remembered, since the
+/// registry may come back from a copy that still lists it.
+struct RemovedRegistration {
+  RegistrationStatement statement;
+  std::chrono::steady_clock::time_point at;
 };
 
 /// \brief What became of a change of the registry that is not in force.
@@ -56,6 +66,8 @@
   std::string config_problem;
   /// By instance.
   std::map<std::string, KnownRegistration> registrations;
+  /// By instance; those removed within kRemovalMemory.
+  std::map<std::string, RemovedRegistration> removed;
   /// Position of the last applied update.
   RegistryRevision revision;
   /// The changes of the last update that are not in force because of it.
@@ -70,16 +82,31 @@
 /// are kept.
 inline constexpr std::chrono::milliseconds kReregistrationTime{2000};
 
+/// \brief Time for which removed registrations are remembered. Copies of the
+/// registry are some seconds old.
+inline constexpr std::chrono::seconds kRemovalMemory{60};
+
+/// \brief Whether an update cannot be applied, because it is from another era
+/// than the view and is no listing of a later one. The registry must be listed.
+bool NeedsListing(const RegistryView& view, const RegistryUpdate& update);
+
+/// \brief Whether the registry was restored from a copy since the last update.
+bool IsRestored(const RegistryView& view, const RegistryUpdate& update);
+
 /// \brief Records that the registry is in an outage, in which registrations of
 /// running backend servers may expire. The next update ends it.
 void RecordOutage(RegistryView& view);
 
 /// \brief Applies the result of a read; returns whether the configuration or an
-/// endpoint in use changed. A configuration that is not newer than the one in
-/// use is ignored. A configuration whose limits could not be read keeps those
-/// of the one in use.
+/// endpoint in use changed. An update that needs a listing changes nothing. A
+/// configuration that is not newer than the one in use is ignored. A
+/// configuration whose limits could not be read keeps those of the one in use.
+///
+/// A listing of a restored registry does not undo what is known: see
+/// `registration_order`. It counts as the end of an outage, since registrations
+/// that are newer than the copy are missing until they are written again.
 bool ApplyRegistryUpdate(RegistryView& view,
-                         const RegistryUpdate& update,
+                         RegistryUpdate update,
                          std::chrono::steady_clock::time_point now);
 
 /// \brief Returns the time left until RemoveMissingRegistrations must be
--- a/Source/registry/registry_watcher.cc
+++ b/Source/registry/registry_watcher.cc
@@ -32,6 +32,17 @@
       .count();
 }
 
+const char* DescribeVerdict(WatchVerdict verdict) {
+  switch (verdict) {
+    case WatchVerdict::kAbandonBehind:
+      return "it has not returned a change";
+    case WatchVerdict::kAbandonRestored:
+      return "the registry was restored from a copy";
+    default:
+      return "the registry did not respond meanwhile";
+  }
+}
+
 const char* ActionName(IgnoredAction action) {
   return action == IgnoredAction::kDropped ? "dropped" : "held_back";
 }
@@ -60,6 +71,10 @@
       abandoned_behind(
           counters.Counter("comfrey_registry_abandoned_watches_total",
                            {{"cause", "behind"}})),
+      abandoned_restored(
+          counters.Counter("comfrey_registry_abandoned_watches_total",
+                           {{"cause", "restored"}})),
+      restorations(counters.Counter("comfrey_registry_restorations_total")),
       unusable_entries(
           counters.Counter("comfrey_registry_unusable_entries_total")),
       unreadable_eras(
@@ -135,6 +150,9 @@
     }
     return this->NextRetryDelay();
   }
+  if (NeedsListing(this->view, *update)) {
+    return this->ListInstead(*update);
+  }
   this->listed = true;
   this->HandleUpdate(*update);
   return milliseconds(0);
@@ -154,11 +172,26 @@
     return absl::IsOutOfRange(update.status()) ? milliseconds(0)
                                                : this->NextRetryDelay();
   }
+  if (NeedsListing(this->view, *update)) {
+    return this->ListInstead(*update);
+  }
   const bool empty = update->registrations.empty() && !update->config;
   this->HandleUpdate(*update);
   return empty ? milliseconds(0) : kDelayAfterChange;
 }
 
+// The whole fleet notices a restored registry at nearly the same time, so the
+// delay before the listing is randomised.
+milliseconds RegistryWatcher::ListInstead(const RegistryUpdate& update) {
+  spdlog::info(
+      "registry: a response has revision {} of era {}, and revision {} of era "
+      "{} is in force; everything is listed",
+      update.revision.revision, update.revision.era,
+      this->view.revision.revision, this->view.revision.era);
+  this->listed = false;
+  return this->NextRetryDelay();
+}
+
 absl::StatusOr<RegistryUpdate> RegistryWatcher::WatchSupervised(
     milliseconds wait) {
   {
@@ -224,8 +257,7 @@
 // The caller must hold the mutex, so that no later read is ended.
 void RegistryWatcher::Abandon(WatchVerdict verdict,
                               const RegistryRevision& revision) {
-  const bool behind = verdict == WatchVerdict::kAbandonBehind;
-  (behind ? this->abandoned_behind : this->abandoned_after_silence).Add();
+  this->AbandonedWatches(verdict).Add();
   spdlog::warn(
       "registry: the watch after revision {} of era {} is given up after {} "
       "ms: {}, the registry has revision {} of era {}",
@@ -233,12 +265,21 @@
       std::chrono::duration_cast<milliseconds>(Clock::now() -
                                                this->supervision->started_at)
           .count(),
-      behind ? "it has not returned a change"
-             : "the registry did not respond meanwhile",
-      revision.revision, revision.era);
+      DescribeVerdict(verdict), revision.revision, revision.era);
   this->source.abandon_watch();
 }
 
+Metric& RegistryWatcher::AbandonedWatches(WatchVerdict verdict) {
+  switch (verdict) {
+    case WatchVerdict::kAbandonBehind:
+      return this->abandoned_behind;
+    case WatchVerdict::kAbandonRestored:
+      return this->abandoned_restored;
+    default:
+      return this->abandoned_after_silence;
+  }
+}
+
 void RegistryWatcher::HandleUpdate(const RegistryUpdate& update) {
   const Clock::time_point now = Clock::now();
   if (this->failures > 0 || this->view.revision.revision == 0) {
@@ -257,10 +298,15 @@
   this->confirmed_at_unix_ms.Set(UnixMilliseconds());
   this->confirmation.Confirm(now);
   this->ReportProblems(update);
+  const RegistryRevision before = this->view.revision;
+  const bool restored = IsRestored(this->view, update);
   const bool applied = ApplyRegistryUpdate(this->view, update, now);
   for (const IgnoredChange& ignored : this->view.ignored) {
     this->ReportIgnored(ignored);
   }
+  if (restored) {
+    this->ReportRestored(before);
+  }
   const bool dropped = RemoveMissingRegistrations(this->view, now);
   this->era.Set(static_cast<std::int64_t>(this->view.revision.era));
   this->revision.Set(static_cast<std::int64_t>(this->view.revision.revision));
@@ -301,6 +347,26 @@
   this->era_problem = std::move(problem);
 }
 
+void RegistryWatcher::ReportRestored(const RegistryRevision& before) {
+  this->restorations.Add();
+  std::int64_t kept = 0;
+  std::int64_t missing = 0;
+  for (const IgnoredChange& ignored : this->view.ignored) {
+    ++(ignored.action == IgnoredAction::kDropped ? kept : missing);
+  }
+  const RegistryRevision& after = this->view.revision;
+  WriteEvent(
+      LogEvent("registry_restored")
+          .Add("era_before", static_cast<std::int64_t>(before.era))
+          .Add("revision_before", static_cast<std::int64_t>(before.revision))
+          .Add("era", static_cast<std::int64_t>(after.era))
+          .Add("revision", static_cast<std::int64_t>(after.revision))
+          .Add("registrations",
+               static_cast<std::int64_t>(this->view.registrations.size()))
+          .Add("kept_against_the_copy", kept)
+          .Add("missing_from_the_copy", missing));
+}
+
 void RegistryWatcher::ReportIgnored(const IgnoredChange& ignored) {
   this->counters
       .Counter("comfrey_registry_ignored_changes_total",
--- a/Source/registry/registry_watcher.h
+++ b/Source/registry/registry_watcher.h
@@ -64,6 +64,8 @@
   std::chrono::milliseconds ReadOnce();
   std::chrono::milliseconds List();
   std::chrono::milliseconds Watch();
+  // Begins a listing in place of an update of another era.
+  std::chrono::milliseconds ListInstead(const RegistryUpdate& update);
   absl::StatusOr<RegistryUpdate> WatchSupervised(
       std::chrono::milliseconds wait);
   void HandleUpdate(const RegistryUpdate& update);
@@ -78,6 +80,8 @@
   // These write what became of an update to the log and the metrics.
   void ReportProblems(const RegistryUpdate& update);
   void ReportIgnored(const IgnoredChange& ignored);
+  void ReportRestored(const RegistryRevision& before);
+  Metric& AbandonedWatches(WatchVerdict verdict);
 
   RegistrySource source;
   CounterRegistry& counters;
@@ -85,6 +89,8 @@
   Metric& revision_reads;
   Metric& abandoned_after_silence;
   Metric& abandoned_behind;
+  Metric& abandoned_restored;
+  Metric& restorations;
   Metric& unusable_entries;
   Metric& unreadable_eras;
   Metric& era;
--- a/Source/registry/watch_supervision.cc
+++ b/Source/registry/watch_supervision.cc
@@ -1,5 +1,7 @@
 #include "registry/watch_supervision.h"
 
+#include "registry/registration_order.h"
+
 // A watch that gets no response looks like one without changes. It happens if
 // the registry receives the watch while it is down or discards its history, if
 // the response is lost, and if the connection is broken without a reset. Short
@@ -42,6 +44,14 @@
   if (watch.has_failed_read) {
     return WatchVerdict::kAbandonAfterSilence;
   }
+  switch (CompareHistory(watch.revision, revision)) {
+    case HistoryOrder::kRestored:
+      return WatchVerdict::kAbandonRestored;
+    case HistoryOrder::kEarlierEra:
+      return WatchVerdict::kKeep;
+    case HistoryOrder::kSame:
+      break;
+  }
   if (revision.revision <= watch.revision.revision) {
     watch.behind_since.reset();
     return WatchVerdict::kKeep;
--- a/Source/registry/watch_supervision.h
+++ b/Source/registry/watch_supervision.h
@@ -32,6 +32,9 @@
   kAbandonAfterSilence,
   /// The registry has changes that the watch has not returned.
   kAbandonBehind,
+  /// The registry was restored from a copy, so the watch waits for changes
+  /// after a revision that has another meaning.
+  kAbandonRestored,
 };
 
 /// \brief Time for which a watch may wait before it is supervised.
--- a/Tests/platform/registry_client_test.cc
+++ b/Tests/platform/registry_client_test.cc
@@ -107,6 +107,46 @@
   CHECK(update->registrations[1].instance == "i-2");
 }
 
+// Guards against a listing that is half of one era and half of another, and
+// against one that fails because a response names no era or an unreadable one.
+TEST_CASE("a listing is of one era") {
+  struct Case {
+    std::string first;
+    std::string second;
+    bool ok;
+    std::uint64_t era;
+    bool problem;
+  };
+  for (const Case& c : std::vector<Case>{{"3", "3", true, 3, false},
+                                         {"3", "4", false, 0, false},
+                                         {"3", "", true, 3, false},
+                                         {"", "3", true, 3, false},
+                                         {"3", "-x\t", true, 3, true},
+                                         {"", "", true, 0, false}}) {
+    INFO(c.first << " and " << c.second);
+    FakeStore store;
+    store.handler = [&](const httplib::Request& request,
+                        httplib::Response& response) {
+      const bool last = request.path == "/kv-key";
+      const std::string& era = last ? c.second : c.first;
+      if (!era.empty()) {
+        response.set_header("Store-Era", era);
+      }
+      response.status = last ? 404 : 200;
+      SetJsonBody(response, {{"items", json::array()}, {"store_revision", 8}});
+    };
+    RegistryClient client(kIp, store.port);
+    const auto update = client.ReadAll();
+    CHECK(update.ok() == c.ok);
+    if (!update.ok()) {
+      CHECK(absl::IsAborted(update.status()));
+      continue;
+    }
+    CHECK(update->revision == RegistryRevision{c.era, 8});
+    CHECK(update->era_problem.empty() == !c.problem);
+  }
+}
+
 // Guards against a daemon without a configuration until the second one is
 // published: the first one was published after its key was found missing and
 // before the listing, whose revision includes it.
--- a/Tests/registry/registry_view_test.cc
+++ b/Tests/registry/registry_view_test.cc
@@ -249,6 +249,73 @@
   CHECK(team->services[1].endpoints[0].instance == "i-2");
 }
 
+RegistryUpdate MakeListingOf(const RegistryRevision& revision,
+                             std::vector<RegistrationChange> registrations) {
+  RegistryUpdate update = MakeListing(std::move(registrations));
+  update.revision = revision;
+  return update;
+}
+
+// Guards against a loss of backend servers that joined after the copy, which
+// write their registrations again at lower revisions, and against a
+// configuration that goes back with the copy.
+TEST_CASE("what is newer than a restored copy stays in use") {
+  RegistryView view;
+  ApplyRegistryUpdate(
+      view,
+      MakeListingOf({1, 40}, {MakeRegistration("i-1", "10.1.0.1", 3),
+                              MakeRegistration("i-2", "10.1.0.2", 39)}),
+      kNow);
+  RegistryUpdate copy =
+      MakeListingOf({2, 20}, {MakeRegistration("i-1", "10.1.0.1", 3)});
+  copy.config = MakeConfig(3);
+  CHECK(IsRestored(view, copy));
+  CHECK_FALSE(ApplyRegistryUpdate(view, copy, kNow + seconds(60)));
+  CHECK(view.config->version == 4);
+  CHECK(view.registrations.size() == 2);
+  CHECK(view.ignored.size() == 2);
+  ApplyRegistryUpdate(view, MakeChange(MakeRegistration("i-2", "10.1.0.2", 21)),
+                      kNow + seconds(61));
+  CHECK_FALSE(RemoveMissingRegistrations(view, kNow + seconds(70)));
+  CHECK(view.registrations.size() == 2);
+}
+
+// Guards against a change of another era that is applied because its revision
+// happens to fit, and against a late listing of an earlier era.
+TEST_CASE("an update of another era is followed by a listing") {
+  RegistryView view;
+  ApplyRegistryUpdate(
+      view, MakeListingOf({2, 40}, {MakeRegistration("i-1", "10.1.0.1", 3)}),
+      kNow);
+  RegistryUpdate later = MakeChange(MakeRemoval("i-1", 41));
+  later.revision = {3, 41};
+  CHECK(NeedsListing(view, later));
+  CHECK_FALSE(ApplyRegistryUpdate(view, later, kNow));
+  CHECK(view.registrations.size() == 1);
+  const RegistryUpdate earlier = MakeListingOf({1, 90}, {});
+  CHECK(NeedsListing(view, earlier));
+  CHECK_FALSE(ApplyRegistryUpdate(view, earlier, kNow));
+  CHECK(view.registrations.size() == 1);
+  CHECK(view.revision == RegistryRevision{2, 40});
+  RegistryUpdate unnamed = MakeChange(MakeRemoval("i-1", 41));
+  CHECK_FALSE(NeedsListing(view, unnamed));
+  CHECK(ApplyRegistryUpdate(view, unnamed, kNow));
+  CHECK(view.revision == RegistryRevision{2, 41});
+}
+
+// Guards against changes that are dropped for good if a registry goes back
+// without naming a later era.
+TEST_CASE("a listing of a lower revision is used without an era") {
+  RegistryView view;
+  ApplyRegistryUpdate(
+      view, MakeListingOf({0, 40}, {MakeRegistration("i-1", "10.1.0.1", 39)}),
+      kNow);
+  RegistrationChange draining = MakeRegistration("i-1", "10.1.0.1", 21);
+  draining.endpoint->draining = true;
+  ApplyRegistryUpdate(view, MakeListingOf({0, 21}, {draining}), kNow);
+  CHECK(view.registrations.at("i-1").endpoint.draining);
+}
+
 // Guards against requests to an endpoint whose registration is not usable.
 TEST_CASE("a registration that becomes unusable has no endpoint") {
   RegistryView view;
--- a/Tests/registry/registry_watcher_test.cc
+++ b/Tests/registry/registry_watcher_test.cc
@@ -212,6 +212,31 @@
         std::vector<std::string>{"list", "watch 5", "list"});
 }
 
+// Guards against a watch that goes on after a drill of the registry, from a
+// revision that has another meaning.
+TEST_CASE("a watch over a restore of the registry is followed by a listing",
+          "[registry_watcher]") {
+  Fixture fixture;
+  RegistryUpdate listing = MakeListing(4);
+  listing.revision = {1, 5};
+  fixture.registry.QueueResult(listing);
+  fixture.registry.WaitForCalls(2);
+  if (GENERATE(true, false)) {
+    fixture.registry.SetRevision(RegistryRevision{2, 5});
+  } else {
+    RegistryUpdate change;
+    change.revision = {2, 6};
+    fixture.registry.QueueResult(change);
+  }
+  fixture.registry.WaitForCalls(3);
+  RegistryUpdate restored = MakeListing(6);
+  restored.revision = {2, 4};
+  fixture.registry.QueueResult(restored);
+  CHECK(fixture.registry.WaitForCalls(4) ==
+        std::vector<std::string>{"list", "watch 5", "list", "watch 4"});
+  CHECK(fixture.Versions().back() == 6);
+}
+
 // Guards against the same before the registry has a change, since the watch
 // would not return that change.
 TEST_CASE("a watch over a silence of the registry is followed by a listing",
