Let a removal that is held back take effect on time

After an outage of the registry, a missing registration stays in use for 2 s.

The removal is done before each watch, and the pause ends with the time.

--- a/Source/registry/registry_watcher.cc
+++ b/Source/registry/registry_watcher.cc
@@ -164,6 +164,7 @@
 }
 
 milliseconds RegistryWatcher::Watch() {
+  this->RemoveDueRegistrations();
   const absl::StatusOr<RegistryUpdate> update =
       this->WatchSupervised(ComputeWatchWait(this->view, Clock::now()));
   if (!update.ok()) {
@@ -180,7 +181,22 @@
   }
   const bool empty = update->registrations.empty() && !update->config;
   this->HandleUpdate(*update);
-  return empty ? milliseconds(0) : kDelayAfterChange;
+  return empty ? milliseconds(0) : this->PauseAfterChange();
+}
+
+// A removal that is held back takes effect when its time is over, and not when
+// the next read has returned.
+void RegistryWatcher::RemoveDueRegistrations() {
+  if (RemoveMissingRegistrations(this->view, Clock::now())) {
+    this->on_change(this->view);
+  }
+}
+
+milliseconds RegistryWatcher::PauseAfterChange() const {
+  const std::optional<milliseconds> left =
+      TimeUntilRemoval(this->view, Clock::now());
+  return left ? std::clamp(*left, milliseconds(0), kDelayAfterChange)
+              : kDelayAfterChange;
 }
 
 // The whole fleet notices a restored registry at nearly the same time, so the
--- a/Source/registry/registry_watcher.h
+++ b/Source/registry/registry_watcher.h
@@ -65,6 +65,9 @@
   std::chrono::milliseconds ReadOnce();
   std::chrono::milliseconds List();
   std::chrono::milliseconds Watch();
+  // Removes the registrations that were missing for long enough.
+  void RemoveDueRegistrations();
+  std::chrono::milliseconds PauseAfterChange() const;
   // Begins a listing in place of an update of another era.
   std::chrono::milliseconds ListInstead(const RegistryUpdate& update);
   absl::StatusOr<RegistryUpdate> WatchSupervised(
--- a/Tests/registry/registry_watcher_test.cc
+++ b/Tests/registry/registry_watcher_test.cc
@@ -299,6 +299,35 @@
   CHECK(fixture.Registrations() == 0);
 }
 
+// Guards against a removal that is held back after an outage for longer than
+// the time in which backend servers register again, since the watcher pauses
+// after an unrelated change.
+TEST_CASE("a removal that is held back takes effect on time",
+          "[registry_watcher]") {
+  constexpr milliseconds kSlack{200};
+  Fixture fixture;
+  RegistryUpdate listing = MakeListing(4);
+  listing.registrations = {MakeRegistration("i-1")};
+  fixture.registry.QueueResult(listing);
+  fixture.registry.WaitForCalls(2);
+  fixture.registry.SetRevision(absl::DeadlineExceededError("silent"));
+  std::this_thread::sleep_for(milliseconds(2500));
+  fixture.registry.SetRevision(RegistryRevision{0, 5});
+  fixture.registry.WaitForCalls(3);
+  fixture.registry.QueueResult(MakeListing(5));
+  fixture.registry.WaitForCalls(4);
+  const Clock::time_point reconnected_at = Clock::now();
+  std::this_thread::sleep_for(milliseconds(1600));
+  CHECK(fixture.Registrations() == 1);
+  RegistryUpdate unrelated;
+  unrelated.revision = {0, 12};
+  unrelated.config.emplace();
+  unrelated.config->version = 6;
+  fixture.registry.QueueResult(unrelated);
+  std::this_thread::sleep_until(reconnected_at + kReregistrationTime + kSlack);
+  CHECK(fixture.Registrations() == 0);
+}
+
 // Guards against a loss of capacity after an outage that only the supervision
 // of the watch has seen: registrations of running backend servers expired.
 TEST_CASE("registrations are kept after a silence of the registry",
