Compare the peer port with the port that callers really use

No daemon started if the platform drew a range of internal ports that begins at 8080: the settings were refused since peer_port was equal to http_port, whose default nothing uses when caller_listen is set.

A test covers both the unused default and a real collision.

--- a/Source/config/daemon_settings.cc
+++ b/Source/config/daemon_settings.cc
@@ -273,12 +273,17 @@
                found);
   }
   ReportUnknownSections(document, known, found);
-  if (settings.peer_port == settings.http_port) {
+  const SocketAddress callers = CallerAddress(settings);
+  if (callers.ip == settings.address && callers.port == settings.peer_port) {
     const IniSection* daemon = FindSection(document, "daemon");
     const IniSection missing{"daemon", "", 0, {}};
     const IniSection& section = daemon != nullptr ? *daemon : missing;
-    AddSectionError(document, section, FindEntry(section, "http_port"),
-                    {"peer_port and http_port are equal",
+    const std::string key =
+        settings.caller_listen ? "caller_listen" : "http_port";
+    AddSectionError(document, section, FindEntry(section, key),
+                    {absl::StrCat("peer_port and ",
+                                  settings.caller_listen ? "the port of " : "",
+                                  key, " are equal"),
                      "choose a different port for one of them"},
                     found);
   }
@@ -289,4 +294,9 @@
   return settings;
 }
 
+SocketAddress CallerAddress(const DaemonSettings& settings) {
+  return settings.caller_listen.value_or(SocketAddress{
+      settings.address, static_cast<std::uint16_t>(settings.http_port)});
+}
+
 }  // namespace comfrey
--- a/Source/config/daemon_settings.h
+++ b/Source/config/daemon_settings.h
@@ -116,6 +116,9 @@
                                    absl::string_view text,
                                    std::vector<IniError>& errors);
 
+/// \brief Address to which callers connect.
+SocketAddress CallerAddress(const DaemonSettings& settings);
+
 }  // namespace comfrey
 
 #endif  // CONFIG_DAEMON_SETTINGS_H_
--- a/Source/daemon/daemon.cc
+++ b/Source/daemon/daemon.cc
@@ -217,9 +217,7 @@
 }
 
 absl::Status Daemon::StartFrontends() {
-  const SocketAddress callers = this->settings.caller_listen.value_or(
-      SocketAddress{this->settings.address,
-                    static_cast<std::uint16_t>(this->settings.http_port)});
+  const SocketAddress callers = CallerAddress(this->settings);
   struct Listener {
     HttpFrontend& frontend;
     std::optional<SocketAddress> address;
--- a/Tests/config/daemon_settings_test.cc
+++ b/Tests/config/daemon_settings_test.cc
@@ -3,6 +3,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_replace.h"
 #include "catch2/catch.hpp"
 
@@ -183,6 +184,26 @@
 grace = 6.5s
 )";
 
+// Guards against a daemon that does not start because the platform draws the
+// default of a port that is not used, and against two listeners on one port.
+TEST_CASE("a port is compared with those that are in use") {
+  struct Case {
+    const char* peer_port;
+    bool ok;
+  };
+  for (const Case& c : {Case{"8080", true}, Case{"8141", false}}) {
+    INFO(c.peer_port);
+    std::string text = kRegistryExample;
+    text.replace(text.find("7660"), 4, c.peer_port);
+    std::vector<IniError> errors;
+    ParseDaemonSettings("d.ini", text, errors);
+    CHECK(errors.empty() == c.ok);
+    CHECK((c.ok || absl::StrContains(
+                       FormatIniErrors(errors),
+                       "peer_port and the port of caller_listen are equal")));
+  }
+}
+
 // Guards against a key that is read into another setting or ignored.
 TEST_CASE("the settings with a registry are read") {
   std::vector<IniError> errors;
