Play drills, removals and expiries of the registry in the soak

It draws them now; with registry_focus a run consists mostly of them, and one backend server leaves when the daemons must have noticed a drill. A leave that was acknowledged stays binding after a drill.

--- a/Tests/platform/fake_registry.cc
+++ b/Tests/platform/fake_registry.cc
@@ -72,14 +72,14 @@
   this->silent = enabled;
 }
 
-void FakeRegistry::TakeCopy() {
+FakeRegistry::State FakeRegistry::TakeCopy() {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  this->copy = this->state;
+  return this->state;
 }
 
-void FakeRegistry::Restore() {
+void FakeRegistry::Restore(const State& copy) {
   const std::lock_guard<std::mutex> lock(this->mutex);
-  this->state = this->copy;
+  this->state = copy;
   ++this->era;
   ++this->cuts;
   this->changed.notify_all();
--- a/Tests/platform/fake_registry.h
+++ b/Tests/platform/fake_registry.h
@@ -16,6 +16,18 @@
 /// items can be read by key, by prefix, or by a watch.
 class FakeRegistry {
  public:
+  struct Item {
+    std::string value;
+    std::uint64_t revision = 0;
+    bool removed = false;
+  };
+
+  /// \brief All items, by key, and the revision.
+  struct State {
+    std::map<std::string, Item> items;
+    std::uint64_t revision = 1;
+  };
+
   /// \brief Starts the registry. It answers up to `threads` calls at a time,
   /// waiting watches included.
   FakeRegistry(const std::string& ip, int port, int threads = 64);
@@ -38,27 +50,17 @@
   /// response.
   void SetSilent(bool enabled);
 
-  /// \brief Keeps a copy of all items, for Restore.
-  void TakeCopy();
+  /// \brief Returns a copy for Restore.
+  State TakeCopy();
 
-  /// \brief Goes back to the copy, in the next era. What was written since is
+  /// \brief Goes back to a copy, in the next era. What was written since is
   /// lost, and the revisions are given out again. Waiting watches are cut.
-  void Restore();
+  void Restore(const State& copy);
 
   /// \brief Closes the connections of the waiting watches without a response.
   void CutWatches();
 
  private:
-  struct Item {
-    std::string value;
-    std::uint64_t revision = 0;
-    bool removed = false;
-  };
-  struct State {
-    std::map<std::string, Item> items;
-    std::uint64_t revision = 1;
-  };
-
   /// \brief Returns the JSON object of an item without the closing brace.
   std::string Render(const std::string& key, const Item& item) const;
   void Read(const httplib::Request& request, httplib::Response& response);
@@ -74,7 +76,6 @@
   std::mutex mutex;
   std::condition_variable changed;
   State state;
-  State copy;
   std::uint64_t era = 1;
   bool unavailable = false;
   bool silent = false;
--- a/Tests/soak/soak_fleet.cc
+++ b/Tests/soak/soak_fleet.cc
@@ -27,6 +27,16 @@
 constexpr char kProbeId[] = "probe";
 constexpr milliseconds kGrace{6000};
 constexpr milliseconds kRestartDelay{300};
+constexpr milliseconds kCopyPeriod{500};
+// With registry_focus, backend servers write their entries often before each
+// drill and seldom after it, so that the revisions that are lost are given out
+// again slowly.
+constexpr milliseconds kBeatPeriod{50};
+constexpr milliseconds kSlowBeatPeriod{500};
+constexpr milliseconds kSlowBeatTime{9000};
+constexpr std::size_t kMaxCopies = 24;
+// After a drill, everything is written again within this time, in any order.
+constexpr milliseconds kRewriteTime{2000};
 // A daemon that was started needs this time until it serves.
 constexpr milliseconds kStartTime{1000};
 // A connection is lost at once, and the next requests may notice it late.
@@ -98,20 +108,109 @@
           {{"/order/", false}, {"/look/", true}, {changing, true}}));
 }
 
-void SoakFleet::Register(int number, bool draining) {
-  const SoakServer& server = *this->vms[number].server;
+// Writes what the backend server says of itself.
+void SoakFleet::Register(int number) {
+  Vm& vm = this->vms[number];
+  const SoakServer& server = *vm.server;
+  vm.listed = true;
   this->registry.Put(
       MakeRegistrationKey(server.Instance()),
       MakeRegistration(
           "booking", absl::StrCat(this->AddressOf(number), ":", server.Port()),
-          absl::StrCat("domain-", (number - 1) / kVmsPerDomain), draining));
+          absl::StrCat("domain-", (number - 1) / kVmsPerDomain), vm.draining,
+          ++vm.sequence));
+}
+
+void SoakFleet::RemoveRegistration(int number) {
+  Vm& vm = this->vms[number];
+  vm.listed = false;
+  this->registry.Remove(MakeRegistrationKey(vm.server->Instance()));
+  this->removed_instances.push_back(vm.server->Instance());
 }
 
 void SoakFleet::StartServer(int number) {
-  this->vms[number].server = std::make_unique<SoakServer>(
+  Vm& vm = this->vms[number];
+  vm.server = std::make_unique<SoakServer>(
       absl::StrCat("i-", ++this->servers_started), number,
       this->AddressOf(number), this->history);
-  this->Register(number, false);
+  vm.draining = false;
+  vm.sequence = 0;
+  this->Register(number);
+}
+
+// A backend server serves on for longer than callers may use it.
+void SoakFleet::ReplaceLater(int number, milliseconds lasts) {
+  const TimePoint now = Clock::now();
+  this->history.Add(SoakLeaving{this->vms[number].server->Instance(), now});
+  this->vms[number].replace_server_at = now + milliseconds(3000) + lasts;
+}
+
+void SoakFleet::TakeCopyIfDue(TimePoint now) {
+  if (!this->copies.empty() && now - this->copies.back().first < kCopyPeriod) {
+    return;
+  }
+  this->copies.emplace_back(now, this->registry.TakeCopy());
+  if (this->copies.size() > kMaxCopies) {
+    this->copies.pop_front();
+  }
+}
+
+void SoakFleet::BeatIfDue(TimePoint now) {
+  if (!this->size.registry_focus || now < this->next_beat) {
+    return;
+  }
+  this->next_beat =
+      now + (now < this->slow_until ? kSlowBeatPeriod : kBeatPeriod);
+  this->last_beat_vm = this->last_beat_vm % this->size.vms + 1;
+  const Vm& vm = this->vms[this->last_beat_vm];
+  if (vm.listed && !vm.draining && !this->end_drill_at &&
+      !this->start_registry_at) {
+    this->Register(this->last_beat_vm);
+  }
+}
+
+// The registry comes back from the copy, and what was written last is written
+// again.
+void SoakFleet::EndDrill(TimePoint now) {
+  auto copy = this->copies.begin();
+  while (std::next(copy) != this->copies.end() &&
+         std::next(copy)->first <= this->restore_from) {
+    ++copy;
+  }
+  this->registry.Restore(copy->second);
+  this->slow_until = now + kSlowBeatTime;
+  this->registry.SetUnavailable(false);
+  const auto draw_time = [&] {
+    return now + milliseconds(this->rng() %
+                              static_cast<std::uint64_t>(kRewriteTime.count()));
+  };
+  this->rewrites.push_back({draw_time(), 0, ""});
+  for (int number = 1; number <= this->size.vms; ++number) {
+    this->rewrites.push_back({draw_time(), number, ""});
+  }
+  for (const std::string& instance : this->removed_instances) {
+    this->rewrites.push_back({draw_time(), 0, instance});
+  }
+}
+
+void SoakFleet::RewriteDue(TimePoint now) {
+  std::vector<Rewrite> later;
+  for (const Rewrite& rewrite : this->rewrites) {
+    if (rewrite.at > now) {
+      later.push_back(rewrite);
+    } else if (!rewrite.instance.empty()) {
+      const std::vector<std::string>& removed = this->removed_instances;
+      if (std::find(removed.begin(), removed.end(), rewrite.instance) !=
+          removed.end()) {
+        this->registry.Remove(MakeRegistrationKey(rewrite.instance));
+      }
+    } else if (rewrite.vm == 0) {
+      this->PublishRoutes();
+    } else if (this->vms[rewrite.vm].listed) {
+      this->Register(rewrite.vm);
+    }
+  }
+  this->rewrites = std::move(later);
 }
 
 void SoakFleet::StartDaemon(int number) {
@@ -186,11 +285,23 @@
       vm.heal_server_at = now + event.lasts;
       break;
     case SoakAction::kDrainServer:
-      if (!vm.replace_server_at) {
-        this->Register(event.vm, true);
-        this->history.Add(SoakLeaving{vm.server->Instance(), now});
-        // A backend server serves on for longer than callers may use it.
-        vm.replace_server_at = now + milliseconds(3000) + event.lasts;
+      if (!vm.replace_server_at && vm.listed) {
+        vm.draining = true;
+        this->Register(event.vm);
+        this->ReplaceLater(event.vm, event.lasts);
+      }
+      break;
+    case SoakAction::kRemoveServer:
+      if (!vm.replace_server_at && vm.listed) {
+        this->RemoveRegistration(event.vm);
+        this->ReplaceLater(event.vm, event.lasts);
+      }
+      break;
+    case SoakAction::kExpireServer:
+      if (!vm.replace_server_at && vm.listed) {
+        this->RemoveRegistration(event.vm);
+        vm.expired_at = now;
+        vm.register_again_at = now + milliseconds(3000) + event.lasts;
       }
       break;
     case SoakAction::kResetPaths:
@@ -212,9 +323,20 @@
       vm.heal_paths_at = now + event.lasts;
       break;
     case SoakAction::kStopRegistry:
-      this->history.Add(SoakDisruption{0, now, now + event.lasts, false});
-      this->registry.SetUnavailable(true);
-      this->start_registry_at = now + event.lasts;
+      if (!this->end_drill_at) {
+        this->history.Add(SoakDisruption{0, now, now + event.lasts, false});
+        this->registry.SetUnavailable(true);
+        this->start_registry_at = now + event.lasts;
+      }
+      break;
+    case SoakAction::kDrillRegistry:
+      if (!this->end_drill_at && !this->start_registry_at) {
+        this->history.Add(SoakDisruption{0, now, now + event.lasts, false});
+        // A drill may be too short for any call to fail.
+        this->registry.SetUnavailable(event.lasts > kCopyPeriod);
+        this->end_drill_at = now + event.lasts;
+        this->restore_from = now - event.copy_age;
+      }
       break;
     case SoakAction::kCutWatches:
       this->registry.CutWatches();
@@ -231,6 +353,12 @@
   if (IsDue(this->start_registry_at, now)) {
     this->registry.SetUnavailable(false);
   }
+  if (IsDue(this->end_drill_at, now)) {
+    this->EndDrill(now);
+  }
+  this->RewriteDue(now);
+  this->TakeCopyIfDue(now);
+  this->BeatIfDue(now);
   for (int number = 1; number <= this->size.vms; ++number) {
     Vm& vm = this->vms[number];
     if (IsDue(vm.resume_at, now) && vm.daemon) {
@@ -239,8 +367,18 @@
     if (IsDue(vm.heal_server_at, now)) {
       vm.server->SetFault(ServerFault::kNone);
     }
+    if (IsDue(vm.register_again_at, now)) {
+      this->history.Add(SoakLeaving{vm.server->Instance(), vm.expired_at, now});
+      this->removed_instances.erase(
+          std::remove(this->removed_instances.begin(),
+                      this->removed_instances.end(), vm.server->Instance()),
+          this->removed_instances.end());
+      this->Register(number);
+    }
     if (IsDue(vm.replace_server_at, now)) {
-      this->registry.Remove(MakeRegistrationKey(vm.server->Instance()));
+      if (vm.listed) {
+        this->RemoveRegistration(number);
+      }
       vm.server.reset();
       this->StartServer(number);
     }
@@ -286,9 +424,15 @@
 void SoakFleet::EndAll() {
   const TimePoint now = Clock::now();
   this->start_registry_at = now;
+  if (this->end_drill_at) {
+    this->end_drill_at = now;
+  }
   for (int number = 1; number <= this->size.vms; ++number) {
     Vm& vm = this->vms[number];
     vm.resume_at = now;
+    if (vm.register_again_at) {
+      vm.register_again_at = now;
+    }
     vm.heal_server_at = now;
     if (vm.relay) {
       vm.heal_paths_at = now;
--- a/Tests/soak/soak_fleet.h
+++ b/Tests/soak/soak_fleet.h
@@ -2,9 +2,12 @@
 #define TESTS_SOAK_SOAK_FLEET_H_
 
 #include <chrono>
+#include <deque>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "fake_registry.h"
@@ -57,6 +60,12 @@
     std::optional<TimePoint> resume_at;
     std::optional<TimePoint> heal_server_at;
     std::optional<TimePoint> replace_server_at;
+    std::optional<TimePoint> register_again_at;
+    TimePoint expired_at;
+    /// What the backend server says of itself.
+    bool listed = false;
+    bool draining = false;
+    int sequence = 0;
     std::optional<TimePoint> heal_paths_at;
     bool kill_requested = false;
     /// Whether the present process was disturbed while it stopped.
@@ -64,8 +73,23 @@
   };
 
   void StartDaemon(int number);
+  /// A write that is made again after a drill of the registry.
+  struct Rewrite {
+    TimePoint at;
+    int vm = 0;            ///< 0 for the configuration or a removal.
+    std::string instance;  ///< A removal, unless empty.
+  };
+
   void StartServer(int number);
-  void Register(int number, bool draining);
+  void Register(int number);
+  void RemoveRegistration(int number);
+  /// \brief Ends the backend server some time after it began to leave.
+  void ReplaceLater(int number, std::chrono::milliseconds lasts);
+  void TakeCopyIfDue(TimePoint now);
+  /// \brief Lets one backend server after the other write its entry.
+  void BeatIfDue(TimePoint now);
+  void EndDrill(TimePoint now);
+  void RewriteDue(TimePoint now);
   void PublishRoutes();
   void CollectDaemon(int number);
   void Disturb(int number, std::chrono::milliseconds lasts);
@@ -80,6 +104,17 @@
   FakeRegistry registry;
   std::vector<Vm> vms;
   std::optional<TimePoint> start_registry_at;
+  /// Copies of the registry by the time when they were taken, oldest first.
+  std::deque<std::pair<TimePoint, FakeRegistry::State>> copies;
+  std::optional<TimePoint> end_drill_at;
+  TimePoint restore_from;
+  std::vector<Rewrite> rewrites;
+  std::vector<std::string> removed_instances;
+  std::mt19937_64 rng;
+  TimePoint next_beat;
+  /// Until then, backend servers write their entries seldom.
+  TimePoint slow_until;
+  int last_beat_vm = 0;
   int config_version = 1;
   int servers_started = 0;
 };
--- a/Tests/soak/soak_history.cc
+++ b/Tests/soak/soak_history.cc
@@ -20,6 +20,8 @@
 constexpr milliseconds kLossSlack{200};
 // A backend server that leaves gets no requests after this time.
 constexpr milliseconds kDrainTime{2500};
+// The `vm` of disruptions of the registry.
+constexpr int kRegistry = 0;
 constexpr std::array<int, 4> kPromisedNotRun = {408, 421, 429, 503};
 
 using RunsById = std::multimap<std::string, const SoakRun*>;
@@ -102,12 +104,15 @@
     for (const SoakRun& run : history.runs) {
       const auto request = requests.find(run.id);
       if (run.instance != leaving.instance || run.at <= bound ||
+          (leaving.until && run.at >= *leaving.until) ||
           request == requests.end()) {
         continue;
       }
+      // A drill of the registry between the two does not undo the leave.
       const TimePoint begin = leaving.published_at;
-      if (!IsDisturbed(history, run.vm, begin, run.at) &&
-          !IsDisturbed(history, request->second->vm, begin, run.at)) {
+      if (!IsDisturbed(history, kRegistry, begin, begin) &&
+          !IsDisturbed(history, run.vm, run.at, run.at) &&
+          !IsDisturbed(history, request->second->vm, run.at, run.at)) {
         broken.push_back(absl::StrCat(
             "DRAIN: ", run.id, " reached ", run.instance, " ",
             std::chrono::duration_cast<milliseconds>(run.at - begin).count(),
--- a/Tests/soak/soak_history.h
+++ b/Tests/soak/soak_history.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,10 +47,12 @@
   bool planned = false;  ///< A signal that asks for a graceful stop.
 };
 
-/// \brief A backend server whose registration says that it leaves.
+/// \brief A backend server whose registration says that it leaves, or is gone.
 struct SoakLeaving {
   std::string instance;
   std::chrono::steady_clock::time_point published_at;
+  /// When it registered again; never if absent.
+  std::optional<std::chrono::steady_clock::time_point> until = std::nullopt;
 };
 
 /// \brief All that happened in a soak run; the functions are thread-safe.
--- a/Tests/soak/soak_main.cc
+++ b/Tests/soak/soak_main.cc
@@ -15,6 +15,7 @@
 DEFINE_int32(relayed_vms, 3, "VMs whose daemons are reached through a relay");
 DEFINE_int32(callers, 2, "callers for each VM");
 DEFINE_int32(seconds, 20, "time for which faults are injected, in seconds");
+DEFINE_bool(registry, false, "mostly events of the registry");
 DEFINE_string(log_directory, "", "directory for the logs of the daemons");
 DEFINE_bool(print_plan, false, "print the events of each run");
 
@@ -25,6 +26,7 @@
   size.relayed_vms = std::min(FLAGS_relayed_vms, FLAGS_vms);
   size.callers = FLAGS_callers;
   size.duration = std::chrono::seconds(FLAGS_seconds);
+  size.registry_focus = FLAGS_registry;
   bool held = true;
   for (std::uint64_t seed = FLAGS_first_seed;
        seed < FLAGS_first_seed + FLAGS_seeds; ++seed) {
--- a/Tests/soak/soak_plan.cc
+++ b/Tests/soak/soak_plan.cc
@@ -33,14 +33,29 @@
       Draw(plan, 0, static_cast<int>(N) - 1))];
 }
 
-constexpr std::array<SoakAction, 13> kActions = {
+constexpr std::array<SoakAction, 16> kActions = {
     SoakAction::kStopDaemon,   SoakAction::kKillDaemon,
     SoakAction::kPauseDaemon,  SoakAction::kReloadDaemon,
     SoakAction::kFailServer,   SoakAction::kDrainServer,
     SoakAction::kResetPaths,   SoakAction::kSilencePaths,
     SoakAction::kCutPaths,     SoakAction::kDelayPaths,
     SoakAction::kStopRegistry, SoakAction::kCutWatches,
-    SoakAction::kChangeRoutes};
+    SoakAction::kChangeRoutes, SoakAction::kRemoveServer,
+    SoakAction::kExpireServer, SoakAction::kDrillRegistry};
+// With registry_focus. Actions that stand twice are drawn twice as often.
+constexpr std::array<SoakAction, 11> kRegistryActions = {
+    SoakAction::kDrainServer,  SoakAction::kDrainServer,
+    SoakAction::kRemoveServer, SoakAction::kRemoveServer,
+    SoakAction::kExpireServer, SoakAction::kExpireServer,
+    SoakAction::kCutWatches,   SoakAction::kChangeRoutes,
+    SoakAction::kKillDaemon,   SoakAction::kPauseDaemon,
+    SoakAction::kFailServer};
+constexpr std::array<SoakAction, 2> kLeaveActions = {SoakAction::kDrainServer,
+                                                     SoakAction::kRemoveServer};
+// Time between the drills with registry_focus, more than twice the time after
+// which promises with a time bound hold again.
+constexpr milliseconds kDrillPeriod{16000};
+constexpr milliseconds kMaxDrill{3000};
 constexpr std::array<ServerFault, 8> kServerFaults = {
     ServerFault::kSlow,
     ServerFault::kError,
@@ -63,7 +78,8 @@
 void AddSeries(Plan& plan, milliseconds begin) {
   SoakEvent event;
   event.at = begin;
-  event.action = DrawOne(plan, kActions);
+  event.action = plan.size.registry_focus ? DrawOne(plan, kRegistryActions)
+                                          : DrawOne(plan, kActions);
   event.server_fault = DrawOne(plan, kServerFaults);
   event.path_mode = DrawOne(plan, kCutModes);
   const int vms =
@@ -71,16 +87,36 @@
   if (vms == 0) {
     return;
   }
-  const int length = Draw(plan, 1, std::min(kMaxSeriesLength, vms));
+  const bool drill = event.action == SoakAction::kDrillRegistry;
+  const int length = drill ? 1 : Draw(plan, 1, std::min(kMaxSeriesLength, vms));
   event.vm = Draw(plan, 1, vms);
   for (int i = 0; i < length; ++i) {
     event.lasts = milliseconds(Draw(plan, 200, 2500));
+    event.copy_age = milliseconds(Draw(plan, 1000, 10000));
     plan.events.push_back(event);
     event.vm = event.vm % vms + 1;
     event.at += milliseconds(Draw(plan, 50, 900));
   }
 }
 
+void AddDrills(Plan& plan) {
+  for (milliseconds at{Draw(plan, 0, 5000)}; at < plan.size.duration;
+       at += kDrillPeriod) {
+    SoakEvent event;
+    event.at = at;
+    event.action = SoakAction::kDrillRegistry;
+    event.lasts =
+        milliseconds(Draw(plan, 0, static_cast<int>(kMaxDrill.count())));
+    event.copy_age = milliseconds(Draw(plan, 1000, 10000));
+    plan.events.push_back(event);
+    // One backend server leaves when the daemons must have noticed the drill.
+    event.at += event.lasts + milliseconds(Draw(plan, 4100, 6000));
+    event.action = DrawOne(plan, kLeaveActions);
+    event.vm = Draw(plan, 1, plan.size.vms);
+    plan.events.push_back(event);
+  }
+}
+
 const char* ActionName(SoakAction action) {
   switch (action) {
     case SoakAction::kStopDaemon:
@@ -107,6 +143,12 @@
       return "stop registry";
     case SoakAction::kCutWatches:
       return "cut watches";
+    case SoakAction::kRemoveServer:
+      return "remove server";
+    case SoakAction::kExpireServer:
+      return "expire server";
+    case SoakAction::kDrillRegistry:
+      return "drill registry";
     case SoakAction::kChangeRoutes:
       break;
   }
@@ -118,9 +160,14 @@
 std::vector<SoakEvent> MakeSoakPlan(std::uint64_t seed, const SoakSize& size) {
   Plan plan{std::mt19937_64(seed), size, {}};
   milliseconds at{0};
+  const int mean_gap_ms =
+      size.registry_focus ? 3 * kMeanSeriesGapMs : kMeanSeriesGapMs;
   while (at < size.duration) {
     AddSeries(plan, at);
-    at += milliseconds(Draw(plan, 1, 2 * kMeanSeriesGapMs));
+    at += milliseconds(Draw(plan, 1, 2 * mean_gap_ms));
+  }
+  if (size.registry_focus) {
+    AddDrills(plan);
   }
   plan.events.erase(std::remove_if(plan.events.begin(), plan.events.end(),
                                    [&](const SoakEvent& event) {
--- a/Tests/soak/soak_plan.h
+++ b/Tests/soak/soak_plan.h
@@ -17,23 +17,29 @@
   int callers = 2;
   /// How long faults are injected. The fleet recovers afterwards.
   std::chrono::milliseconds duration{20000};
+  /// Whether most events are of the registry and of what it lists, with time
+  /// between them in which the daemons must have heard of each change.
+  bool registry_focus = false;
 };
 
 /// \brief What a soak run does to the system from outside.
 enum class SoakAction {
-  kStopDaemon,    ///< SIGTERM; starts again after it has ended.
-  kKillDaemon,    ///< SIGKILL; starts again.
-  kPauseDaemon,   ///< SIGSTOP, and SIGCONT after `lasts`.
-  kReloadDaemon,  ///< SIGHUP, with its settings file written anew.
-  kFailServer,    ///< The backend server shows `server_fault` for `lasts`.
-  kDrainServer,   ///< Draining, removed after `lasts`, then started again.
-  kResetPaths,    ///< Resets the connections to the daemon.
-  kSilencePaths,  ///< The connections to the daemon deliver nothing more.
-  kCutPaths,      ///< Bytes are lost in `path_mode` for `lasts`.
-  kDelayPaths,    ///< Bytes arrive late for `lasts`.
-  kStopRegistry,  ///< The registry answers 503 for `lasts`.
-  kCutWatches,    ///< The waiting watches of the registry are cut.
-  kChangeRoutes,  ///< Publishes the next configuration.
+  kStopDaemon,     ///< SIGTERM; starts again after it has ended.
+  kKillDaemon,     ///< SIGKILL; starts again.
+  kPauseDaemon,    ///< SIGSTOP, and SIGCONT after `lasts`.
+  kReloadDaemon,   ///< SIGHUP, with its settings file written anew.
+  kFailServer,     ///< The backend server shows `server_fault` for `lasts`.
+  kDrainServer,    ///< Draining, removed after `lasts`, then started again.
+  kRemoveServer,   ///< Removed from the registry at once, ended later.
+  kExpireServer,   ///< Its entry expires and is back after `lasts`.
+  kResetPaths,     ///< Resets the connections to the daemon.
+  kSilencePaths,   ///< The connections to the daemon deliver nothing more.
+  kCutPaths,       ///< Bytes are lost in `path_mode` for `lasts`.
+  kDelayPaths,     ///< Bytes arrive late for `lasts`.
+  kStopRegistry,   ///< The registry answers 503 for `lasts`.
+  kCutWatches,     ///< The waiting watches of the registry are cut.
+  kDrillRegistry,  ///< The registry comes back from a copy after `lasts`.
+  kChangeRoutes,   ///< Publishes the next configuration.
 };
 
 /// \brief Fault of a backend server.
@@ -57,6 +63,7 @@
   std::chrono::milliseconds lasts{0};
   ServerFault server_fault = ServerFault::kNone;
   std::string path_mode;  ///< A mode of Tests/stand_ins/fault_relay.cc.
+  std::chrono::milliseconds copy_age{0};  ///< Age of the copy of a drill.
 };
 
 /// \brief Draws the events of a run, in order of time. The same seed and size
--- a/Tests/soak/soak_test.cc
+++ b/Tests/soak/soak_test.cc
@@ -109,6 +109,20 @@
   }
 }
 
+// Guards against work for backend servers that have left, and against versions
+// that are never applied, around drills of the registry.
+TEST_CASE("the promises hold around drills of the registry", "[soak]") {
+  SoakSize size;
+  size.duration = std::chrono::seconds(40);
+  size.registry_focus = true;
+  const SoakReport report = RunSoak(4, size);
+  for (const std::string& line : report.broken) {
+    UNSCOPED_INFO(line);
+  }
+  CHECK(report.broken.empty());
+  CHECK(report.served > 0);
+}
+
 // Guards against broken promises when signals, restarts, cut paths, failing
 // backend servers and changes overlap.
 TEST_CASE("the promises hold under overlapping faults", "[soak]") {
--- a/Tests/system/registry_drill_test.cc
+++ b/Tests/system/registry_drill_test.cc
@@ -41,13 +41,13 @@
   const bool draining = GENERATE(true, false);
   RegistryFleet fleet;
   REQUIRE(WaitFor(RegistryFleet::AreReady));
-  fleet.registry.TakeCopy();
+  const FakeRegistry::State copy = fleet.registry.TakeCopy();
   for (int sequence = 2; sequence <= 6; ++sequence) {
     fleet.registry.Put(MakeRegistrationKey("i-1"),
                        RegistrationOf(1, false, sequence));
   }
   std::this_thread::sleep_for(milliseconds(1500));
-  fleet.registry.Restore();
+  fleet.registry.Restore(copy);
   fleet.registry.Put(MakeRegistrationKey("i-1"), RegistrationOf(1, false, 7));
   std::this_thread::sleep_for(kSettleTime);
   CHECK(CountRunsAtFirst(fleet) > 0);
@@ -62,10 +62,10 @@
   const bool draining = GENERATE(true, false);
   RegistryFleet fleet;
   REQUIRE(WaitFor(RegistryFleet::AreReady));
-  fleet.registry.TakeCopy();
+  const FakeRegistry::State copy = fleet.registry.TakeCopy();
   Leave(fleet, draining, 2);
   std::this_thread::sleep_for(kApplyTime);
-  fleet.registry.Restore();
+  fleet.registry.Restore(copy);
   std::this_thread::sleep_for(milliseconds(1500));
   CHECK(CountRunsAtFirst(fleet) == 0);
   std::this_thread::sleep_for(kSettleTime);
@@ -78,12 +78,12 @@
 TEST_CASE("a configuration written again after a drill is in force") {
   RegistryFleet fleet;
   REQUIRE(WaitFor(RegistryFleet::AreReady));
-  fleet.registry.TakeCopy();
+  const FakeRegistry::State copy = fleet.registry.TakeCopy();
   fleet.registry.Put(MakeRegistrationKey("i-9"), "first odd entry");
   std::this_thread::sleep_for(milliseconds(1500));
   fleet.registry.Put(MakeRegistrationKey("i-9"), "second odd entry");
   std::this_thread::sleep_for(milliseconds(200));
-  fleet.registry.Restore();
+  fleet.registry.Restore(copy);
   fleet.registry.Put(platform::kConfigKey, MakeConfiguration(5, "/b/"));
   fleet.registry.Put(MakeRegistrationKey("i-9"), "third odd entry");
   std::this_thread::sleep_for(kSettleTime);
