Report how long a backend server that left got requests in a soak

The soak says for each run the longest time from an acknowledged leave to a request by daemons that were in contact, so that the bound is measured and not only checked.

--- a/Tests/soak/soak_history.cc
+++ b/Tests/soak/soak_history.cc
@@ -96,32 +96,54 @@
   }
 }
 
-void CheckDrains(const SoakHistory& history,
-                 const std::map<std::string, const SoakRequest*>& requests,
-                 std::vector<std::string>& broken) {
+// Calls `visit` with each run at a backend server that leaves, and the time
+// since it began to leave, unless the daemons were not in contact.
+template <typename Visit>
+void VisitRunsAfterLeave(
+    const SoakHistory& history,
+    const std::map<std::string, const SoakRequest*>& requests,
+    Visit visit) {
   for (const SoakLeaving& leaving : history.leavings) {
-    const TimePoint bound = leaving.published_at + kDrainTime;
+    const TimePoint begin = leaving.published_at;
+    // A drill of the registry after the leave does not undo it.
+    if (IsDisturbed(history, kRegistry, begin, begin)) {
+      continue;
+    }
     for (const SoakRun& run : history.runs) {
       const auto request = requests.find(run.id);
-      if (run.instance != leaving.instance || run.at <= bound ||
-          (leaving.until && run.at >= *leaving.until) ||
-          request == requests.end()) {
-        continue;
-      }
-      // A drill of the registry between the two does not undo the leave.
-      const TimePoint begin = leaving.published_at;
-      if (!IsDisturbed(history, kRegistry, begin, begin) &&
+      if (run.instance == leaving.instance && run.at > begin &&
+          (!leaving.until || run.at < *leaving.until) &&
+          request != requests.end() &&
           !IsDisturbed(history, run.vm, run.at, run.at) &&
           !IsDisturbed(history, request->second->vm, run.at, run.at)) {
-        broken.push_back(absl::StrCat(
-            "DRAIN: ", run.id, " reached ", run.instance, " ",
-            std::chrono::duration_cast<milliseconds>(run.at - begin).count(),
-            " ms after it began to leave"));
+        visit(run, std::chrono::duration_cast<milliseconds>(run.at - begin));
       }
     }
   }
 }
 
+std::map<std::string, const SoakRequest*> RequestsById(
+    const SoakHistory& history) {
+  std::map<std::string, const SoakRequest*> requests;
+  for (const SoakRequest& request : history.requests) {
+    requests[request.id] = &request;
+  }
+  return requests;
+}
+
+void CheckDrains(const SoakHistory& history,
+                 const std::map<std::string, const SoakRequest*>& requests,
+                 std::vector<std::string>& broken) {
+  VisitRunsAfterLeave(
+      history, requests, [&](const SoakRun& run, milliseconds after) {
+        if (after > kDrainTime) {
+          broken.push_back(absl::StrCat("DRAIN: ", run.id, " reached ",
+                                        run.instance, " ", after.count(),
+                                        " ms after it began to leave"));
+        }
+      });
+}
+
 }  // namespace
 
 void SoakHistory::Add(SoakRequest request) {
@@ -163,9 +185,9 @@
   for (const SoakRun& run : history.runs) {
     runs.emplace(run.id, &run);
   }
-  std::map<std::string, const SoakRequest*> requests;
+  const std::map<std::string, const SoakRequest*> requests =
+      RequestsById(history);
   for (const SoakRequest& request : history.requests) {
-    requests[request.id] = &request;
     CheckResponse(request, runs, broken);
     CheckAnswered(history, request, runs, broken);
     if (!request.idempotent && runs.count(request.id) > 1) {
@@ -184,4 +206,13 @@
   return broken;
 }
 
+std::chrono::milliseconds FindLongestLeave(const SoakHistory& history) {
+  milliseconds longest{0};
+  VisitRunsAfterLeave(history, RequestsById(history),
+                      [&](const SoakRun& /*run*/, milliseconds after) {
+                        longest = std::max(longest, after);
+                      });
+  return longest;
+}
+
 }  // namespace comfrey
--- a/Tests/soak/soak_history.h
+++ b/Tests/soak/soak_history.h
@@ -84,6 +84,10 @@
 /// \brief Returns a line for each promise of the pages that was broken.
 std::vector<std::string> FindBrokenPromises(const SoakHistory& history);
 
+/// \brief Returns the longest time from the begin of a leave to a request that
+/// reached the backend server, by daemons that were in contact.
+std::chrono::milliseconds FindLongestLeave(const SoakHistory& history);
+
 }  // namespace comfrey
 
 #endif  // TESTS_SOAK_SOAK_HISTORY_H_
--- a/Tests/soak/soak_main.cc
+++ b/Tests/soak/soak_main.cc
@@ -41,7 +41,8 @@
     std::cout << "seed " << seed << ": " << report.events << " events, "
               << report.served << " of " << report.requests
               << " requests served, " << report.broken.size()
-              << " promises broken" << std::endl;
+              << " promises broken, longest leave "
+              << report.longest_leave.count() << " ms" << std::endl;
     for (const std::string& line : report.broken) {
       std::cout << "  " << line << "\n";
     }
--- a/Tests/soak/soak_run.cc
+++ b/Tests/soak/soak_run.cc
@@ -57,6 +57,7 @@
   }
   SoakReport report;
   report.broken = FindBrokenPromises(history);
+  report.longest_leave = FindLongestLeave(history);
   report.requests = history.requests.size();
   report.served = static_cast<std::size_t>(std::count_if(
       history.requests.begin(), history.requests.end(),
--- a/Tests/soak/soak_run.h
+++ b/Tests/soak/soak_run.h
@@ -1,6 +1,7 @@
 #ifndef TESTS_SOAK_SOAK_RUN_H_
 #define TESTS_SOAK_SOAK_RUN_H_
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -17,6 +18,8 @@
   std::size_t requests = 0;
   std::size_t served = 0;
   std::size_t events = 0;
+  /// Longest time for which a backend server that left got requests.
+  std::chrono::milliseconds longest_leave{0};
 };
 
 /// \brief Runs the system under the faults that the seed draws, and checks the
