Log in one place which registration a request was based on

Four places wrote the fields registration_era and registration_revision, two of them also registry_age_ms. They call two functions of the registry's folder now. No field changes.

--- a/Source/daemon/endpoint_directory.cc
+++ b/Source/daemon/endpoint_directory.cc
@@ -8,6 +8,7 @@
 
 #include "base/log_event.h"
 #include "daemon/message_conversion.h"
+#include "registry/registry_log.h"
 
 namespace comfrey {
 namespace {
@@ -340,11 +341,8 @@
         .Add("instance", endpoint.instance)
         .Add("use", UseName(uses[i]))
         .Add("was", UseName(endpoint.use))
-        .AddBool("configured_draining", endpoint.configured_draining)
-        .Add("registration_era",
-             static_cast<std::int64_t>(endpoint.registration.era))
-        .Add("registration_revision",
-             static_cast<std::int64_t>(endpoint.registration.revision));
+        .AddBool("configured_draining", endpoint.configured_draining);
+    AddRegistration(event, endpoint.registration);
     if (endpoint.replied_at != TimePoint{}) {
       event.AddDuration("knowledge_age", now - endpoint.replied_at);
     }
--- a/Source/daemon/ingress.cc
+++ b/Source/daemon/ingress.cc
@@ -13,6 +13,7 @@
 #include "core/attempt_journal.h"
 #include "core/key_placement.h"
 #include "daemon/message_conversion.h"
+#include "registry/registry_log.h"
 
 namespace comfrey {
 namespace {
@@ -287,14 +288,7 @@
       .Add("outcome", OutcomeName(attempt.outcome))
       .AddBool("sent", attempt.sent)
       .AddDuration("took", Clock::now() - attempt.started_at);
-  if (chosen.registry_age) {
-    event
-        .Add("registration_era",
-             static_cast<std::int64_t>(chosen.registration.era))
-        .Add("registration_revision",
-             static_cast<std::int64_t>(chosen.registration.revision))
-        .AddDuration("registry_age", *chosen.registry_age);
-  }
+  AddRegistryBasis(event, chosen.registration, chosen.registry_age);
   if (attempt.fence) {
     event.Add("fence", rpc::FenceState_Name(*attempt.fence));
   }
--- a/Source/daemon/owned_endpoint.cc
+++ b/Source/daemon/owned_endpoint.cc
@@ -5,6 +5,7 @@
 
 #include "base/log_event.h"
 #include "daemon/message_conversion.h"
+#include "registry/registry_log.h"
 
 namespace comfrey {
 namespace {
@@ -219,19 +220,13 @@
   }
   endpoint.leaving = leaving;
   SetDraining(endpoint.queue, leaving);
-  WriteEvent(
-      MakeEvent(leaving ? "endpoint_draining" : "endpoint_undrained", endpoint)
-          .AddBool("configured", endpoint.configured)
-          .Add("registration_era",
-               static_cast<std::int64_t>(
-                   endpoint.identity.endpoint.registration.era))
-          .Add("registration_revision",
-               static_cast<std::int64_t>(
-                   endpoint.identity.endpoint.registration.revision))
-          .Add("queued",
-               static_cast<std::int64_t>(endpoint.queue.queued.size()))
-          .Add("running",
-               static_cast<std::int64_t>(endpoint.queue.running.size())));
+  LogEvent event =
+      MakeEvent(leaving ? "endpoint_draining" : "endpoint_undrained", endpoint);
+  event.AddBool("configured", endpoint.configured);
+  AddRegistration(event, endpoint.identity.endpoint.registration)
+      .Add("queued", static_cast<std::int64_t>(endpoint.queue.queued.size()))
+      .Add("running", static_cast<std::int64_t>(endpoint.queue.running.size()));
+  WriteEvent(event);
   if (leaving) {
     ReturnQueued(endpoint);
   }
--- a/Source/daemon/owner_service.cc
+++ b/Source/daemon/owner_service.cc
@@ -10,6 +10,7 @@
 #include "daemon/endpoint_status.h"
 #include "daemon/message_conversion.h"
 #include "daemon/owner_result.h"
+#include "registry/registry_log.h"
 
 namespace comfrey {
 namespace {
@@ -541,14 +542,7 @@
     event.AddDuration("queued", call.started - call.received)
         .AddDuration("service", call.service_time);
   }
-  if (call.registry_age) {
-    event
-        .Add("registration_era",
-             static_cast<std::int64_t>(call.registration.era))
-        .Add("registration_revision",
-             static_cast<std::int64_t>(call.registration.revision))
-        .AddDuration("registry_age", *call.registry_age);
-  }
+  AddRegistryBasis(event, call.registration, call.registry_age);
   if (result.outcome() == rpc::OUTCOME_ANSWERED) {
     event.Add("status", result.answer().status());
   } else {
