Block the handled signals before the libraries of comfreyd start

Cause: main blocked SIGHUP, SIGTERM and SIGINT after it had read its settings. Until then, a SIGHUP of the platform ended the daemon.

Change: they are blocked by an entry of .preinit_array, which the loader calls before the initializers of the libraries. A signal in that time is kept, and the daemon reloads its settings when it runs.

--- a/Source/daemon/main.cc
+++ b/Source/daemon/main.cc
@@ -24,6 +24,30 @@
 
 namespace {
 
+// Returns the signals that WaitForStopSignal takes.
+sigset_t HandledSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
+  return signals;
+}
+
+// Blocks the handled signals for all threads, which inherit it. A platform may
+// send SIGHUP at any time, and until it is blocked it ends the process.
+void BlockHandledSignals(int /*argc*/, char** /*argv*/, char** /*env*/) {
+  const sigset_t signals = HandledSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
+// The loader calls it before the initializers of the libraries, which take
+// longer than reading the settings.
+[[gnu::section(".preinit_array"),
+  gnu::used]] void (*const kBlockHandledSignals)(int,
+                                                 char**,
+                                                 char**) = BlockHandledSignals;
+
 // Combines the start time in milliseconds with a random part, so that a later
 // process of this VM gets a greater incarnation, and two processes that start
 // in the same millisecond are unlikely to get the same one.
@@ -86,8 +110,9 @@
 
 // Waits for SIGTERM or SIGINT, which all threads block. While it waits, it
 // reloads the settings on SIGHUP or after a change of the file.
-void WaitForStopSignal(const sigset_t& signals, comfrey::Daemon& daemon) {
+void WaitForStopSignal(comfrey::Daemon& daemon) {
   constexpr timespec kFilePollPeriod{1, 0};
+  const sigset_t signals = HandledSignals();
   std::optional<timespec> changed = ModificationTime(FLAGS_settings);
   for (;;) {
     const int signal = sigtimedwait(&signals, nullptr, &kFilePollPeriod);
@@ -130,14 +155,6 @@
   if (!settings) {
     return 1;
   }
-  // The signals are blocked before any thread starts, because a signal would
-  // end the process if any thread did not block it.
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  sigaddset(&signals, SIGHUP);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
   comfrey::StartEventLog(settings->name);
 
@@ -150,7 +167,7 @@
     std::cerr << "comfreyd: " << started.message() << "\n";
     return 1;
   }
-  WaitForStopSignal(signals, daemon);
+  WaitForStopSignal(daemon);
   daemon.Stop();
   comfrey::StopEventLog();
   // All requests are answered. What follows the stop can take seconds, probably
