Notice settings that change while a daemon starts

Cause: the daemon took the time of its settings file after it had started, so a change between its reading and that, without a signal, was never noticed.

Change: the time is taken before the file is read. A pipe has no such time, as reading changes it.

--- a/Source/daemon/main.cc
+++ b/Source/daemon/main.cc
@@ -79,10 +79,11 @@
   return settings;
 }
 
-// Returns the modification time of the file, or nothing if it cannot be read.
+// Returns the modification time of the file, or nothing if it cannot be read or
+// is a pipe, whose time changes when it is read.
 std::optional<timespec> ModificationTime(const std::string& path) {
   struct stat status {};
-  if (::stat(path.c_str(), &status) != 0) {
+  if (::stat(path.c_str(), &status) != 0 || !S_ISREG(status.st_mode)) {
     return std::nullopt;
   }
   return status.st_mtim;
@@ -109,11 +110,12 @@
 }
 
 // Waits for SIGTERM or SIGINT, which all threads block. While it waits, it
-// reloads the settings on SIGHUP or after a change of the file.
-void WaitForStopSignal(comfrey::Daemon& daemon) {
+// reloads the settings on SIGHUP or after a change of the file, which was last
+// changed at `changed` before it was read.
+void WaitForStopSignal(std::optional<timespec> changed,
+                       comfrey::Daemon& daemon) {
   constexpr timespec kFilePollPeriod{1, 0};
   const sigset_t signals = HandledSignals();
-  std::optional<timespec> changed = ModificationTime(FLAGS_settings);
   for (;;) {
     const int signal = sigtimedwait(&signals, nullptr, &kFilePollPeriod);
     if (signal == SIGTERM || signal == SIGINT) {
@@ -150,6 +152,7 @@
 int main(int argc, char** argv) {
   gflags::SetUsageMessage("proxy daemon; usage: comfreyd --settings FILE");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
+  const std::optional<timespec> changed = ModificationTime(FLAGS_settings);
   std::optional<comfrey::DaemonSettings> settings =
       LoadSettings(FLAGS_settings);
   if (!settings) {
@@ -167,7 +170,7 @@
     std::cerr << "comfreyd: " << started.message() << "\n";
     return 1;
   }
-  WaitForStopSignal(daemon);
+  WaitForStopSignal(changed, daemon);
   daemon.Stop();
   comfrey::StopEventLog();
   // All requests are answered. What follows the stop can take seconds, probably
--- a/Tests/system/early_signal_test.cc
+++ b/Tests/system/early_signal_test.cc
@@ -77,5 +77,13 @@
   CHECK(WaitFor(DaemonThatReadsSettings::UsesFile));
 }
 
+// Guards against settings that are never read because their file changes while
+// a daemon starts.
+TEST_CASE("a change of the settings file while a daemon starts is noticed") {
+  DaemonThatReadsSettings daemon;
+  daemon.Continue();
+  CHECK(WaitFor(DaemonThatReadsSettings::UsesFile));
+}
+
 }  // namespace
 }  // namespace comfrey
