Charge calls of repeated runs to the budget of repeats

Cause: a request that runs again makes its calls again, and these count as arrivals beyond the first at the service that they go to. The ingress counted them as first attempts, so that they even added to the budget.

Change: a forwarded request says whether it is a repeat. The VM that runs it remembers its deadline, which is also that of its calls, and its ingress charges a request with this deadline to the budget.

--- a/Source/core/retry_budget.cc
+++ b/Source/core/retry_budget.cc
@@ -6,6 +6,9 @@
 namespace {
 
 constexpr std::int64_t kPercentPerAttempt = 100;
+// Limit of the debt, in the amounts that can be saved up. A debt is of use only
+// within the window in which retries are measured.
+constexpr std::int64_t kMaxDebt = 4;
 
 RetryVerdict TakeAttempt(RetryBudget& budget) {
   if (budget.balance_percent < kPercentPerAttempt) {
@@ -34,6 +37,12 @@
   return TakeAttempt(budget);
 }
 
+void ChargeRepeat(RetryBudget& budget) {
+  budget.balance_percent =
+      std::max(-kMaxDebt * budget.max_percent,
+               budget.balance_percent - kPercentPerAttempt);
+}
+
 void ReturnRetry(RetryBudget& budget) {
   budget.balance_percent =
       std::min(budget.max_percent, budget.balance_percent + kPercentPerAttempt);
--- a/Source/core/retry_budget.h
+++ b/Source/core/retry_budget.h
@@ -44,6 +44,10 @@
                        RepeatPolicy repeat,
                        AttemptOutcome previous);
 
+/// \brief Subtracts an arrival that counts as a retry although it cannot be
+/// prevented. The budget may go into debt, which first attempts pay.
+void ChargeRepeat(RetryBudget& budget);
+
 /// \brief Adds back a retry that was taken but not sent.
 void ReturnRetry(RetryBudget& budget);
 
--- a/Source/daemon/daemon.h
+++ b/Source/daemon/daemon.h
@@ -31,6 +31,7 @@
 #include "daemon/peer_runner.h"
 #include "daemon/peer_server.h"
 #include "daemon/periodic_thread.h"
+#include "daemon/repeated_run_list.h"
 #include "daemon/service_levels.h"
 #include "daemon/vm_list_reader.h"
 #include "registry/registry_confirmation.h"
@@ -109,6 +110,7 @@
   ServiceLevels levels;
   OwnerClient owner_client;
   RegistryConfirmation confirmation;
+  RepeatedRunList repeated_runs;
   OwnerService owner;
   ConfigKeeper keeper;
   std::mutex agreement_mutex;
--- a/Source/daemon/endpoint_directory.cc
+++ b/Source/daemon/endpoint_directory.cc
@@ -639,6 +639,14 @@
   }
 }
 
+void EndpointDirectory::ChargeRepeatOf(const ServiceId& id) {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  const auto found = this->services.find(id);
+  if (found != this->services.end()) {
+    ChargeRepeat(found->second.budget);
+  }
+}
+
 bool EndpointDirectory::TakeRetryOf(const ServiceId& id,
                                     RepeatPolicy repeat,
                                     AttemptOutcome previous) {
--- a/Source/daemon/endpoint_directory.h
+++ b/Source/daemon/endpoint_directory.h
@@ -152,6 +152,8 @@
                            rpc::ForwardRequest& request);
 
   void CountFirstAttempt(const ServiceId& service);
+  /// \brief Counts a request that is itself part of a retry.
+  void ChargeRepeatOf(const ServiceId& service);
   bool TakeRetryOf(const ServiceId& service,
                    RepeatPolicy repeat,
                    AttemptOutcome previous);
--- a/Source/daemon/ingress.cc
+++ b/Source/daemon/ingress.cc
@@ -165,7 +165,9 @@
       answered(dependencies.counters.Counter("comfrey_ingress_answered_total")),
       not_run(dependencies.counters.Counter("comfrey_ingress_not_run_total")),
       unknown(dependencies.counters.Counter("comfrey_ingress_unknown_total")),
-      retries(dependencies.counters.Counter("comfrey_ingress_retries_total")) {}
+      retries(dependencies.counters.Counter("comfrey_ingress_retries_total")),
+      calls_of_repeats(dependencies.counters.Counter(
+          "comfrey_ingress_calls_of_repeats_total")) {}
 
 double Ingress::RandomFraction() {
   const std::lock_guard<std::mutex> lock(this->rng_mutex);
@@ -188,8 +190,12 @@
   RequestTrace trace;
   trace.id = this->TraceId(request);
   std::chrono::microseconds time_limit = match.route->deadline;
+  bool of_repeat = false;
   if (const auto left = CallerTimeLeft(request, this->dependencies.headers)) {
     time_limit = std::min<std::chrono::microseconds>(time_limit, *left);
+    of_repeat =
+        this->dependencies.repeated_runs != nullptr &&
+        this->dependencies.repeated_runs->MayHaveCalled(read_at + *left);
   }
   IngressRequest context{
       request,
@@ -201,7 +207,8 @@
       read_at,
       read_at + time_limit,
       cancelled,
-      trace};
+      trace,
+      of_repeat};
   context.message.target = match.target;
   ReplaceReservedHeaders(context.message, this->dependencies.headers,
                          this->dependencies.local_service());
@@ -210,6 +217,7 @@
       .Add("service", match.service->name)
       .Add("rank", match.rank->name)
       .AddBool("idempotent", match.route->repeat_safe)
+      .AddBool("of_repeat", of_repeat)
       .Add("config", FormatConfigVersion(context.version))
       .AddDuration("time_left", time_limit);
   IngressReply reply = this->Forward(context);
@@ -301,7 +309,7 @@
 }
 
 IngressReply Ingress::Forward(IngressRequest& context) {
-  this->dependencies.directory.CountFirstAttempt(context.service);
+  this->CountInBudget(context);
   if (context.match.route->repeat_safe) {
     return this->ForwardUnkeyed(context);
   }
@@ -318,6 +326,17 @@
   return this->ForwardKeyed(context);
 }
 
+// A request that runs again makes its calls again, and these count as repeats
+// of the services that they go to.
+void Ingress::CountInBudget(const IngressRequest& context) {
+  if (!context.of_repeat) {
+    this->dependencies.directory.CountFirstAttempt(context.service);
+    return;
+  }
+  this->calls_of_repeats.Add();
+  this->dependencies.directory.ChargeRepeatOf(context.service);
+}
+
 // Tries one endpoint after another until the request is answered or must not be
 // retried.
 IngressReply Ingress::ForwardUnkeyed(IngressRequest& context) {
@@ -394,6 +413,7 @@
                               attempt.chosen.mode == PlacementMode::kRunNow);
   attempt.message.set_spare_only(spare);
   attempt.message.set_max_wait_us(attempt.chosen.max_wait.count());
+  attempt.message.set_repeat(context.of_repeat || progress.sent > 0);
   attempt.message.set_accept_suspect(attempt.chosen.mode ==
                                      PlacementMode::kAcceptSuspect);
   if (this->sender.CheckRemoteLoad(context, attempt)) {
--- a/Source/daemon/ingress.h
+++ b/Source/daemon/ingress.h
@@ -33,6 +33,7 @@
   struct Progress;
 
   IngressReply Forward(IngressRequest& context);
+  void CountInBudget(const IngressRequest& context);
   IngressReply ForwardUnkeyed(IngressRequest& context);
   IngressReply ForwardKeyed(IngressRequest& context);
   bool MayTryNextEndpoint(const IngressRequest& context, Progress& progress);
@@ -59,6 +60,7 @@
   Metric& not_run;
   Metric& unknown;
   Metric& retries;
+  Metric& calls_of_repeats;
 };
 
 }  // namespace comfrey
--- a/Source/daemon/ingress_attempt.h
+++ b/Source/daemon/ingress_attempt.h
@@ -20,6 +20,7 @@
 #include "daemon/ingress_reply.h"
 #include "daemon/key_journal.h"
 #include "daemon/owner_client.h"
+#include "daemon/repeated_run_list.h"
 #include "daemon/request_log.h"
 #include "daemon/service_levels.h"
 #include "peer.pb.h"
@@ -47,6 +48,8 @@
   std::function<std::string()> local_service = [] { return std::string(); };
   /// Null without a registry.
   const RegistryConfirmation* confirmation = nullptr;
+  /// Null if the calls of backend servers cannot be told from other requests.
+  const RepeatedRunList* repeated_runs = nullptr;
 };
 
 /// \brief One request of a caller.
@@ -61,6 +64,8 @@
   std::chrono::steady_clock::time_point deadline;
   const CancelCheck& cancelled;
   RequestTrace& trace;
+  /// Whether it may be a call of a run that is a repeat.
+  bool of_repeat = false;
 };
 
 /// \brief One attempt to run a request, with its outcome.
--- a/Source/daemon/owner_service.cc
+++ b/Source/daemon/owner_service.cc
@@ -87,13 +87,15 @@
                            RequestLog& log,
                            FenceKeyFunction fence_key,
                            BackendProtocol protocol,
-                           const RegistryConfirmation* confirmation)
+                           const RegistryConfirmation* confirmation,
+                           RepeatedRunList* repeated_runs)
     : identity(std::move(identity)),
       watchdog(watchdog),
       log(log),
       fence_key(std::move(fence_key)),
       protocol(std::move(protocol)),
       confirmation(confirmation),
+      repeated_runs(repeated_runs),
       attempts(counters.Counter("comfrey_owner_attempts_total")),
       refusals(counters.Counter("comfrey_owner_not_run_total")),
       backend_calls(counters.Counter("comfrey_owner_backend_calls_total")),
@@ -449,6 +451,9 @@
     return this->aborting || (repeatable && call.callbacks.cancelled());
   };
   call.started = Clock::now();
+  if (call.message.repeat() && this->repeated_runs != nullptr) {
+    this->repeated_runs->Add(call.deadline, call.started);
+  }
   BackendResult backend = endpoint.client.Call(backend_call);
   this->backend_calls.Add();
   if (backend.outcome != BackendOutcome::kAnswered) {
--- a/Source/daemon/owner_service.h
+++ b/Source/daemon/owner_service.h
@@ -18,6 +18,7 @@
 #include "daemon/call_watchdog.h"
 #include "daemon/owned_endpoint.h"
 #include "daemon/owner_result.h"
+#include "daemon/repeated_run_list.h"
 #include "daemon/request_log.h"
 #include "peer.pb.h"
 #include "registry/registry_confirmation.h"
@@ -68,7 +69,8 @@
                RequestLog& log,
                FenceKeyFunction fence_key,
                BackendProtocol protocol = {},
-               const RegistryConfirmation* confirmation = nullptr);
+               const RegistryConfirmation* confirmation = nullptr,
+               RepeatedRunList* repeated_runs = nullptr);
   ~OwnerService();
 
   OwnerService(const OwnerService&) = delete;
@@ -149,6 +151,7 @@
   BackendProtocol protocol;
   /// Null without a registry.
   const RegistryConfirmation* confirmation;
+  RepeatedRunList* repeated_runs;
   SuspicionPolicy suspicion;
   /// When requests in flight are aborted by a planned stop.
   std::atomic<Clock::time_point> stop_end{Clock::time_point::max()};
--- a/Tests/core/retry_budget_test.cc
+++ b/Tests/core/retry_budget_test.cc
@@ -92,6 +92,40 @@
   CHECK(retries > 0);
 }
 
+// Guards against more repeats than the fleet may have because a request that
+// runs again makes its calls again.
+TEST_CASE("calls of repeated runs are paid from the budget") {
+  RetryBudget budget;
+  SetBudgetLimits(budget, 0.2, 50, 10);
+  int arrivals = 0;
+  int firsts = 0;
+  for (int request = 0; request < 200; ++request) {
+    RecordFirstAttempt(budget);
+    ++firsts;
+    if (request % 10 == 0) {
+      ChargeRepeat(budget);
+      ++arrivals;
+    }
+    arrivals += TakeRetry(budget, RepeatPolicy::kSafe,
+                          AttemptOutcome::kFailed) == RetryVerdict::kAllowed
+                    ? 1
+                    : 0;
+    REQUIRE(arrivals <= 0.2 * firsts + 5);
+  }
+  CHECK(arrivals > 30);
+  // A debt is limited, so that retries are possible again later.
+  for (int call = 0; call < 1000; ++call) {
+    ChargeRepeat(budget);
+  }
+  int needed = 0;
+  while (TakeRetry(budget, RepeatPolicy::kSafe, AttemptOutcome::kFailed) !=
+         RetryVerdict::kAllowed) {
+    RecordFirstAttempt(budget);
+    ++needed;
+  }
+  CHECK(needed <= 120);
+}
+
 // Guards against a budget that is charged for a retry that was not sent.
 TEST_CASE("a retry that was not sent is returned to the budget") {
   RetryBudget budget;
--- a/Tests/system/registry_fleet.cc
+++ b/Tests/system/registry_fleet.cc
@@ -61,6 +61,9 @@
   }
   ++this->runs;
   std::this_thread::sleep_for(milliseconds(this->delay_ms));
+  if (this->work) {
+    response.status = this->work(request);
+  }
   response.set_header("X-Mark", this->instance);
   response.set_header("X-Attempt", request.get_header_value("X-Attempt"));
   response.set_header("X-Key", request.get_header_value("Idempotency-Key"));
--- a/Tests/system/registry_fleet.h
+++ b/Tests/system/registry_fleet.h
@@ -39,6 +39,9 @@
   std::string instance;
   std::atomic<int> runs{0};
   std::atomic<int> delay_ms{0};
+  /// If set before the first request, what it does before it answers; returns
+  /// the status.
+  std::function<int(const httplib::Request&)> work;
 
  private:
   void HandleWork(const httplib::Request& request, httplib::Response& response);
