--- a/Source/daemon/daemon.cc
+++ b/Source/daemon/daemon.cc
@@ -90,8 +90,8 @@
       request_log(this->counters),
       channels(kMaxChannels),
       directory(this->settings.name,
-                {this->settings.region, this->settings.failure_domain},
-                this->settings.retry_budget),
+                {this->settings.region, this->settings.failure_domain}),
+      budgets(this->settings.retry_budget),
       journal(this->started_at),
       owner_client(this->channels,
                    this->settings.peer_port,
@@ -113,6 +113,7 @@
              [this](const std::shared_ptr<const ConfigStore>& store) {
                this->owner.ApplyConfig(*store);
                this->directory.ApplyConfig(*store);
+               this->budgets.ApplyConfig(*store);
                this->journal.ApplyConfig(*store);
                this->levels.ApplyConfig(*store);
              }),
@@ -127,9 +128,9 @@
               }}),
       peer_server(this->owner, this->journal, this->runner),
       ingress({this->settings.name, incarnation},
-              {this->keeper.Holder(), this->directory, this->owner_client,
-               this->journal, this->levels, this->counters, this->request_log,
-               this->settings.backend.headers,
+              {this->keeper.Holder(), this->directory, this->budgets,
+               this->owner_client, this->journal, this->levels, this->counters,
+               this->request_log, this->settings.backend.headers,
                [this] { return this->LocalService(); },
                this->HasRegistry() ? &this->confirmation : nullptr,
                &this->repeated_runs}),
--- a/Source/daemon/daemon.h
+++ b/Source/daemon/daemon.h
@@ -106,6 +106,7 @@
   RequestLog request_log;
   ChannelPool channels;
   EndpointDirectory directory;
+  ServiceBudgets budgets;
   KeyJournal journal;
   ServiceLevels levels;
   OwnerClient owner_client;
--- a/Source/daemon/endpoint_directory.cc
+++ b/Source/daemon/endpoint_directory.cc
@@ -55,19 +55,6 @@
 
 constexpr double kPercent = 100;
 
-// Each VM with an endpoint runs a daemon.
-int CountOwners(const ConfigStore& store) {
-  std::set<std::string> ips;
-  for (const auto& [team, subtree] : store.subtrees) {
-    for (const ServiceConfig& service : subtree->config->services) {
-      for (const EndpointConfig& endpoint : service.endpoints) {
-        ips.insert(endpoint.ip);
-      }
-    }
-  }
-  return static_cast<int>(ips.size());
-}
-
 absl::string_view DistanceName(const EndpointView& view) {
   return view.same_failure_domain ? "failure domain"
          : view.same_region       ? "region"
@@ -80,18 +67,14 @@
 
 }  // namespace
 
-EndpointDirectory::EndpointDirectory(std::string name,
-                                     Location location,
-                                     RetryBudgetSettings retry_budget)
+EndpointDirectory::EndpointDirectory(std::string name, Location location)
     : name(std::move(name)),
       location(std::move(location)),
-      retry_budget(retry_budget),
       rng(std::random_device()()) {}
 
 void EndpointDirectory::ApplyConfig(const ConfigStore& store) {
   const std::lock_guard<std::mutex> lock(this->mutex);
   std::map<ServiceId, Service> next;
-  const int daemons = CountOwners(store);
   for (const auto& [team, subtree] : store.subtrees) {
     for (const ServiceConfig& config : subtree->config->services) {
       const ServiceId id{team, config.name};
@@ -99,9 +82,6 @@
       service.floor_percent =
           static_cast<unsigned>(std::lround(config.floor * kPercent));
       const auto known = this->services.find(id);
-      if (known != this->services.end()) {
-        service.budget = known->second.budget;
-      }
       for (const EndpointConfig& endpoint_config : config.endpoints) {
         Endpoint endpoint;
         if (known != this->services.end()) {
@@ -117,7 +97,6 @@
         this->ConfigureEndpointView(endpoint_config, endpoint);
         service.endpoints.push_back(std::move(endpoint));
       }
-      this->ConfigureRetryBudget(service, daemons);
       this->ChooseStandbys(service);
       for (const auto& [ip, owner] : this->owners) {
         this->ApplyOwnerTo(owner, service);
@@ -178,14 +157,6 @@
 }
 
 // Sets the limits of the retry budget. The slack is shared by all daemons.
-void EndpointDirectory::ConfigureRetryBudget(Service& service,
-                                             int daemons) const {
-  if (this->retry_budget.slack > 0) {
-    SetBudgetLimits(service.budget, this->retry_budget.share,
-                    this->retry_budget.slack, daemons);
-  }
-}
-
 void EndpointDirectory::ApplyOwner(const OwnerView& owner) {
   const std::lock_guard<std::mutex> lock(this->mutex);
   this->owners[owner.ip] = owner;
@@ -631,40 +602,6 @@
   }
 }
 
-void EndpointDirectory::CountFirstAttempt(const ServiceId& id) {
-  const std::lock_guard<std::mutex> lock(this->mutex);
-  const auto found = this->services.find(id);
-  if (found != this->services.end()) {
-    RecordFirstAttempt(found->second.budget);
-  }
-}
-
-void EndpointDirectory::ChargeRepeatOf(const ServiceId& id) {
-  const std::lock_guard<std::mutex> lock(this->mutex);
-  const auto found = this->services.find(id);
-  if (found != this->services.end()) {
-    ChargeRepeat(found->second.budget);
-  }
-}
-
-bool EndpointDirectory::TakeRetryOf(const ServiceId& id,
-                                    RepeatPolicy repeat,
-                                    AttemptOutcome previous) {
-  const std::lock_guard<std::mutex> lock(this->mutex);
-  const auto found = this->services.find(id);
-  return found != this->services.end() &&
-         TakeRetry(found->second.budget, repeat, previous) ==
-             RetryVerdict::kAllowed;
-}
-
-void EndpointDirectory::ReturnRetryOf(const ServiceId& id) {
-  const std::lock_guard<std::mutex> lock(this->mutex);
-  const auto found = this->services.find(id);
-  if (found != this->services.end()) {
-    ReturnRetry(found->second.budget);
-  }
-}
-
 std::vector<EndpointSnapshot> EndpointDirectory::Report() {
   const std::lock_guard<std::mutex> lock(this->mutex);
   std::vector<EndpointSnapshot> reports;
--- a/Source/daemon/endpoint_directory.h
+++ b/Source/daemon/endpoint_directory.h
@@ -14,11 +14,10 @@
 
 #include "absl/strings/string_view.h"
 #include "config/config_store.h"
-#include "config/daemon_settings.h"
 #include "core/endpoint_selector.h"
 #include "core/path_health.h"
 #include "core/placement.h"
-#include "core/retry_budget.h"
+#include "daemon/service_id.h"
 #include "peer.pb.h"
 
 namespace comfrey {
@@ -39,16 +38,6 @@
   std::vector<rpc::EndpointStatus> endpoints;
 };
 
-/// \brief Identifies a service of a team.
-struct ServiceId {
-  std::string team;
-  std::string service;
-};
-
-inline bool operator<(const ServiceId& a, const ServiceId& b) {
-  return std::tie(a.team, a.service) < std::tie(b.team, b.service);
-}
-
 /// \brief The endpoint that is tried next for a request.
 struct ChosenEndpoint {
   std::string address;
@@ -95,9 +84,7 @@
  public:
   using TimePoint = std::chrono::steady_clock::time_point;
 
-  EndpointDirectory(std::string name,
-                    Location location,
-                    RetryBudgetSettings retry_budget = {});
+  EndpointDirectory(std::string name, Location location);
 
   void ApplyConfig(const ConfigStore& store);
 
@@ -151,15 +138,6 @@
   void AddSiblingSummaries(const ServiceId& service,
                            rpc::ForwardRequest& request);
 
-  void CountFirstAttempt(const ServiceId& service);
-  /// \brief Counts a request that is itself part of a retry.
-  void ChargeRepeatOf(const ServiceId& service);
-  bool TakeRetryOf(const ServiceId& service,
-                   RepeatPolicy repeat,
-                   AttemptOutcome previous);
-  /// \brief Returns a retry to the budget that no backend server received.
-  void ReturnRetryOf(const ServiceId& service);
-
   std::vector<EndpointSnapshot> Report();
 
  private:
@@ -212,7 +190,6 @@
     std::vector<Endpoint> endpoints;
     CapacityPlan plan;
     bool plan_is_current = false;
-    RetryBudget budget;
   };
 
   void ApplyOwnerTo(const OwnerView& owner, Service& service);
@@ -232,11 +209,9 @@
                         TimePoint now) const;
   void ConfigureEndpointView(const EndpointConfig& config, Endpoint& endpoint);
   void ChooseStandbys(Service& service) const;
-  void ConfigureRetryBudget(Service& service, int daemons) const;
 
   std::string name;
   Location location;
-  RetryBudgetSettings retry_budget;
   std::mutex mutex;
   std::mt19937_64 rng;
   std::map<ServiceId, Service> services;
--- a/Source/daemon/ingress.cc
+++ b/Source/daemon/ingress.cc
@@ -330,11 +330,11 @@
 // of the services that they go to.
 void Ingress::CountInBudget(const IngressRequest& context) {
   if (!context.of_repeat) {
-    this->dependencies.directory.CountFirstAttempt(context.service);
+    this->dependencies.budgets.CountFirstAttempt(context.service);
     return;
   }
   this->calls_of_repeats.Add();
-  this->dependencies.directory.ChargeRepeatOf(context.service);
+  this->dependencies.budgets.ChargeRepeatOf(context.service);
 }
 
 // Tries one endpoint after another until the request is answered or must not be
@@ -374,7 +374,7 @@
     }
   }
   if (progress.has_unused_retry) {
-    this->dependencies.directory.ReturnRetryOf(context.service);
+    this->dependencies.budgets.ReturnRetryOf(context.service);
   }
   return this->MakeFailureReply(context, progress);
 }
@@ -393,7 +393,7 @@
     return true;
   }
   if (progress.sent >= context.match.route->max_attempts ||
-      !this->dependencies.directory.TakeRetryOf(
+      !this->dependencies.budgets.TakeRetryOf(
           context.service, RepeatPolicy::kSafe, AttemptOutcome::kFailed)) {
     return false;
   }
--- a/Source/daemon/ingress_attempt.h
+++ b/Source/daemon/ingress_attempt.h
@@ -22,6 +22,7 @@
 #include "daemon/owner_client.h"
 #include "daemon/repeated_run_list.h"
 #include "daemon/request_log.h"
+#include "daemon/service_budgets.h"
 #include "daemon/service_levels.h"
 #include "peer.pb.h"
 
@@ -37,6 +38,7 @@
 struct IngressDependencies {
   const ConfigHolder& config;
   EndpointDirectory& directory;
+  ServiceBudgets& budgets;
   OwnerClient& owners;
   KeyJournal& journal;
   ServiceLevels& levels;
--- a/Tests/daemon/ingress_test.cc
+++ b/Tests/daemon/ingress_test.cc
@@ -77,6 +77,7 @@
     const std::shared_ptr<const ConfigStore> store = MakeStore(endpoints);
     this->config.Replace(store);
     this->directory.ApplyConfig(*store);
+    this->budgets.ApplyConfig(*store);
     this->levels.ApplyConfig(*store);
   }
 
@@ -89,13 +90,15 @@
   CounterRegistry counters;
   ChannelPool channels{4};
   EndpointDirectory directory{"vm-1", {"r", "a"}};
+  ServiceBudgets budgets;
   OwnerClient owners;
   KeyJournal journal{Clock::now() - std::chrono::hours(1)};
   ServiceLevels levels;
   RequestLog log{this->counters};
-  Ingress ingress{{"vm-1", 1},
-                  {this->config, this->directory, this->owners, this->journal,
-                   this->levels, this->counters, this->log, this->headers}};
+  Ingress ingress{
+      {"vm-1", 1},
+      {this->config, this->directory, this->budgets, this->owners,
+       this->journal, this->levels, this->counters, this->log, this->headers}};
 };
 
 // Sends a request that is cancelled after kCancelAfter. Returns the time that
--- a/Tests/daemon/peer_path_test.cc
+++ b/Tests/daemon/peer_path_test.cc
@@ -167,6 +167,7 @@
   RequestLog log{this->counters};
   ChannelPool channels{4};
   EndpointDirectory directory{"vm-1", {"r", "a"}};
+  ServiceBudgets budgets;
   OwnerClient owners{this->channels, this->peer_port};
   KeyJournal journal{Clock::now() - std::chrono::hours(1)};
   ServiceLevels levels;
@@ -181,6 +182,7 @@
   Ingress ingress{{"vm-1", 1},
                   {this->config,
                    this->directory,
+                   this->budgets,
                    this->owners,
                    this->journal,
                    this->levels,
