--- a/Utilities/platform/troubled_store.cc
+++ b/Utilities/platform/troubled_store.cc
@@ -71,11 +71,11 @@
 
 double TroubledStore::PutLocked(const std::string& key,
                                 const std::string& value) {
-  Item& item = this->items[key];
+  Item& item = this->contents.items[key];
   item.value = value;
-  item.revision = ++this->revision;
+  item.revision = ++this->contents.revision;
   item.created = item.created == 0 ? item.revision : item.created;
-  this->log.push_back({item.revision, key, item});
+  this->contents.log.push_back({item.revision, key, item});
   this->changed.notify_all();
   return review::Now();
 }
@@ -97,8 +97,8 @@
     std::this_thread::sleep_for(kCompactGap);
     this->End();
     const std::lock_guard<std::mutex> lock(this->mutex);
-    this->log.clear();
-    this->oldest_revision = this->revision;
+    this->contents.log.clear();
+    this->contents.oldest_revision = this->contents.revision;
   }
 }
 
@@ -109,12 +109,29 @@
   this->changed.notify_all();
 }
 
+void TroubledStore::TakeCopy() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->copy = this->contents;
+}
+
+void TroubledStore::Restore() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->contents = this->copy;
+  ++this->era;
+  this->changed.notify_all();
+}
+
+std::vector<double> TroubledStore::LimitedCalls() {
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  return this->limited_calls;
+}
+
 bool TroubledStore::IsAffected(int reader) const {
   return this->affected.count(reader) > 0;
 }
 
 std::string TroubledStore::Revision() const {
-  return "\"store_revision\":" + std::to_string(this->revision);
+  return "\"store_revision\":" + std::to_string(this->contents.revision);
 }
 
 // Applies the trouble to a call that has just arrived.
@@ -148,8 +165,8 @@
 
 TroubledStore::Response TroubledStore::Read(const std::string& target) const {
   const std::string key = review::QueryValue(target, "key");
-  const auto found = this->items.find(key);
-  if (found == this->items.end()) {
+  const auto found = this->contents.items.find(key);
+  if (found == this->contents.items.end()) {
     return {404, ""};
   }
   const Item& item = found->second;
@@ -165,7 +182,7 @@
   const std::string prefix = review::QueryValue(target, "prefix");
   const std::string after = review::QueryValue(target, "after");
   std::string body;
-  for (const auto& [key, item] : this->items) {
+  for (const auto& [key, item] : this->contents.items) {
     if (key.rfind(prefix, 0) == 0 && key > after) {
       body += (body.empty() ? "" : ",") +
               Render(key, item.value, item.revision, item.created) + "}";
@@ -181,7 +198,8 @@
     std::unique_lock<std::mutex>& lock) {
   const long after = std::atol(review::QueryValue(target, "after").c_str());
   const int wait = std::atoi(review::QueryValue(target, "wait_ms").c_str());
-  if (after < this->oldest_revision) {
+  if (after < this->contents.oldest_revision ||
+      after > this->contents.revision) {
     return {410, ""};
   }
   const int begun_before = this->begun;
@@ -191,7 +209,7 @@
            this->trouble != Trouble::kSlow && this->trouble != Trouble::kLate;
   };
   this->changed.wait_for(lock, std::chrono::milliseconds(wait), [&] {
-    return was_disturbed() || (!deaf && this->revision > after);
+    return was_disturbed() || (!deaf && this->contents.revision > after);
   });
   if (this->begun != begun_before && this->IsAffected(reader)) {
     switch (this->trouble) {
@@ -210,7 +228,7 @@
     }
   }
   std::string body;
-  for (const Event& event : this->log) {
+  for (const Event& event : this->contents.log) {
     if (!deaf && event.revision > after) {
       body += (body.empty() ? "" : ",") +
               Render(event.key, event.item.value, event.revision,
@@ -231,8 +249,12 @@
     const std::string target =
         request.start.substr(space + 1, request.start.rfind(' ') - space - 1);
     Response response;
+    std::string era;
     {
       std::unique_lock<std::mutex> lock(this->mutex);
+      if (target.find("allow_stale=1") == std::string::npos) {
+        this->limited_calls.push_back(review::Now());
+      }
       const int status =
           this->IsAffected(reader) ? StatusOf(this->trouble) : 200;
       if (this->Disturb(reader, fd, lock)) {
@@ -248,6 +270,7 @@
       } else {
         response = this->Watch(target, reader, lock);
       }
+      era = std::to_string(this->era);
     }
     if (response.status == kNoResponse) {
       StaySilent(fd);
@@ -258,7 +281,8 @@
       return;
     }
     if (!review::SendAll(fd, "HTTP/1.1 " + std::to_string(response.status) +
-                                 " X\r\nContent-Length: " +
+                                 " X\r\nStore-Era: " + era +
+                                 "\r\nContent-Length: " +
                                  std::to_string(response.body.size()) +
                                  "\r\n\r\n" + response.body)) {
       return;
--- a/Utilities/platform/troubled_store.h
+++ b/Utilities/platform/troubled_store.h
@@ -45,9 +45,19 @@
   void Begin(Trouble kind, const std::set<int>& readers);
   void End();
 
+  /// \brief Keeps a copy for Restore.
+  void TakeCopy();
+
+  /// \brief Goes back to the copy, in the next era.
+  void Restore();
+
   /// \brief Number of calls so far.
   std::size_t Calls() const { return this->calls; }
 
+  /// \brief Arrival times of the calls that count against the limit of the
+  /// registry, which leaves out reads of the revision.
+  std::vector<double> LimitedCalls();
+
  private:
   struct Item {
     std::string value;
@@ -63,6 +73,12 @@
     int status = 200;
     std::string body;
   };
+  struct Contents {
+    std::map<std::string, Item> items;
+    std::vector<Event> log;
+    long revision = 100;
+    long oldest_revision = 0;
+  };
 
   void Serve(int reader, int fd);
   double PutLocked(const std::string& key, const std::string& value);
@@ -78,10 +94,10 @@
   std::atomic<std::size_t> calls{0};
   std::mutex mutex;
   std::condition_variable changed;
-  std::map<std::string, Item> items;
-  std::vector<Event> log;
-  long revision = 100;
-  long oldest_revision = 0;
+  Contents contents;
+  Contents copy;
+  long era = 1;
+  std::vector<double> limited_calls;
   Trouble trouble = Trouble::kNone;
   std::set<int> affected;
   int begun = 0;
