--- a/Source/daemon/ingress.cc
+++ b/Source/daemon/ingress.cc
@@ -193,9 +193,9 @@
   bool of_repeat = false;
   if (const auto left = CallerTimeLeft(request, this->dependencies.headers)) {
     time_limit = std::min<std::chrono::microseconds>(time_limit, *left);
-    of_repeat =
-        this->dependencies.repeated_runs != nullptr &&
-        this->dependencies.repeated_runs->MayHaveCalled(read_at + *left);
+    of_repeat = this->dependencies.repeated_runs != nullptr &&
+                this->dependencies.repeated_runs->MayHaveCalled(
+                    trace.id, read_at + *left);
   }
   IngressRequest context{
       request,
--- a/Source/daemon/owner_service.cc
+++ b/Source/daemon/owner_service.cc
@@ -452,7 +452,8 @@
   };
   call.started = Clock::now();
   if (call.message.repeat() && this->repeated_runs != nullptr) {
-    this->repeated_runs->Add(call.deadline, call.started);
+    this->repeated_runs->Add(TraceIdOf(call.message, this->protocol),
+                             call.deadline, call.started);
   }
   BackendResult backend = endpoint.client.Call(backend_call);
   this->backend_calls.Add();
--- a/Source/daemon/repeated_run_list.h
+++ b/Source/daemon/repeated_run_list.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <mutex>
 
+#include "absl/strings/string_view.h"
 #include "core/repeated_runs.h"
 
 namespace comfrey {
@@ -14,14 +15,14 @@
  public:
   using TimePoint = RepeatedRuns::TimePoint;
 
-  void Add(TimePoint deadline, TimePoint now) {
+  void Add(absl::string_view id, TimePoint deadline, TimePoint now) {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    AddRepeatedRun(this->runs, deadline, now);
+    AddRepeatedRun(this->runs, id, deadline, now);
   }
 
-  bool MayHaveCalled(TimePoint deadline) const {
+  bool MayHaveCalled(absl::string_view id, TimePoint deadline) const {
     const std::lock_guard<std::mutex> lock(this->mutex);
-    return MayBeCallOfRun(this->runs, deadline);
+    return MayBeCallOfRun(this->runs, id, deadline);
   }
 
  private:
--- a/Tests/registry/registry_watcher_test.cc
+++ b/Tests/registry/registry_watcher_test.cc
@@ -122,6 +122,20 @@
     this->watcher.Start();
   }
 
+  // Lists the backend server i-1, falls silent for 2.5 s, and then lists none.
+  void PlaySilence() {
+    RegistryUpdate listing = MakeListing(4);
+    listing.registrations = {MakeRegistration("i-1")};
+    this->registry.QueueResult(listing);
+    this->registry.WaitForCalls(2);
+    this->registry.SetRevision(absl::DeadlineExceededError("silent"));
+    std::this_thread::sleep_for(milliseconds(2500));
+    this->registry.SetRevision(RegistryRevision{0, 5});
+    this->registry.WaitForCalls(3);
+    this->registry.QueueResult(MakeListing(5));
+    this->registry.WaitForCalls(4);
+  }
+
   std::vector<std::uint64_t> Versions() {
     const std::lock_guard<std::mutex> lock(this->mutex);
     return this->versions;
@@ -306,16 +320,7 @@
           "[registry_watcher]") {
   constexpr milliseconds kSlack{200};
   Fixture fixture;
-  RegistryUpdate listing = MakeListing(4);
-  listing.registrations = {MakeRegistration("i-1")};
-  fixture.registry.QueueResult(listing);
-  fixture.registry.WaitForCalls(2);
-  fixture.registry.SetRevision(absl::DeadlineExceededError("silent"));
-  std::this_thread::sleep_for(milliseconds(2500));
-  fixture.registry.SetRevision(RegistryRevision{0, 5});
-  fixture.registry.WaitForCalls(3);
-  fixture.registry.QueueResult(MakeListing(5));
-  fixture.registry.WaitForCalls(4);
+  fixture.PlaySilence();
   const Clock::time_point reconnected_at = Clock::now();
   std::this_thread::sleep_for(milliseconds(1600));
   CHECK(fixture.Registrations() == 1);
@@ -333,16 +338,7 @@
 TEST_CASE("registrations are kept after a silence of the registry",
           "[registry_watcher]") {
   Fixture fixture;
-  RegistryUpdate listing = MakeListing(4);
-  listing.registrations = {MakeRegistration("i-1")};
-  fixture.registry.QueueResult(listing);
-  fixture.registry.WaitForCalls(2);
-  fixture.registry.SetRevision(absl::DeadlineExceededError("silent"));
-  std::this_thread::sleep_for(milliseconds(2500));
-  fixture.registry.SetRevision(RegistryRevision{0, 5});
-  fixture.registry.WaitForCalls(3);
-  fixture.registry.QueueResult(MakeListing(5));
-  fixture.registry.WaitForCalls(4);
+  fixture.PlaySilence();
   CHECK(fixture.Versions().back() == 5);
   CHECK(fixture.Registrations() == 1);
 }
--- a/Tests/system/repeat_budget_test.cc
+++ b/Tests/system/repeat_budget_test.cc
@@ -17,6 +17,8 @@
 using std::chrono::milliseconds;
 
 constexpr int kPagePort = 8082;
+// Limit of a call that does not wait until the deadline of its parent.
+constexpr milliseconds kOwnLimit{1000};
 
 // Value of a counter of a daemon; 0 if it has not counted yet.
 int ReadCounter(int vm, const std::string& name) {
@@ -33,8 +35,12 @@
   return 0;
 }
 
-// Makes a call as a backend server does for a request that it runs.
-int Call(int vm, const httplib::Request& parent, milliseconds spent) {
+// Makes a call as a backend server does for a request that it runs. The id of
+// the call extends that of its parent, or it has the deadline of its parent.
+int Call(int vm,
+         const httplib::Request& parent,
+         milliseconds spent,
+         bool extends_id) {
   int left = 0;
   if (!absl::SimpleAtoi(parent.get_header_value("X-Left"), &left)) {
     return 400;
@@ -43,8 +49,11 @@
   const httplib::Result result = client.Post(
       "/a/call",
       {{"Host", "shop.example"},
-       {"X-Attempt", "8"},
-       {"X-Left", absl::StrCat(left - static_cast<int>(spent.count()))}},
+       {"X-Attempt",
+        extends_id ? parent.get_header_value("X-Attempt") + ".1" : "8"},
+       {"X-Left",
+        absl::StrCat(extends_id ? kOwnLimit.count()
+                                : left - static_cast<int>(spent.count()))}},
       "body", "text/plain");
   return result ? result->status : 502;
 }
@@ -54,6 +63,7 @@
 TEST_CASE("calls of a repeated run are charged to the budget of repeats") {
   constexpr milliseconds kWorkBeforeCall{150};
   const bool first_run_fails = GENERATE(true, false);
+  const bool extends_id = GENERATE(true, false);
   RegistryFleet fleet;
   std::atomic<int> parent_runs{0};
   const auto work_at = [&](int vm) {
@@ -65,7 +75,7 @@
         return 500;
       }
       std::this_thread::sleep_for(kWorkBeforeCall);
-      return Call(vm, request, kWorkBeforeCall);
+      return Call(vm, request, kWorkBeforeCall, extends_id);
     };
   };
   fleet.backend_one.work = work_at(1);
