Keep the headers of the platform in the platform folder of Utilities

measure_registry_drill wrote two header names of the platform itself; MakeProbeRequest in Utilities/platform does now.

--- a/Utilities/measure_registry_drill.cc
+++ b/Utilities/measure_registry_drill.cc
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "harness.h"
+#include "platform/probe_request.h"
 #include "platform/troubled_store.h"
 
 DEFINE_int32(daemons, 60, "number of daemons, 99 at most");
@@ -106,11 +107,7 @@
   int status = 0;
   review::Reader input(fd);
   review::Message response;
-  if (review::SendAll(fd,
-                      "GET /new/1 HTTP/1.1\r\nHost: desk.example\r\n"
-                      "Comfreywood-Attempt-Id: " +
-                          Clients::NewId() +
-                          "\r\nComfreywood-Deadline-Ms: 4000\r\n\r\n") &&
+  if (review::SendAll(fd, MakeProbeRequest("/new/1", Clients::NewId())) &&
       input.Read(response, Now() + 4)) {
     status = std::atoi(response.start.substr(9, 3).c_str());
   }
